--- /dev/null
+++ b/Source/command/main.cpp
@@ -0,0 +1,99 @@
+#include "command/record_commands.h"
+#include "command/report_commands.h"
+#include "program/program.h"
+
+#include <CLI/CLI.hpp>
+
+namespace pistachiolatch {
+
+namespace {
+    struct command_arguments {
+        std::string settings;
+        std::string file;
+        std::string kind;
+        std::string name;
+        std::string organisation;
+        std::string keyId;
+        std::string requestId;
+    };
+
+    void addCommands(CLI::App& app, command_arguments& arguments)
+    {
+        app.require_subcommand(1);
+        app.add_option("--settings", arguments.settings, "TOML file with controls and token")->envname("PISTACHIOLATCH_SETTINGS");
+        auto* get = app.add_subcommand("get", "print the records in force as TOML");
+        get->add_option("kind", arguments.kind, "only this kind");
+        get->add_option("name", arguments.name, "only this name");
+        app.add_subcommand("diff", "show what apply would change")->add_option("file", arguments.file, "TOML file of records")->required();
+        app.add_subcommand("apply", "submit records and wait until they are in force everywhere")->add_option("file", arguments.file, "TOML file of records")->required();
+        auto* remove = app.add_subcommand("remove", "remove a record");
+        remove->add_option("kind", arguments.kind, "the record's kind")->required();
+        remove->add_option("name", arguments.name, "the record's name")->required();
+        auto* key = app.add_subcommand("key", "issue and withdraw callers' keys");
+        key->require_subcommand(1);
+        key->add_subcommand("issue", "make a key, store its digest, print it once")->add_option("organisation", arguments.organisation, "whose key")->required();
+        key->add_subcommand("withdraw", "withdraw a key everywhere")->add_option("id", arguments.keyId, "the key's id")->required();
+        app.add_subcommand("status", "show replicas, processes, shards and pools");
+        app.add_subcommand("events", "show what the fleet did");
+        app.add_subcommand("explain", "show what was done for a request")->add_option("request-id", arguments.requestId, "from X-Request-Id")->required();
+        app.add_subcommand("check", "check a settings file of this command")->add_option("file", arguments.file, "settings file")->required();
+        app.add_subcommand("wire-keys", "make a key pair for [wire]");
+        app.add_subcommand("operator-token", "make an operator's token and its digest");
+    }
+
+    int runCommand(const CLI::App& app, const command_arguments& arguments)
+    {
+        if (app.got_subcommand("wire-keys"))
+            return commandWireKeys();
+        if (app.got_subcommand("operator-token"))
+            return commandOperatorToken();
+        bool check = app.got_subcommand("check");
+        if (!check && arguments.settings.empty()) {
+            fmt::print(stderr, "give --settings FILE or set PISTACHIOLATCH_SETTINGS\n");
+            return exitBadInput;
+        }
+        auto settings = readCommandSettings(check ? arguments.file : arguments.settings);
+        if (!settings) {
+            fmt::print(stderr, "{}\n", settings.error().message);
+            return exitBadInput;
+        }
+        if (check) {
+            fmt::print("{}: settings are good\n", arguments.file);
+            return exitOk;
+        }
+        operator_client client(settings.value());
+        if (app.got_subcommand("get"))
+            return commandGet(client, arguments.kind, arguments.name);
+        if (app.got_subcommand("diff"))
+            return commandDiff(client, arguments.file);
+        if (app.got_subcommand("apply"))
+            return commandApply(client, arguments.file);
+        if (app.got_subcommand("remove"))
+            return commandRemove(client, arguments.kind, arguments.name);
+        if (app.got_subcommand("status"))
+            return commandStatus(client);
+        if (app.got_subcommand("events"))
+            return commandEvents(client);
+        if (app.got_subcommand("explain"))
+            return commandExplain(client, arguments.requestId);
+        const auto* key = app.get_subcommand("key");
+        return key->got_subcommand("issue") ? commandKeyIssue(client, arguments.organisation) : commandKeyWithdraw(client, arguments.keyId);
+    }
+}
+
+} // namespace pistachiolatch
+
+int main(int argc, char** argv)
+{
+    using namespace pistachiolatch;
+    CLI::App app("Operates a pistachiolatch fleet: submits records, reads back what is in force, explains what was done.", "pistachiolatch");
+    app.set_version_flag("--version", std::string("pistachiolatch ") + PISTACHIOLATCH_VERSION);
+    command_arguments arguments;
+    addCommands(app, arguments);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? exitOk : exitBadInput;
+    }
+    return runCommand(app, arguments);
+}
--- /dev/null
+++ b/Source/command/record_commands.h
@@ -0,0 +1,16 @@
+#pragma once
+#include "command/operator_client.h"
+#include <string>
+
+namespace pistachiolatch {
+
+/// Commands on records. Each prints its result to standard output, problems to standard error, and returns the
+/// exit code.
+int commandGet(const operator_client& client, const std::string& kind, const std::string& name);
+int commandDiff(const operator_client& client, const std::string& path);
+int commandApply(const operator_client& client, const std::string& path);
+int commandRemove(const operator_client& client, const std::string& kind, const std::string& name);
+int commandKeyIssue(const operator_client& client, const std::string& organisation);
+int commandKeyWithdraw(const operator_client& client, const std::string& keyId);
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/consensus/raft_core.cpp
@@ -0,0 +1,280 @@
+#include "consensus/raft_core.h"
+
+#include <algorithm>
+
+namespace pistachiolatch {
+
+replica_key keyOf(const wire::replica_id& id)
+{
+    return { id.vm(), id.incarnation() };
+}
+
+raft_core::raft_core(wire::replica_id self, raft_settings settings, std::uint64_t seed, raft_restored restored, time_point now)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_random(seed)
+    , m_hardState(std::move(restored.hardState))
+    , m_snapshot(std::move(restored.snapshot))
+    , m_log(m_snapshot.index(), m_snapshot.term(), std::move(restored.entries))
+    , m_commit(m_snapshot.index())
+    , m_now(now)
+    // A replica that restarts may have promised a leader its silence just before. Counting the start as word
+    // from a leader keeps that promise; otherwise its vote could end a lease that still runs.
+    , m_heardLeaderAt(now)
+{
+    refreshMembers();
+    resetElectionTimer(now);
+}
+
+void raft_core::bootstrap()
+{
+    m_hardState.set_term(1);
+    saveHardState();
+    wire::replica_set first;
+    *first.add_voters() = m_self;
+    wire::log_entry entry;
+    entry.set_index(1);
+    entry.set_term(1);
+    entry.set_kind(wire::ENTRY_MEMBERSHIP);
+    entry.set_data(first.SerializeAsString());
+    m_ready.append.push_back(entry);
+    m_log.append(std::move(entry));
+    refreshMembers();
+}
+
+void raft_core::tick(time_point now)
+{
+    m_now = now;
+    if (m_role == raft_role::Leader) {
+        if (leaseValid(now))
+            m_heardLeaderAt = now;
+        // A leader that lost its quorum steps down, so that callers hear "no quorum" and not an old state.
+        if (now - m_heardLeaderAt > m_settings.electionMost) {
+            becomeFollower(term(), now);
+            return;
+        }
+        stepMembership(now);
+        if (now >= m_heartbeatDue || m_broadcastWanted)
+            broadcast(now, true);
+        return;
+    }
+    if (now >= m_electionDue && isVoter())
+        startPreVote(now);
+}
+
+void raft_core::step(const wire::raft_message& message, time_point now)
+{
+    m_now = now;
+    // A message for an earlier incarnation of this VM is not for this replica.
+    if (keyOf(message.to()) != keyOf(m_self))
+        return;
+    switch (message.kind()) {
+    case wire::RAFT_PRE_VOTE:
+    case wire::RAFT_VOTE:
+        onVoteRequest(message, now);
+        return;
+    case wire::RAFT_PRE_VOTE_REPLY:
+    case wire::RAFT_VOTE_REPLY:
+        onVoteReply(message, now);
+        return;
+    case wire::RAFT_APPEND:
+        onAppend(message, now);
+        return;
+    case wire::RAFT_APPEND_REPLY:
+        onAppendReply(message, now);
+        return;
+    case wire::RAFT_SNAPSHOT:
+        onSnapshot(message, now);
+        return;
+    default:
+        return;
+    }
+}
+
+std::optional<log_position> raft_core::propose(std::string command)
+{
+    if (m_role != raft_role::Leader)
+        return std::nullopt;
+    appendOwn(wire::ENTRY_COMMAND, std::move(command));
+    return log_position { m_log.lastIndex(), term() };
+}
+
+void raft_core::appendOwn(wire::entry_kind kind, std::string data)
+{
+    wire::log_entry entry;
+    entry.set_index(m_log.lastIndex() + 1);
+    entry.set_term(term());
+    entry.set_kind(kind);
+    entry.set_data(std::move(data));
+    m_ready.append.push_back(entry);
+    m_log.append(std::move(entry));
+    if (kind == wire::ENTRY_MEMBERSHIP)
+        refreshMembers();
+    m_broadcastWanted = true;
+    advanceCommit();
+}
+
+void raft_core::compact(std::uint64_t index, std::string state)
+{
+    if (index <= m_log.baseIndex() || index > m_commit)
+        return;
+    m_snapshot.set_index(index);
+    m_snapshot.set_term(m_log.termAt(index));
+    m_snapshot.set_state(std::move(state));
+    // The members as of the snapshot: the newest membership entry at or before its index.
+    for (auto i = index; i >= m_log.firstIndex(); --i) {
+        if (m_log.at(i).kind() != wire::ENTRY_MEMBERSHIP)
+            continue;
+        m_snapshot.mutable_members()->ParseFromString(m_log.at(i).data());
+        break;
+    }
+    m_log.compactTo(index);
+}
+
+raft_ready raft_core::takeReady()
+{
+    if (m_role == raft_role::Leader && m_broadcastWanted)
+        broadcast(m_now, !m_reads.empty());
+    answerReads();
+    return std::exchange(m_ready, {});
+}
+
+void raft_core::becomeFollower(std::uint64_t newTerm, time_point now)
+{
+    if (newTerm > term()) {
+        m_hardState.set_term(newTerm);
+        m_hardState.clear_voted_for_vm();
+        m_hardState.clear_voted_for_incarnation();
+        saveHardState();
+        m_leader.reset();
+    }
+    if (m_role == raft_role::Leader)
+        m_leader.reset();
+    m_role = raft_role::Follower;
+    m_votes.clear();
+    m_progress.clear();
+    failReads();
+    resetElectionTimer(now);
+}
+
+void raft_core::onAppend(const wire::raft_message& message, time_point now)
+{
+    auto reply = makeMessage(wire::RAFT_APPEND_REPLY, message.from());
+    if (message.term() < term()) {
+        reply.set_reject(true);
+        send(std::move(reply));
+        return;
+    }
+    if (message.term() > term() || m_role != raft_role::Follower)
+        becomeFollower(message.term(), now);
+    m_leader = message.from();
+    m_heardLeaderAt = now;
+    resetElectionTimer(now);
+
+    reply.set_term(term());
+    reply.set_round(message.round());
+    bool covered = message.index() < m_log.baseIndex();
+    bool matches = covered || m_log.termAt(message.index()) == message.log_term();
+    if (!matches || (message.index() > m_log.lastIndex())) {
+        reply.set_reject(true);
+        // The leader steps back to just after what this replica can hold.
+        reply.set_index(std::min(m_log.lastIndex(), message.index() > 0 ? message.index() - 1 : 0));
+        send(std::move(reply));
+        return;
+    }
+    takeEntries(message);
+    auto lastNew = message.index() + static_cast<std::uint64_t>(message.entries_size());
+    // What a snapshot covers is committed, so it matches without a look at its term.
+    auto matched = std::max(lastNew, covered ? m_log.baseIndex() : 0);
+    commitTo(std::min(message.commit(), matched));
+    reply.set_index(matched);
+    send(std::move(reply));
+}
+
+void raft_core::takeEntries(const wire::raft_message& message)
+{
+    for (const auto& entry : message.entries()) {
+        if (entry.index() <= m_log.baseIndex() || m_log.termAt(entry.index()) == entry.term())
+            continue;
+        if (entry.index() <= m_log.lastIndex()) {
+            m_log.truncateFrom(entry.index());
+            m_ready.truncateFrom = m_ready.truncateFrom ? std::min(m_ready.truncateFrom, entry.index()) : entry.index();
+            std::erase_if(m_ready.append, [&](const auto& waiting) { return waiting.index() >= entry.index(); });
+        }
+        m_ready.append.push_back(entry);
+        m_log.append(entry);
+    }
+    refreshMembers();
+}
+
+void raft_core::onSnapshot(const wire::raft_message& message, time_point now)
+{
+    if (message.term() < term())
+        return;
+    if (message.term() > term() || m_role != raft_role::Follower)
+        becomeFollower(message.term(), now);
+    m_leader = message.from();
+    m_heardLeaderAt = now;
+    resetElectionTimer(now);
+
+    const auto& snapshot = message.snapshot();
+    if (snapshot.index() > m_commit) {
+        m_snapshot = snapshot;
+        m_log.reset(snapshot.index(), snapshot.term());
+        m_commit = snapshot.index();
+        // Entries handed out but not yet persisted lie before the snapshot or contradict it.
+        m_ready.append.clear();
+        m_ready.committed.clear();
+        m_ready.truncateFrom = 0;
+        m_ready.snapshot = snapshot;
+        refreshMembers();
+    }
+    auto reply = makeMessage(wire::RAFT_APPEND_REPLY, message.from());
+    reply.set_round(message.round());
+    reply.set_index(std::max(m_commit, snapshot.index()));
+    send(std::move(reply));
+}
+
+void raft_core::commitTo(std::uint64_t index)
+{
+    for (; m_commit < index; ++m_commit)
+        m_ready.committed.push_back(m_log.at(m_commit + 1));
+}
+
+void raft_core::refreshMembers()
+{
+    // The newest membership in the log counts from the moment it is appended, committed or not.
+    for (auto i = m_log.lastIndex(); i >= m_log.firstIndex() && i > 0; --i) {
+        if (m_log.at(i).kind() != wire::ENTRY_MEMBERSHIP)
+            continue;
+        m_members.ParseFromString(m_log.at(i).data());
+        m_membersIndex = i;
+        refreshProgress();
+        return;
+    }
+    m_members = m_snapshot.members();
+    m_membersIndex = m_snapshot.index();
+    refreshProgress();
+}
+
+bool raft_core::isVoter(const replica_key& key) const
+{
+    return std::any_of(m_members.voters().begin(), m_members.voters().end(), [&](const auto& voter) { return keyOf(voter) == key; });
+}
+
+wire::raft_message raft_core::makeMessage(wire::raft_kind kind, const wire::replica_id& to) const
+{
+    wire::raft_message message;
+    message.set_kind(kind);
+    *message.mutable_from() = m_self;
+    *message.mutable_to() = to;
+    message.set_term(term());
+    return message;
+}
+
+void raft_core::send(wire::raft_message message)
+{
+    m_ready.messages.push_back(std::move(message));
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/consensus/raft_core.h
@@ -0,0 +1,187 @@
+#pragma once
+#include "consensus/memory_log.h"
+#include "kernel/kernel.h"
+#include "wire/generated/pistachiolatch.pb.h"
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pistachiolatch {
+
+/// A replica is a VM in one incarnation of its storage. A VM whose storage was wiped comes back as another
+/// replica without a vote; otherwise it could vote twice in one term or forget what it acknowledged.
+struct replica_key {
+    std::string vm;
+    std::uint64_t incarnation = 0;
+    auto operator<=>(const replica_key&) const = default;
+};
+
+replica_key keyOf(const wire::replica_id& id);
+
+struct raft_settings {
+    milliseconds heartbeat { 60 };
+    milliseconds electionLeast { 500 };
+    milliseconds electionMost { 900 };
+    /// A joining replica that is silent for this long is forgotten by the leader.
+    milliseconds joinerSilence { 3000 };
+    milliseconds snapshotRetry { 1000 };
+    std::size_t mostEntriesPerMessage = 256;
+    std::size_t mostBytesPerMessage = 1024UL * 1024;
+};
+
+enum class raft_role {
+    Follower,
+    PreCandidate,
+    Candidate,
+    Leader,
+};
+
+/// What was on stable storage when the replica started.
+struct raft_restored {
+    wire::hard_state hardState;
+    wire::raft_snapshot snapshot;
+    std::vector<wire::log_entry> entries;
+};
+
+/// What the host must do, in this order: persist and sync the hard state, the snapshot and the entries;
+/// only then send the messages, apply what is committed and answer the reads.
+struct raft_ready {
+    std::optional<wire::hard_state> hardState;
+    std::optional<wire::raft_snapshot> snapshot;
+    /// Stored entries from this index on are void; 0 means none.
+    std::uint64_t truncateFrom = 0;
+    std::vector<wire::log_entry> append;
+    std::vector<wire::raft_message> messages;
+    std::vector<wire::log_entry> committed;
+    std::vector<std::uint64_t> readsDone;
+    std::vector<std::uint64_t> readsFailed;
+};
+
+/// Where a proposed entry stands in the log.
+struct log_position {
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    auto operator<=>(const log_position&) const = default;
+};
+
+/// The decisions of one replica of a Raft log (Ongaro and Ousterhout, "In Search of an Understandable Consensus
+/// Algorithm", 2014): elections with pre-vote and leader stickiness, replication, membership changes of one
+/// replica at a time, reads through the quorum, a leader lease. Takes messages and time, returns effects; no I/O.
+/// Not thread-safe.
+class raft_core {
+public:
+    raft_core(wire::replica_id self, raft_settings settings, std::uint64_t seed, raft_restored restored, time_point now);
+
+    /// Makes this replica the only voter of a new log. Precondition: the log is empty.
+    void bootstrap();
+    /// Lets time pass: heartbeats, elections, membership steps.
+    void tick(time_point now);
+    /// Takes in a message from another replica.
+    void step(const wire::raft_message& message, time_point now);
+    /// Appends a command. Returns nothing when this replica is not the leader.
+    std::optional<log_position> propose(std::string command);
+    /// Tells the leader of a replica that wants a vote. It is caught up first, then replaces the VM's earlier
+    /// replica by two changes of one replica each.
+    void join(const wire::replica_id& replica, time_point now);
+    /// Asks for a read that sees all that was acknowledged before; its id comes back in readsDone or readsFailed.
+    void read(std::uint64_t id);
+    /// Tells that the state up to the index is in a snapshot with these bytes.
+    void compact(std::uint64_t index, std::string state);
+    /// The effects since the last call.
+    raft_ready takeReady();
+
+    raft_role role() const { return m_role; }
+    /// The leader, when one is known.
+    const std::optional<wire::replica_id>& leader() const { return m_leader; }
+    std::uint64_t term() const { return m_hardState.term(); }
+    std::uint64_t commitIndex() const { return m_commit; }
+    const memory_log& log() const { return m_log; }
+    const wire::raft_snapshot& snapshot() const { return m_snapshot; }
+    const wire::replica_set& members() const { return m_members; }
+    bool isVoter() const { return isVoter(keyOf(m_self)); }
+    /// Whether this replica is leader and no other can have been elected yet. Symptom without it: an isolated
+    /// leader goes on granting leases while a new leader already counts them as run out.
+    bool leaseValid(time_point now) const;
+    /// Whether this leader has committed an entry of its own term, and so knows all that was ever acknowledged.
+    bool hasCommittedInTerm() const;
+
+private:
+    struct follower_progress {
+        wire::replica_id id;
+        std::uint64_t next = 1;
+        std::uint64_t match = 0;
+        std::uint64_t ackedRound = 0;
+        time_point lastHeard {};
+        time_point snapshotSentAt {};
+        bool voter = false;
+    };
+    struct pending_read {
+        std::uint64_t id;
+        std::uint64_t round;
+    };
+    struct sent_round {
+        std::uint64_t round;
+        time_point sentAt;
+    };
+
+    bool isVoter(const replica_key& key) const;
+    std::size_t quorum() const { return static_cast<std::size_t>(m_members.voters_size()) / 2 + 1; }
+    bool heardLeaderLately(time_point now) const;
+    void resetElectionTimer(time_point now);
+    void becomeFollower(std::uint64_t term, time_point now);
+    void startPreVote(time_point now);
+    void startElection(time_point now);
+    void becomeLeader(time_point now);
+    void onVoteRequest(const wire::raft_message& message, time_point now);
+    void onVoteReply(const wire::raft_message& message, time_point now);
+    bool logIsUpToDate(std::uint64_t index, std::uint64_t term) const;
+    void onAppend(const wire::raft_message& message, time_point now);
+    void takeEntries(const wire::raft_message& message);
+    void onAppendReply(const wire::raft_message& message, time_point now);
+    void onSnapshot(const wire::raft_message& message, time_point now);
+    void broadcast(time_point now, bool newRound);
+    void sendAppend(follower_progress& progress, time_point now);
+    void sendSnapshot(follower_progress& progress, time_point now);
+    void advanceCommit();
+    void commitTo(std::uint64_t index);
+    void appendOwn(wire::entry_kind kind, std::string data);
+    void stepMembership(time_point now);
+    bool membershipChangePending() const;
+    void proposeMembers(wire::replica_set members);
+    void refreshMembers();
+    void refreshProgress();
+    void answerReads();
+    void failReads();
+    std::uint64_t quorumRound() const;
+    wire::raft_message makeMessage(wire::raft_kind kind, const wire::replica_id& to) const;
+    void send(wire::raft_message message);
+    void saveHardState() { m_ready.hardState = m_hardState; }
+
+    wire::replica_id m_self;
+    raft_settings m_settings;
+    std::mt19937_64 m_random;
+    wire::hard_state m_hardState;
+    wire::raft_snapshot m_snapshot;
+    memory_log m_log;
+    wire::replica_set m_members;
+    std::uint64_t m_membersIndex = 0;
+    raft_role m_role = raft_role::Follower;
+    std::optional<wire::replica_id> m_leader;
+    std::uint64_t m_commit = 0;
+    time_point m_now;
+    time_point m_heardLeaderAt;
+    time_point m_electionDue;
+    time_point m_heartbeatDue {};
+    std::set<replica_key> m_votes;
+    std::map<replica_key, follower_progress> m_progress;
+    std::uint64_t m_round = 0;
+    std::vector<sent_round> m_rounds;
+    std::vector<pending_read> m_reads;
+    bool m_broadcastWanted = false;
+    raft_ready m_ready;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/control/main.cpp
@@ -0,0 +1,120 @@
+#include "control/operator_api.h"
+#include "program/program.h"
+
+namespace pistachiolatch {
+
+namespace {
+    struct control_settings {
+        wire_settings wire;
+        std::string dataFolder;
+        std::string operatorListen;
+        std::string adminListen;
+        std::vector<operator_credential> operators;
+    };
+
+    result<void> readSettings(settings_reader& reader, control_settings& settings)
+    {
+        settings.wire = readWireSettings(reader);
+        settings.dataFolder = reader.text("control.data_folder", "");
+        settings.operatorListen = reader.address("control.operator_listen");
+        settings.adminListen = reader.address("admin.listen");
+        for (auto& row : reader.tables("operator", { "name", "token_sha256" }))
+            settings.operators.push_back({ row["name"], row["token_sha256"] });
+        if (settings.operators.empty())
+            reader.reject("operator", "no [[operator]] is given; add one with name and token_sha256 (make it with pistachiolatch operator-token)");
+        return reader.finish();
+    }
+
+    /// All parts of a control process, in the order in which they are built.
+    class control_process {
+    public:
+        control_settings settings;
+        /// Begin a new log. A flag and no setting: left in a settings file it would let a VM whose disk was
+        /// replaced begin a second log beside the first.
+        bool bootstrap = false;
+
+        result<void> start()
+        {
+            setLogProcess("pistachiolatch-control", settings.wire.vm);
+            BOOST_OUTCOME_TRYV(openStorage());
+            m_wire.emplace(settings.wire, freshIncarnation(), m_metrics);
+            m_loop.emplace(*m_wire, m_clock);
+            control_node::parts parts { *m_loop, m_clock, m_metrics, settings.wire, m_self, std::move(*m_store), std::move(m_replica.restored), bootstrap };
+            m_node = std::make_unique<control_node>(std::move(parts));
+            m_loop->onMessage([this](const wire::envelope& message) { m_node->onMessage(message); });
+            m_loop->onTick([this] { m_node->tick(); });
+            m_operators = std::make_unique<operator_api>(m_threads, *m_loop, *m_node, m_metrics, settings.operators);
+            m_admin = std::make_unique<admin_server>(m_threads, m_metrics, admin_hooks { [this] { return std::string(m_stopping ? "shutting down" : ""); }, {} });
+            addServices();
+            return m_registry.startAll();
+        }
+
+        void stop()
+        {
+            m_stopping = true;
+            m_registry.stopAll();
+        }
+
+    private:
+        result<void> openStorage()
+        {
+            m_self.set_vm(settings.wire.vm);
+            m_self.set_address(settings.wire.advertise);
+            if (settings.dataFolder.empty()) {
+                // Without a disk nothing of an earlier run is left, so this is a new replica.
+                m_self.set_incarnation(freshIncarnation());
+                m_store.emplace(memory_log_store());
+                if (bootstrap)
+                    return failure { "--bootstrap needs control.data_folder: the first replica of a log must be on a disk" };
+                return ok();
+            }
+            file_log_store files;
+            BOOST_OUTCOME_TRY(auto replica, files.open(settings.dataFolder));
+            m_replica = std::move(replica);
+            m_self.set_incarnation(m_replica.incarnation);
+            bool empty = m_replica.restored.entries.empty() && m_replica.restored.snapshot.index() == 0;
+            if (bootstrap && !empty)
+                return failure { fmt::format("{}: already holds a log; start without --bootstrap", settings.dataFolder) };
+            if (m_replica.tornBytes > 0)
+                logEvent("log_end_repaired", { { "bytes", m_replica.tornBytes } });
+            m_store.emplace(std::move(files));
+            return ok();
+        }
+
+        void addServices()
+        {
+            m_registry.add("wire", *m_wire, { {}, [this] { return m_wire->open(); }, {} });
+            m_registry.add("control_loop", *m_loop, { { "wire" }, [this] { m_loop->start(); return ok(); }, [this] { m_loop->stop(); } });
+            m_registry.add("traffic", m_threads, { { "control_loop" }, [this] { m_threads.start(); return ok(); }, [this] { m_threads.stop(); } });
+            m_registry.add("operators", *m_operators, { { "traffic" }, [this] { return m_operators->listen(settings.operatorListen); }, [this] { m_operators->stop(); } });
+            m_registry.add("admin", *m_admin, { { "traffic" }, [this] { return m_admin->listen(settings.adminListen); }, [this] { m_admin->stop(); } });
+        }
+
+        steady_clock_source m_clock;
+        metrics m_metrics;
+        service_registry m_registry;
+        wire::replica_id m_self;
+        stored_replica m_replica;
+        std::optional<replica_store> m_store;
+        std::atomic<bool> m_stopping { false };
+        std::optional<transport> m_wire;
+        std::optional<control_loop> m_loop;
+        std::unique_ptr<control_node> m_node;
+        traffic_threads m_threads { 1 };
+        std::unique_ptr<operator_api> m_operators;
+        std::unique_ptr<admin_server> m_admin;
+    };
+}
+
+} // namespace pistachiolatch
+
+int main(int argc, char** argv)
+{
+    using namespace pistachiolatch;
+    control_process process;
+    return runProgram(argc, argv, PISTACHIOLATCH_VERSION,
+        { "pistachiolatch-control", "Holds the records, keys, leases and the at-most-once ledger of a pistachiolatch fleet.",
+            [&](settings_reader& reader) { return readSettings(reader, process.settings); },
+            [&] { return process.start(); }, [&] { process.stop(); },
+            { { "--bootstrap", "begin a new log on this VM; once in the life of a fleet", &process.bootstrap } } });
+}
--- /dev/null
+++ b/Source/entry/caller_api.cpp
@@ -0,0 +1,158 @@
+#include "entry/caller_api.h"
+
+#include "entry/model_call.h"
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/json.hpp>
+
+namespace pistachiolatch {
+
+namespace {
+    constexpr std::string_view bearer = "Bearer ";
+    constexpr std::string_view servicesPrefix = "/services/";
+    constexpr const char* jsonType = "application/json";
+    constexpr milliseconds noConfigRetry { 2000 };
+    constexpr milliseconds shuttingDownRetry { 1000 };
+
+    bool isJson(const http_exchange& exchange)
+    {
+        return exchange.header("Content-Type").starts_with(jsonType);
+    }
+
+    std::string modelsJson(const std::vector<std::string>& names)
+    {
+        boost::json::array data;
+        for (const auto& name : names) {
+            boost::json::object model;
+            model["id"] = name;
+            model["object"] = "model";
+            data.push_back(std::move(model));
+        }
+        boost::json::object body;
+        body["object"] = "list";
+        body["data"] = std::move(data);
+        return boost::json::serialize(body);
+    }
+}
+
+caller_api::caller_api(entry_context& context)
+    : m_context(context)
+    , m_services(context)
+{
+}
+
+std::string caller_api::nextRequestId() const
+{
+    constexpr std::size_t idBytes = 12;
+    return fmt::format("{}.{}", m_context.node.self().name, randomHex(idBytes));
+}
+
+http_refusal caller_api::refuse(reason why) const
+{
+    m_context.counters.countRefusal(why);
+    caller_error error { why, run_state::NotRun, why == reason::TooManyConnections ? noConfigRetry : milliseconds(0), "" };
+    http_refusal refusal { httpStatus(why), jsonType, errorBody(error, nextRequestId()), {} };
+    if (error.retryAfter.count() > 0)
+        refusal.headers.emplace_back("Retry-After", std::to_string(std::chrono::ceil<std::chrono::seconds>(error.retryAfter).count()));
+    return refusal;
+}
+
+task_of<void> caller_api::handle(http_exchange& exchange)
+{
+    using namespace boost::asio::experimental::awaitable_operators;
+    auto requestId = nextRequestId();
+    auto ended = co_await (route(exchange, requestId) || exchange.callerGone());
+    constexpr std::size_t callerLeft = 1;
+    if (ended.index() != callerLeft)
+        co_return;
+    // The request's coroutine was cancelled; what it held at endpoints is being freed by its holds.
+    m_context.counters.countRefusal(reason::CallerGone);
+    m_context.node.journal().note(requestId, "caller_gone", {});
+    exchange.abortStream();
+}
+
+task_of<void> caller_api::route(http_exchange& exchange, const std::string& requestId)
+{
+    caller_identity caller;
+    caller.requestId = requestId;
+    auto error = identify(exchange, caller);
+    if (error) {
+        co_await sendError(exchange, *error, requestId, m_context.counters);
+        co_return;
+    }
+    auto path = exchange.path();
+    auto method = exchange.method();
+    bool chat = path == "/v1/chat/completions";
+    if (path.starts_with(servicesPrefix)) {
+        co_await m_services.run(exchange, caller);
+    } else if (path == "/v1/models" && method == "GET") {
+        co_await listModels(exchange, caller);
+    } else if ((chat || path == "/v1/completions") && method == "POST") {
+        if (!isJson(exchange)) {
+            caller_error wrongType { reason::UnsupportedMediaType, run_state::NotRun, milliseconds(0), "" };
+            co_await sendError(exchange, wrongType, requestId, m_context.counters);
+            co_return;
+        }
+        model_call call(m_context, exchange, caller, chat);
+        co_await call.run();
+    } else {
+        caller_error notFound { reason::NotFound, run_state::NotRun, milliseconds(0), "" };
+        co_await sendError(exchange, notFound, requestId, m_context.counters);
+    }
+}
+
+std::optional<caller_error> caller_api::identify(const http_exchange& exchange, caller_identity& caller) const
+{
+    if (m_context.draining)
+        return caller_error { reason::ShuttingDown, run_state::NotRun, shuttingDownRetry, "" };
+    // Without a lease this VM may have missed a withdrawn key or a changed limit.
+    if (!m_context.node.ready())
+        return caller_error { reason::NoConfig, run_state::NotRun, noConfigRetry, "" };
+    auto header = exchange.header("Authorization");
+    if (!header.starts_with(bearer) || header.size() == bearer.size())
+        return caller_error { reason::MissingKey, run_state::NotRun, milliseconds(0), "" };
+    caller.config = m_context.node.config();
+    const auto* key = caller.config->keyByDigest(sha256Hex(std::string_view(header).substr(bearer.size())));
+    if (!key)
+        return caller_error { reason::UnknownKey, run_state::NotRun, milliseconds(0), "" };
+    if (key->record.withdrawn)
+        return caller_error { reason::KeyWithdrawn, run_state::NotRun, milliseconds(0), "" };
+    caller.organisation = key->record.organisation;
+    return std::nullopt;
+}
+
+task_of<void> caller_api::listModels(http_exchange& exchange, const caller_identity& caller)
+{
+    std::vector<std::string> names;
+    const auto* organisation = caller.config->organisation(caller.organisation);
+    for (const auto& [name, model] : caller.config->models()) {
+        if (organisation && organisation->models.count(name))
+            names.push_back(name);
+    }
+    co_await exchange.respond(200, jsonType, modelsJson(names));
+}
+
+task_of<void> caller_api::handleEndpoint(http_exchange& exchange)
+{
+    if (exchange.path() != "/announce" || exchange.method() != "POST") {
+        co_await exchange.respond(404, jsonType, R"({"error":"use POST /announce"})");
+        co_return;
+    }
+    if (!m_context.node.ready()) {
+        // The endpoint announces itself through another VM instead of being heard by one that is cut off.
+        co_await exchange.respond(503, jsonType, R"({"error":"this VM has no lease; announce to another"})");
+        co_return;
+    }
+    auto announcement = parseAnnouncement(exchange.message().body());
+    if (!announcement) {
+        m_context.counters.count("announcement_malformed");
+        boost::json::object problem;
+        problem["error"] = announcement.error().message;
+        auto body = boost::json::serialize(problem);
+        co_await exchange.respond(400, jsonType, body);
+        co_return;
+    }
+    m_context.loop.post([this, value = announcement.value()] { m_context.node.announcements().announce(value); });
+    co_await exchange.respond(200, jsonType, R"({"accepted":true})");
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/entry/entry_node.h
@@ -0,0 +1,42 @@
+#pragma once
+#include "entry/announcement_relay.h"
+#include "entry/ledger_client.h"
+#include "entry/limit_client.h"
+#include "entry/placement_client.h"
+#include "entry/request_journal.h"
+
+namespace pistachiolatch {
+
+/// The control side of an entry: its session and its dealings with schedulers and control.
+/// Thread safety: the control thread, but for ready(), config() and journal().
+class entry_node {
+public:
+    entry_node(control_loop& loop, const wire_settings& settings, const clock_source& clock, metrics& counters, milliseconds limitPatience);
+
+    void onMessage(const wire::envelope& message);
+    void tick();
+    /// Gives back what is held ahead and tells control that this process stops.
+    void leave();
+
+    /// Whether new work may be taken. Thread safety: any thread.
+    bool ready() const { return m_session.leaseValid(); }
+    std::shared_ptr<const config_view> config() const { return m_session.config(); }
+    const process_identity& self() const { return m_session.self(); }
+    request_journal& journal() { return m_journal; }
+
+    limit_client& limits() { return m_limits; }
+    placement_client& placements() { return m_placements; }
+    announcement_relay& announcements() { return m_announcements; }
+    ledger_client& ledger() { return m_ledger; }
+
+private:
+    control_loop& m_loop;
+    control_session m_session;
+    limit_client m_limits;
+    placement_client m_placements;
+    announcement_relay m_announcements;
+    ledger_client m_ledger;
+    request_journal m_journal;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/http/http.h
@@ -0,0 +1,10 @@
+#pragma once
+/// HTTP/1.1 towards callers, endpoints and operators, on Boost.Beast.
+/// This is the library's one public header.
+#include "http/admin_server.h"
+#include "http/http_client.h"
+#include "http/http_exchange.h"
+#include "http/http_server.h"
+#include "http/pending_reply.h"
+#include "http/sse_parser.h"
+#include "http/traffic_threads.h"
--- /dev/null
+++ b/Source/http/http_exchange.cpp
@@ -0,0 +1,116 @@
+#include "http/http_exchange.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <poll.h>
+
+namespace pistachiolatch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr milliseconds closeCheckInterval { 200 };
+    constexpr unsigned httpVersion11 = 11;
+
+    bool peerClosed(int descriptor)
+    {
+        pollfd item { descriptor, POLLRDHUP, 0 };
+        return ::poll(&item, 1, 0) > 0 && (item.revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
+    }
+}
+
+std::string http_exchange::path() const
+{
+    std::string target(m_request.target());
+    return target.substr(0, target.find('?'));
+}
+
+std::string http_exchange::header(std::string_view name) const
+{
+    auto found = m_request.find(beast::string_view(name.data(), name.size()));
+    return found == m_request.end() ? std::string() : std::string(found->value());
+}
+
+task_of<bool> http_exchange::respond(unsigned status, const std::string& contentType, std::string body, const http_headers& headers)
+{
+    if (m_answered)
+        co_return false;
+    m_answered = true;
+    http::response<http::string_body> response(static_cast<http::status>(status), httpVersion11);
+    if (!contentType.empty())
+        response.set(http::field::content_type, contentType);
+    for (const auto& [name, value] : headers)
+        response.set(name, value);
+    m_keepAlive = m_keepAlive && m_request.keep_alive();
+    response.keep_alive(m_keepAlive);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    m_stream.expires_after(m_writeTimeout);
+    auto [error, bytes] = co_await http::async_write(m_stream, response, asTuple);
+    if (error)
+        m_keepAlive = false;
+    co_return !error;
+}
+
+task_of<bool> http_exchange::beginStream(unsigned status, const std::string& contentType, const http_headers& headers)
+{
+    if (m_answered)
+        co_return false;
+    m_answered = true;
+    http::response<http::empty_body> response(static_cast<http::status>(status), httpVersion11);
+    response.set(http::field::content_type, contentType);
+    for (const auto& [name, value] : headers)
+        response.set(name, value);
+    m_keepAlive = m_keepAlive && m_request.keep_alive();
+    response.keep_alive(m_keepAlive);
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer(response);
+    m_stream.expires_after(m_writeTimeout);
+    auto [error, bytes] = co_await http::async_write_header(m_stream, serializer, asTuple);
+    co_return !error;
+}
+
+task_of<bool> http_exchange::write(const std::string& bytes)
+{
+    m_stream.expires_after(m_writeTimeout);
+    auto [error, count] = co_await asio::async_write(m_stream, asio::buffer(bytes), asTuple);
+    if (error)
+        m_keepAlive = false;
+    co_return !error;
+}
+
+task_of<bool> http_exchange::writePiece(const std::string& piece)
+{
+    auto framed = fmt::format("{:x}\r\n{}\r\n", piece.size(), piece);
+    co_return co_await write(framed);
+}
+
+task_of<bool> http_exchange::endStream()
+{
+    std::string end = "0\r\n\r\n";
+    co_return co_await write(end);
+}
+
+void http_exchange::abortStream()
+{
+    m_keepAlive = false;
+    beast::error_code ignored;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
+task_of<void> http_exchange::callerGone()
+{
+    auto& socket = m_stream.socket();
+    auto [error] = co_await socket.async_wait(asio::socket_base::wait_read, asTuple);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    // A caller that already sent its next request keeps the socket readable, so closing shows only to a look now and then.
+    while (!error && !peerClosed(socket.native_handle())) {
+        timer.expires_after(closeCheckInterval);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/http/http_server.cpp
@@ -0,0 +1,210 @@
+#include "http/http_server.h"
+
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/beast/http.hpp>
+
+namespace pistachiolatch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+    reason reasonOfReadError(const beast::error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return reason::HeaderTooLarge;
+        if (error == http::error::body_limit)
+            return reason::BodyTooLarge;
+        if (error == beast::error::timeout)
+            return reason::RequestTimeout;
+        return reason::BadRequest;
+    }
+
+    /// Whether a read failed for a fault of the message, so that an answer makes sense.
+    bool deservesAnswer(const beast::error_code& error, bool begun)
+    {
+        if (error == http::error::end_of_stream || error == http::error::partial_message)
+            return false;
+        if (error == beast::error::timeout)
+            return begun;
+        return error.category() == make_error_code(http::error::bad_method).category();
+    }
+
+    task_of<void> sendRefusal(beast::tcp_stream& stream, const http_refusal& refusal, milliseconds timeout)
+    {
+        http_exchange exchange(stream, {}, timeout);
+        exchange.closeAfter();
+        co_await exchange.respond(refusal.status, refusal.contentType, refusal.body, refusal.headers);
+    }
+
+    /// Lets a caller that still sends read the refusal: closing at once would reset the connection under it.
+    task_of<void> drain(beast::tcp_stream& stream)
+    {
+        beast::error_code ignored;
+        stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        constexpr std::size_t blockSize = 64UL * 1024;
+        constexpr int mostBlocks = 1024;
+        constexpr milliseconds patience { 2000 };
+        std::vector<char> block(blockSize);
+        for (int i = 0; i < mostBlocks; ++i) {
+            stream.expires_after(patience);
+            auto [error, bytes] = co_await stream.async_read_some(asio::buffer(block), asTuple);
+            if (error)
+                co_return;
+        }
+    }
+
+    /// Waits for the first byte of the next request. False when the connection should end instead: idle too long,
+    /// closed, or the server drains and nothing is on its way.
+    task_of<bool> waitForRequest(beast::tcp_stream& stream, milliseconds idleTimeout, const std::atomic<bool>& draining)
+    {
+        using namespace asio::experimental::awaitable_operators;
+        constexpr milliseconds slice { 500 };
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        for (milliseconds waited { 0 }; waited < idleTimeout; waited += slice) {
+            timer.expires_after(slice);
+            auto outcome = co_await (stream.socket().async_wait(asio::socket_base::wait_read, asTuple) || timer.async_wait(asTuple));
+            if (outcome.index() == 0)
+                co_return !std::get<0>(std::get<0>(outcome));
+            if (draining)
+                co_return false;
+        }
+        co_return false;
+    }
+
+    struct counted {
+        std::atomic<unsigned>& counter;
+        explicit counted(std::atomic<unsigned>& c)
+            : counter(c)
+        {
+            ++counter;
+        }
+        ~counted() { --counter; }
+        counted(const counted&) = delete;
+        counted& operator=(const counted&) = delete;
+    };
+}
+
+asio::ip::tcp::endpoint parseAddress(const std::string& address)
+{
+    auto colon = address.rfind(':');
+    return { asio::ip::make_address_v4(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))) };
+}
+
+http_server::http_server(traffic_threads& threads, http_limits limits, http_handler handler, http_refuser refuser)
+    : m_threads(threads)
+    , m_state(std::make_shared<shared_state>())
+    , m_acceptor(threads.first())
+{
+    m_state->limits = limits;
+    m_state->handler = std::move(handler);
+    m_state->refuser = std::move(refuser);
+}
+
+http_server::~http_server() = default;
+
+result<void> http_server::listen(const std::string& address)
+{
+    beast::error_code error;
+    auto endpoint = parseAddress(address);
+    m_acceptor.open(endpoint.protocol(), error);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    m_acceptor.bind(endpoint, error);
+    if (!error)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return failure { fmt::format("can't listen on {}: {}; free the address or choose another", address, error.message()) };
+    m_port = m_acceptor.local_endpoint().port();
+    asio::co_spawn(m_threads.first(), acceptAll(), asio::detached);
+    return ok();
+}
+
+void http_server::stopAccepting()
+{
+    m_state->draining = true;
+    asio::post(m_threads.first(), [this] {
+        beast::error_code ignored;
+        m_acceptor.close(ignored);
+    });
+}
+
+task_of<void> http_server::acceptAll()
+{
+    while (m_acceptor.is_open()) {
+        auto& context = m_threads.next();
+        auto [error, socket] = co_await m_acceptor.async_accept(context, asTuple);
+        if (!m_acceptor.is_open())
+            co_return;
+        if (error) {
+            // Out of file descriptors, most likely: a pause lets connections end.
+            asio::steady_timer pause(m_threads.first(), milliseconds(20));
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        asio::co_spawn(context, serve(m_state, std::move(socket)), asio::detached);
+    }
+}
+
+task_of<void> http_server::serve(std::shared_ptr<shared_state> state, asio::ip::tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    counted connection(state->connections);
+    beast::error_code ignored;
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (state->connections > state->limits.connections) {
+        auto refusal = state->refuser(reason::TooManyConnections);
+        co_await sendRefusal(stream, refusal, state->limits.writeTimeout);
+        co_return;
+    }
+    co_await serveRequests(state, stream);
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+task_of<void> http_server::serveRequests(std::shared_ptr<shared_state> state, beast::tcp_stream& stream)
+{
+    const auto& limits = state->limits;
+    beast::flat_buffer buffer;
+    while (true) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(limits.headerBytes);
+        parser.body_limit(limits.bodyBytes);
+        if (buffer.size() == 0 && !co_await waitForRequest(stream, limits.idleTimeout, state->draining))
+            co_return;
+        stream.expires_after(limits.readTimeout);
+        auto [headError, headBytes] = co_await http::async_read_header(stream, buffer, parser, asTuple);
+        auto error = headError;
+        bool begun = buffer.size() > 0 || headBytes > 0;
+        if (!error) {
+            if (parser.get()[http::field::expect] == "100-continue") {
+                std::string goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+                co_await asio::async_write(stream, asio::buffer(goOn), asTuple);
+            }
+            stream.expires_after(limits.readTimeout);
+            auto [bodyError, bodyBytes] = co_await http::async_read(stream, buffer, parser, asTuple);
+            error = bodyError;
+            begun = true;
+        }
+        if (error) {
+            if (deservesAnswer(error, begun)) {
+                auto refusal = state->refuser(reasonOfReadError(error));
+                co_await sendRefusal(stream, refusal, limits.writeTimeout);
+                co_await drain(stream);
+            }
+            co_return;
+        }
+        counted active(state->active);
+        stream.expires_never();
+        http_exchange exchange(stream, parser.release(), limits.writeTimeout);
+        if (state->draining)
+            exchange.closeAfter();
+        co_await state->handler(exchange);
+        if (!exchange.answered() || !exchange.keepAlive() || state->draining)
+            co_return;
+    }
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/kernel/clock_source.h
@@ -0,0 +1,35 @@
+#pragma once
+#include <chrono>
+
+namespace pistachiolatch {
+
+using time_point = std::chrono::steady_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+using std::chrono::milliseconds;
+
+/// The time as the process sees it. Passed in, so that a test can drive it.
+class clock_source {
+public:
+    virtual ~clock_source() = default;
+    /// Monotonic time. Thread safety: may be called from any thread.
+    virtual time_point now() const = 0;
+};
+
+/// The machine's monotonic clock.
+class steady_clock_source final : public clock_source {
+public:
+    time_point now() const override { return std::chrono::steady_clock::now(); }
+};
+
+/// A clock that stands still until it is told to move. Not thread-safe: for tests on one thread.
+class manual_clock_source final : public clock_source {
+public:
+    time_point now() const override { return m_now; }
+    /// Moves the clock forward. Precondition: step is not negative.
+    void advance(duration step) { m_now += step; }
+
+private:
+    time_point m_now { std::chrono::hours(1) };
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/kernel/kernel.h
@@ -0,0 +1,12 @@
+#pragma once
+/// The micro-kernel: time, outcomes, reasons, logs, settings, metrics and the registry of named services.
+/// This is the library's one public header.
+#include "kernel/clock_source.h"
+#include "kernel/log_event.h"
+#include "kernel/metrics.h"
+#include "kernel/process_identity.h"
+#include "kernel/reason.h"
+#include "kernel/result.h"
+#include "kernel/service_registry.h"
+#include "kernel/settings_reader.h"
+#include "kernel/sha256.h"
--- /dev/null
+++ b/Source/kernel/log_event.cpp
@@ -0,0 +1,62 @@
+#include "kernel/log_event.h"
+
+#include <chrono>
+#include <cstdio>
+#include <fmt/chrono.h>
+
+namespace pistachiolatch {
+
+namespace {
+    std::string processPrefix;
+
+    void appendValue(std::string& line, std::string_view value)
+    {
+        bool plain = !value.empty();
+        for (unsigned char c : value)
+            plain = plain && c > ' ' && c != '"' && c != '=' && c != '\\';
+        if (plain) {
+            line.append(value);
+            return;
+        }
+        line.push_back('"');
+        for (unsigned char c : value) {
+            if (c == '"' || c == '\\')
+                line.push_back('\\');
+            // A caller must not be able to forge a second log line.
+            if (c < ' ')
+                fmt::format_to(std::back_inserter(line), "\\x{:02x}", c);
+            else
+                line.push_back(static_cast<char>(c));
+        }
+        line.push_back('"');
+    }
+}
+
+std::string formatEvent(std::string_view event, std::initializer_list<log_field> fields)
+{
+    std::string line = fmt::format("event={}", event);
+    for (const auto& field : fields) {
+        line.push_back(' ');
+        line.append(field.key);
+        line.push_back('=');
+        appendValue(line, field.value);
+    }
+    return line;
+}
+
+void logEvent(std::string_view event, std::initializer_list<log_field> fields)
+{
+    auto now = std::chrono::system_clock::now();
+    auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    auto seconds = std::chrono::floor<std::chrono::seconds>(now);
+    auto line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}{}\n", fmt::gmtime(std::chrono::system_clock::to_time_t(seconds)),
+        millis % 1000, processPrefix, formatEvent(event, fields));
+    std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+void setLogProcess(std::string_view program, std::string_view vm)
+{
+    processPrefix = fmt::format("program={} vm={} ", program, vm);
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/kernel/process_identity.cpp
@@ -0,0 +1,19 @@
+#include "kernel/process_identity.h"
+
+#include <chrono>
+#include <random>
+
+namespace pistachiolatch {
+
+std::uint64_t freshIncarnation()
+{
+    // Wall-clock milliseconds order the runs of one VM; random low bits tell two runs of one millisecond apart.
+    constexpr unsigned randomBits = 20;
+    auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    std::random_device entropy;
+    auto low = entropy() & ((1U << randomBits) - 1);
+    return (static_cast<std::uint64_t>(millis) << randomBits) | low;
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/kernel/service_registry.cpp
@@ -0,0 +1,66 @@
+#include "kernel/service_registry.h"
+
+#include "kernel/log_event.h"
+#include <algorithm>
+#include <cstdlib>
+
+namespace pistachiolatch {
+
+void* service_registry::findRaw(const std::string& name, std::type_index type) const
+{
+    auto found = m_services.find(name);
+    if (found == m_services.end() || found->second.type != type) {
+        logEvent("service_lookup_failed", { { "service", name } });
+        std::abort();
+    }
+    return found->second.instance;
+}
+
+result<void> service_registry::startAll()
+{
+    for (const auto& [name, unused] : m_services) {
+        std::vector<std::string> path;
+        auto started = startOne(name, path);
+        if (!started) {
+            stopAll();
+            return started;
+        }
+    }
+    return ok();
+}
+
+result<void> service_registry::startOne(const std::string& name, std::vector<std::string>& path)
+{
+    if (std::find(m_started.begin(), m_started.end(), name) != m_started.end())
+        return ok();
+    if (std::find(path.begin(), path.end(), name) != path.end())
+        return failure { fmt::format("service {} uses itself through others", name) };
+    auto found = m_services.find(name);
+    if (found == m_services.end())
+        return failure { fmt::format("service {} is used but was never added", name) };
+
+    path.push_back(name);
+    for (const auto& used : found->second.hooks.uses) {
+        BOOST_OUTCOME_TRYV(startOne(used, path));
+    }
+    path.pop_back();
+
+    if (found->second.hooks.start) {
+        BOOST_OUTCOME_TRYV(found->second.hooks.start());
+    }
+    m_started.push_back(name);
+    return ok();
+}
+
+void service_registry::stopAll()
+{
+    while (!m_started.empty()) {
+        auto name = m_started.back();
+        m_started.pop_back();
+        const auto& hooks = m_services.at(name).hooks;
+        if (hooks.stop)
+            hooks.stop();
+    }
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/limits/limit_owner.cpp
@@ -0,0 +1,93 @@
+#include "limits/limit_owner.h"
+
+#include <algorithm>
+
+namespace pistachiolatch {
+
+namespace {
+    /// At most this part of a bucket goes ahead to one entry; the rest stays for the others.
+    constexpr double aheadShare = 1.0 / 16;
+    constexpr milliseconds unknownOrganisationRetry { 1000 };
+}
+
+void limit_owner::configure(const std::string& organisation, std::uint64_t rate, std::uint64_t burst, time_point now)
+{
+    auto found = m_accounts.find(organisation);
+    if (found != m_accounts.end())
+        found->second.bucket.configure(rate, burst, now);
+    else
+        m_accounts.emplace(organisation, account { token_bucket(rate, burst, std::max(m_fillFrom, now)), {}, 0 });
+}
+
+void limit_owner::remove(const std::string& organisation)
+{
+    auto found = m_accounts.find(organisation);
+    if (found == m_accounts.end())
+        return;
+    for (const auto& waiting : found->second.waiting)
+        m_verdicts.push_back({ waiting.question.ticket, organisation, 0, unknownOrganisationRetry });
+    m_accounts.erase(found);
+}
+
+void limit_owner::ask(limit_ask question, time_point now)
+{
+    auto found = m_accounts.find(question.organisation);
+    if (found == m_accounts.end()) {
+        m_verdicts.push_back({ question.ticket, question.organisation, 0, unknownOrganisationRetry });
+        return;
+    }
+    auto& one = found->second;
+    serve(one, now);
+    auto wait = one.bucket.waitFor(one.waitingTokens + question.need, now);
+    // Refused at once when the wait is known to be too long: cheap for the fleet, true for the caller.
+    if (wait > question.patience || question.need > one.bucket.capacity()) {
+        m_verdicts.push_back({ question.ticket, question.organisation, 0, wait });
+        return;
+    }
+    one.waitingTokens += question.need;
+    auto deadline = now + question.patience;
+    one.waiting.push_back({ std::move(question), deadline });
+    serve(one, now);
+}
+
+std::uint64_t limit_owner::aheadOf(account& one, const limit_ask& question, time_point now)
+{
+    if (one.waiting.size() > 1)
+        return 0;
+    auto spare = static_cast<std::uint64_t>(std::max(0.0, one.bucket.level(now) * aheadShare));
+    auto ahead = std::min(question.ahead, spare);
+    return ahead > 0 && one.bucket.take(ahead, now) ? ahead : 0;
+}
+
+void limit_owner::serve(account& one, time_point now)
+{
+    while (!one.waiting.empty()) {
+        auto& first = one.waiting.front();
+        if (first.deadline < now) {
+            m_verdicts.push_back({ first.question.ticket, first.question.organisation, 0, one.bucket.waitFor(one.waitingTokens, now) });
+        } else {
+            if (!one.bucket.take(first.question.need, now))
+                return;
+            auto ahead = aheadOf(one, first.question, now);
+            m_verdicts.push_back({ first.question.ticket, first.question.organisation, first.question.need + ahead, milliseconds(0) });
+        }
+        one.waitingTokens -= first.question.need;
+        one.waiting.pop_front();
+    }
+}
+
+void limit_owner::giveBack(const std::string& organisation, std::uint64_t tokens, time_point now)
+{
+    auto found = m_accounts.find(organisation);
+    if (found != m_accounts.end())
+        found->second.bucket.giveBack(tokens, now);
+}
+
+std::vector<limit_verdict> limit_owner::step(time_point now)
+{
+    for (auto& [name, one] : m_accounts)
+        serve(one, now);
+    return std::exchange(m_verdicts, {});
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/limits/limit_owner.h
@@ -0,0 +1,70 @@
+#pragma once
+#include "limits/token_bucket.h"
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pistachiolatch {
+
+/// One entry's question for tokens.
+struct limit_ask {
+    std::string organisation;
+    std::uint64_t need = 0;
+    /// What the entry expects to need within a grant's lifetime on top.
+    std::uint64_t ahead = 0;
+    /// How long the question may wait for tokens.
+    milliseconds patience { 0 };
+    /// Names the question in the verdict.
+    std::uint64_t ticket = 0;
+};
+
+struct limit_verdict {
+    std::uint64_t ticket = 0;
+    std::string organisation;
+    /// Zero when refused.
+    std::uint64_t granted = 0;
+    milliseconds retryAfter { 0 };
+};
+
+/// The one owner of the buckets of a limit shard. Questions that must wait do so in the order they came, so that
+/// small requests at one VM can't starve a large one at another.
+/// Not thread-safe.
+class limit_owner {
+public:
+    /// The buckets fill from the moment when the grants of an earlier owner have surely run out.
+    explicit limit_owner(time_point fillFrom)
+        : m_fillFrom(fillFrom)
+    {
+    }
+
+    /// Sets an organisation's rate and burst in tokens (a second).
+    void configure(const std::string& organisation, std::uint64_t rate, std::uint64_t burst, time_point now);
+    /// Drops an organisation that has no limit record any more; its questions are refused at the next step.
+    void remove(const std::string& organisation);
+    /// Asks for tokens; the verdict comes out of step(), at once where it is known at once.
+    void ask(limit_ask question, time_point now);
+    void giveBack(const std::string& organisation, std::uint64_t tokens, time_point now);
+    /// The verdicts that are due.
+    std::vector<limit_verdict> step(time_point now);
+    std::size_t size() const { return m_accounts.size(); }
+
+private:
+    struct waiting_ask {
+        limit_ask question;
+        time_point deadline;
+    };
+    struct account {
+        token_bucket bucket;
+        std::deque<waiting_ask> waiting;
+        std::uint64_t waitingTokens = 0;
+    };
+    void serve(account& one, time_point now);
+    static std::uint64_t aheadOf(account& one, const limit_ask& question, time_point now);
+
+    time_point m_fillFrom;
+    std::map<std::string, account> m_accounts;
+    std::vector<limit_verdict> m_verdicts;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/load/expected_output.cpp
@@ -0,0 +1,36 @@
+#include "load/expected_output.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace pistachiolatch {
+
+namespace {
+    constexpr std::uint32_t shortestAnswer = 16;
+    constexpr std::uint32_t answerSpread = 112;
+    constexpr std::uint64_t words = 10000;
+}
+
+std::uint32_t expectedTokens(const std::string& prompt, std::uint32_t maxTokens)
+{
+    auto hash = XXH3_64bits(prompt.data(), prompt.size());
+    return std::min(maxTokens, shortestAnswer + static_cast<std::uint32_t>(hash % answerSpread));
+}
+
+std::string expectedToken(const std::string& prompt, std::uint32_t index)
+{
+    auto hash = XXH3_64bits_withSeed(prompt.data(), prompt.size(), index + 1);
+    return fmt::format(" w{}", hash % words);
+}
+
+std::string expectedText(const std::string& prompt, std::uint32_t maxTokens)
+{
+    std::string text;
+    auto count = expectedTokens(prompt, maxTokens);
+    for (std::uint32_t i = 0; i < count; ++i)
+        text += expectedToken(prompt, i);
+    return text;
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/program/program.h
@@ -0,0 +1,4 @@
+#pragma once
+/// What the long-running programs share: options, settings check, signals, exit codes.
+/// This is the library's one public header.
+#include "program/program_main.h"
--- /dev/null
+++ b/Source/program/program_main.cpp
@@ -0,0 +1,85 @@
+#include "program/program_main.h"
+
+#include <atomic>
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
+#include <pthread.h>
+#include <unistd.h>
+
+namespace pistachiolatch {
+
+namespace {
+    std::atomic<int> requestedExit { exitOk };
+
+    void printLines(const std::string& text)
+    {
+        fmt::print(stderr, "{}\n", text);
+    }
+
+    int waitForEnd(const program_body& body, const sigset_t& signals)
+    {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        logEvent("stopping", { { "signal", signal } });
+        body.stop();
+        logEvent("stopped", {});
+        return requestedExit.load();
+    }
+}
+
+void requestExit(int code)
+{
+    requestedExit = code;
+    ::kill(::getpid(), SIGTERM);
+}
+
+int runProgram(int argc, char** argv, const char* version, program_body body)
+{
+    CLI::App app(body.summary, body.name);
+    std::string settingsPath;
+    bool checkOnly = false;
+    app.add_option("--settings", settingsPath, "TOML settings file")->required();
+    app.add_flag("--check", checkOnly, "check the settings and exit");
+    for (const auto& flag : body.flags)
+        app.add_flag(flag.name, *flag.value, flag.help);
+    app.set_version_flag("--version", fmt::format("{} {}", body.name, version));
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? exitOk : exitBadInput;
+    }
+
+    auto reader = settings_reader::load(settingsPath);
+    if (!reader) {
+        printLines(reader.error().message);
+        return exitBadInput;
+    }
+    auto checked = body.check(reader.value());
+    if (!checked) {
+        printLines(checked.error().message);
+        return exitBadInput;
+    }
+    if (checkOnly) {
+        fmt::print("{}: settings are good\n", settingsPath);
+        return exitOk;
+    }
+
+    // Signals are blocked before any thread starts, so that only this thread takes them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    auto started = body.start();
+    if (!started) {
+        printLines(fmt::format("{}: {}", settingsPath, started.error().message));
+        return exitBadInput;
+    }
+    logEvent("started", { { "version", version } });
+    return waitForEnd(body, signals);
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/program/program_main.h
@@ -0,0 +1,42 @@
+#pragma once
+#include "kernel/kernel.h"
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace pistachiolatch {
+
+/// Exit codes of all programs; docs/OPERATIONS.md lists them.
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+constexpr int exitBadInput = 2;
+
+/// A flag of one program's own.
+struct program_flag {
+    std::string name;
+    std::string help;
+    bool* value = nullptr;
+};
+
+/// One long-running program.
+struct program_body {
+    std::string name;
+    std::string summary;
+    /// Reads and checks the settings. Errors: every problem found, one a line.
+    std::function<result<void>(settings_reader& reader)> check;
+    /// Starts all services. Errors: what could not be started.
+    std::function<result<void>()> start;
+    /// Finishes the work in hand and stops all services.
+    std::function<void()> stop;
+    std::vector<program_flag> flags;
+};
+
+/// Parses --help, --version, --check and --settings FILE, then runs until SIGTERM or SIGINT, which stop it
+/// gracefully. Returns the exit code.
+int runProgram(int argc, char** argv, const char* version, program_body body);
+
+/// Ends the running program from inside with an error, for instance when a disk can't be synced any more.
+/// Thread safety: any thread.
+void requestExit(int code);
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/records/config_view.h
@@ -0,0 +1,59 @@
+#pragma once
+#include "records/record_types.h"
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace pistachiolatch {
+
+/// A key with the organisation it stands for.
+struct key_view {
+    std::string id;
+    key_record record;
+};
+
+/// Everything in force at one revision, decoded. Never changed once built, so any thread may read it.
+class config_view {
+public:
+    /// The view after some changed records. Records that can't be decoded are left out and named in `problems`.
+    /// Precondition: revision is not lower than that of `before`.
+    static std::shared_ptr<const config_view> after(const config_view& before, std::uint64_t revision,
+        const std::vector<wire::record>& changed, std::vector<std::string>& problems);
+
+    std::uint64_t revision() const { return m_revision; }
+    const key_view* keyByDigest(const std::string& sha256) const;
+    const organisation_record* organisation(const std::string& name) const { return look(m_organisations, name); }
+    const limit_record* limit(const std::string& name) const { return look(m_limits, name); }
+    const model_record* model(const std::string& name) const { return look(m_models, name); }
+    const service_record* service(const std::string& name) const { return look(m_services, name); }
+    const std::map<std::string, model_record>& models() const { return m_models; }
+    const std::map<std::string, endpoint_role_record>& endpointRoles() const { return m_roles; }
+    const std::map<std::string, limit_record>& limits() const { return m_limits; }
+
+private:
+    template <typename T>
+    static const T* look(const std::map<std::string, T>& items, const std::string& name)
+    {
+        auto found = items.find(name);
+        return found == items.end() ? nullptr : &found->second;
+    }
+    result<void> take(const wire::record& record);
+
+    std::uint64_t m_revision = 0;
+    std::map<std::string, organisation_record> m_organisations;
+    std::map<std::string, limit_record> m_limits;
+    std::map<std::string, model_record> m_models;
+    std::map<std::string, service_record> m_services;
+    std::map<std::string, endpoint_role_record> m_roles;
+    std::map<std::string, key_record> m_keys;
+    std::unordered_map<std::string, key_view> m_byDigest;
+};
+
+/// The limit shards that organisations are spread over.
+constexpr std::uint32_t limitShardCount = 8;
+/// The names of shards. Thread safety: any thread.
+std::string modelShard(const std::string& model);
+std::string serviceShard(const std::string& service);
+std::string limitShard(const std::string& organisation);
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/records/control_state.cpp
@@ -0,0 +1,211 @@
+#include "records/control_state.h"
+
+#include "records/record_types.h"
+#include <algorithm>
+#include <set>
+
+namespace pistachiolatch {
+
+namespace {
+    /// Versions remembered for each record, for resends that come late.
+    constexpr std::size_t mostVersionsKept = 32;
+    constexpr std::int64_t poisonLifetimeMillis = 10LL * 60 * 1000;
+    constexpr std::size_t mostPoisonMarks = 10000;
+}
+
+apply_outcome control_state::apply(const wire::command& command)
+{
+    apply_outcome outcome;
+    switch (command.body_case()) {
+    case wire::command::kSubmit:
+        outcome.submit = submit(command.submit());
+        break;
+    case wire::command::kAssign:
+        assign(command.assign());
+        break;
+    case wire::command::kLedgerBegin:
+        outcome.ledger = m_ledger.begin(command.ledger_begin());
+        break;
+    case wire::command::kLedgerFinish:
+        outcome.ledger = m_ledger.finish(command.ledger_finish());
+        break;
+    case wire::command::kExpire:
+        m_ledger.expire(command.expire().before_ms());
+        break;
+    case wire::command::kCrash:
+        outcome.crashes = markCrash(command.crash());
+        break;
+    case wire::command::BODY_NOT_SET:
+        break;
+    }
+    return outcome;
+}
+
+submit_outcome control_state::submit(const wire::submit_batch& batch)
+{
+    submit_outcome outcome { submit_status::AlreadyAccepted, 0, "" };
+    std::vector<const wire::record*> fresh;
+    std::set<record_key> seen;
+    for (const auto& record : batch.records()) {
+        if (!seen.insert({ record.kind(), record.name() }).second)
+            return { submit_status::Invalid, 0, fmt::format("{} \"{}\" stands twice in one batch; leave one out", record.kind(), record.name()) };
+        auto verdict = judge(record);
+        if (verdict.status == submit_status::Conflict || verdict.status == submit_status::Invalid)
+            return verdict;
+        if (verdict.status == submit_status::Accepted)
+            fresh.push_back(&record);
+        else
+            outcome.revision = std::max(outcome.revision, verdict.revision);
+    }
+    if (fresh.empty())
+        return outcome;
+    // All of the batch gets one revision: it is in force as a whole or not at all.
+    ++m_revision;
+    for (const auto* record : fresh)
+        accept(*record);
+    return { submit_status::Accepted, m_revision, "" };
+}
+
+submit_outcome control_state::judge(const wire::record& record) const
+{
+    auto valid = validateRecord(record);
+    if (!valid)
+        return { submit_status::Invalid, 0, valid.error().message };
+    const auto* current = find(record.kind(), record.name());
+    auto currentVersion = current ? current->version() : 0;
+    if (record.version() == currentVersion + 1)
+        return { submit_status::Accepted, 0, "" };
+    if (record.version() > currentVersion)
+        return { submit_status::Conflict, 0,
+            fmt::format("{} \"{}\": version {} can't follow version {}; read it back with get and submit version {}", record.kind(), record.name(), record.version(), currentVersion, currentVersion + 1) };
+
+    auto history = m_history.find({ record.kind(), record.name() });
+    auto digest = recordDigest(record);
+    for (const auto& known : history->second) {
+        if (known.version() != record.version())
+            continue;
+        if (known.digest() == digest)
+            return { submit_status::AlreadyAccepted, current->revision(), "" };
+        return { submit_status::Conflict, 0,
+            fmt::format("{} \"{}\": version {} was already submitted by {} with other content; read it back with get", record.kind(), record.name(), record.version(), known.submitter()) };
+    }
+    return { submit_status::Conflict, 0, fmt::format("{} \"{}\": version {} is older than what is in force; read it back with get", record.kind(), record.name(), record.version()) };
+}
+
+void control_state::accept(const wire::record& record)
+{
+    record_key key { record.kind(), record.name() };
+    auto& stored = m_records[key];
+    stored = record;
+    stored.set_revision(m_revision);
+    auto& versions = m_history[key];
+    wire::version_digest digest;
+    digest.set_version(record.version());
+    digest.set_digest(recordDigest(record));
+    digest.set_submitter(record.submitter());
+    versions.push_back(std::move(digest));
+    if (versions.size() > mostVersionsKept)
+        versions.erase(versions.begin());
+}
+
+void control_state::assign(const wire::assign_shards& command)
+{
+    for (const auto& owner : command.owners()) {
+        auto& stored = m_shards[owner.shard()];
+        stored = owner;
+        stored.set_epoch(m_nextEpoch++);
+    }
+    ++m_shardVersion;
+}
+
+std::uint32_t control_state::markCrash(const wire::crash_report& report)
+{
+    std::erase_if(m_poison, [&](const auto& item) { return item.second.until_ms() < report.now_ms(); });
+    auto& mark = m_poison[report.fingerprint()];
+    mark.set_fingerprint(report.fingerprint());
+    auto attempt = fmt::format("{}#{}", report.request_id(), report.attempt());
+    // A report sent again after a lost answer counts once.
+    if (std::find(mark.attempts().begin(), mark.attempts().end(), attempt) == mark.attempts().end()) {
+        mark.add_attempts(attempt);
+        ++m_poisonVersion;
+    }
+    mark.set_until_ms(report.now_ms() + poisonLifetimeMillis);
+    auto crashes = static_cast<std::uint32_t>(mark.attempts_size());
+    if (m_poison.size() > mostPoisonMarks)
+        m_poison.erase(std::min_element(m_poison.begin(), m_poison.end(), [](const auto& a, const auto& b) { return a.second.until_ms() < b.second.until_ms(); }));
+    return crashes;
+}
+
+std::vector<wire::record> control_state::recordsAfter(std::uint64_t revision) const
+{
+    std::vector<wire::record> changed;
+    for (const auto& [key, record] : m_records) {
+        if (record.revision() > revision)
+            changed.push_back(record);
+    }
+    return changed;
+}
+
+const wire::record* control_state::find(const std::string& kind, const std::string& name) const
+{
+    auto found = m_records.find({ kind, name });
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> control_state::namesOf(const std::string& kind) const
+{
+    std::vector<std::string> names;
+    for (const auto& [key, record] : m_records) {
+        if (key.first == kind && !record.removed())
+            names.push_back(key.second);
+    }
+    return names;
+}
+
+std::string control_state::save() const
+{
+    wire::control_image image;
+    image.set_revision(m_revision);
+    image.set_shard_version(m_shardVersion);
+    image.set_poison_version(m_poisonVersion);
+    image.set_next_epoch(m_nextEpoch);
+    for (const auto& [key, record] : m_records)
+        *image.add_records() = record;
+    for (const auto& [key, versions] : m_history) {
+        auto* history = image.add_history();
+        history->set_kind(key.first);
+        history->set_name(key.second);
+        for (const auto& version : versions)
+            *history->add_versions() = version;
+    }
+    for (const auto& [name, owner] : m_shards)
+        *image.add_shards() = owner;
+    for (const auto& [fingerprint, mark] : m_poison)
+        *image.add_poison() = mark;
+    m_ledger.save(image);
+    return image.SerializeAsString();
+}
+
+result<void> control_state::load(const std::string& bytes)
+{
+    wire::control_image image;
+    if (!image.ParseFromString(bytes))
+        return failure { "the snapshot's state can't be decoded" };
+    *this = control_state();
+    m_revision = image.revision();
+    m_shardVersion = image.shard_version();
+    m_poisonVersion = image.poison_version();
+    m_nextEpoch = std::max<std::uint64_t>(image.next_epoch(), 1);
+    for (const auto& record : image.records())
+        m_records[{ record.kind(), record.name() }] = record;
+    for (const auto& history : image.history())
+        m_history[{ history.kind(), history.name() }].assign(history.versions().begin(), history.versions().end());
+    for (const auto& owner : image.shards())
+        m_shards[owner.shard()] = owner;
+    for (const auto& mark : image.poison())
+        m_poison[mark.fingerprint()] = mark;
+    m_ledger.load(image);
+    return ok();
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/scheduling/crash_suspects.cpp
@@ -0,0 +1,76 @@
+#include "scheduling/crash_suspects.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pistachiolatch {
+
+namespace {
+    constexpr std::size_t mostSuspicions = 4096;
+    /// An announcement that left the endpoint just before it broke off may still be on its way.
+    constexpr milliseconds announcementInFlight { 700 };
+
+    std::string attemptOf(const wire::crash_report& report)
+    {
+        return fmt::format("{}#{}", report.request_id(), report.attempt());
+    }
+}
+
+void crash_suspects::suspect(const wire::crash_report& report, time_point now)
+{
+    bool known = std::any_of(m_suspicions.begin(), m_suspicions.end(), [&](const auto& one) { return attemptOf(one.report) == attemptOf(report); });
+    if (known)
+        return;
+    m_suspicions.push_back({ report, now, false });
+    if (m_suspicions.size() > mostSuspicions)
+        m_suspicions.erase(m_suspicions.begin());
+}
+
+void crash_suspects::learn(const std::vector<wire::poison_mark>& marks)
+{
+    m_marked.clear();
+    for (const auto& mark : marks)
+        m_marked[mark.fingerprint()].assign(mark.attempts().begin(), mark.attempts().end());
+}
+
+std::vector<wire::crash_report> crash_suspects::onAnnounced(const std::string& endpoint, std::uint64_t incarnation, time_point now)
+{
+    std::vector<wire::crash_report> certain;
+    std::erase_if(m_suspicions, [&](const suspicion& one) {
+        return !one.certain && one.report.endpoint() == endpoint && one.report.endpoint_incarnation() == incarnation && now - one.at > announcementInFlight;
+    });
+    for (auto& one : m_suspicions) {
+        if (one.certain || one.report.endpoint() != endpoint || one.report.endpoint_incarnation() == incarnation)
+            continue;
+        one.certain = true;
+        certain.push_back(one.report);
+    }
+    return certain;
+}
+
+std::vector<wire::crash_report> crash_suspects::onSilent(const std::string& endpoint)
+{
+    std::vector<wire::crash_report> certain;
+    for (auto& one : m_suspicions) {
+        if (one.certain || one.report.endpoint() != endpoint)
+            continue;
+        one.certain = true;
+        certain.push_back(one.report);
+    }
+    return certain;
+}
+
+std::uint32_t crash_suspects::crashes(std::uint64_t fingerprint) const
+{
+    std::set<std::string> attempts;
+    auto marked = m_marked.find(fingerprint);
+    if (marked != m_marked.end())
+        attempts.insert(marked->second.begin(), marked->second.end());
+    for (const auto& one : m_suspicions) {
+        if (one.report.fingerprint() == fingerprint)
+            attempts.insert(attemptOf(one.report));
+    }
+    return static_cast<std::uint32_t>(attempts.size());
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/scheduling/crash_suspects.h
@@ -0,0 +1,40 @@
+#pragma once
+#include "kernel/kernel.h"
+#include "wire/generated/pistachiolatch.pb.h"
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pistachiolatch {
+
+/// Remembers which requests were running on endpoints that broke off, by fingerprint (organisation, model, body).
+/// A suspicion becomes certain when the endpoint restarts or falls silent, and is dropped when the same
+/// incarnation announces itself later on: then only the connection broke, and the request is no poison.
+/// Not thread-safe.
+class crash_suspects {
+public:
+    static constexpr std::uint32_t crashesToBlock = 2;
+
+    /// Notes that the connection to an endpoint broke while it ran the request. A report sent again counts once.
+    void suspect(const wire::crash_report& report, time_point now);
+    /// Takes marks that control holds from all shards and earlier owners.
+    void learn(const std::vector<wire::poison_mark>& marks);
+    /// Tells that an incarnation of an endpoint announced itself. Returns the reports that became certain.
+    std::vector<wire::crash_report> onAnnounced(const std::string& endpoint, std::uint64_t incarnation, time_point now);
+    /// Tells that an endpoint fell silent. Returns the reports that became certain.
+    std::vector<wire::crash_report> onSilent(const std::string& endpoint);
+    /// Crashes, certain or suspected, that count against a fingerprint.
+    std::uint32_t crashes(std::uint64_t fingerprint) const;
+
+private:
+    struct suspicion {
+        wire::crash_report report;
+        time_point at;
+        bool certain = false;
+    };
+    std::vector<suspicion> m_suspicions;
+    std::map<std::uint64_t, std::vector<std::string>> m_marked;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/scheduling/pool.cpp
@@ -0,0 +1,114 @@
+#include "scheduling/pool.h"
+
+namespace pistachiolatch {
+
+pool::pool(std::string shard, pool_kind kind, pool_settings settings, pool_targets targets)
+    : m_shard(std::move(shard))
+    , m_kind(kind)
+    , m_settings(std::move(settings))
+    , m_targets(targets)
+    , m_policy(policyByName(m_settings.policy).value_or(reserve_policy()))
+    , m_endpoints(kind)
+    , m_queue(m_settings.fair)
+{
+}
+
+std::vector<wire::crash_report> pool::announce(const wire::endpoint_announcement& announcement, milliseconds age, time_point now)
+{
+    auto effect = m_endpoints.table().announce(announcement, age, now);
+    if (effect == announcement_effect::Stale)
+        return {};
+    if (effect == announcement_effect::Restarted)
+        m_endpoints.breaker().forget(announcement.id());
+    return m_suspects.onAnnounced(announcement.id(), announcement.incarnation(), now);
+}
+
+void pool::progress(const wire::progress& report, time_point now)
+{
+    if (report.stage() == wire::STAGE_WITHDRAWN)
+        m_queue.remove(report.request_id());
+    auto booked = m_endpoints.progress(report.request_id(), report.attempt(), report.stage(), now);
+    if (!booked)
+        return;
+    if (report.prefill_wasted())
+        ++m_wastedPrefills;
+    if (report.stage() == wire::STAGE_FINISHED) {
+        m_budget.onSuccess();
+        m_endpoints.breaker().onSuccess(booked->endpoints.decode);
+    }
+    if (report.stage() == wire::STAGE_PREFILLED)
+        m_endpoints.breaker().onSuccess(booked->endpoints.prefill);
+    if (report.stage() == wire::STAGE_FAILED && !report.endpoint().empty())
+        m_endpoints.breaker().onFailure(report.endpoint(), now);
+}
+
+void pool::held(const wire::held_report& report, const std::string& entryName, std::uint64_t entryIncarnation, time_point now)
+{
+    for (const auto& one : report.held()) {
+        reservation booked;
+        booked.requestId = one.request_id();
+        booked.attempt = one.attempt();
+        booked.organisation = one.organisation();
+        booked.entryName = entryName;
+        booked.entryIncarnation = entryIncarnation;
+        booked.endpoints = { one.prefill_id(), one.decode_id() };
+        booked.promptTokens = one.prompt_tokens();
+        booked.maxTokens = one.max_tokens();
+        booked.pieces = (one.prompt_tokens() + one.max_tokens() + tokensPerPiece - 1) / tokensPerPiece;
+        booked.fingerprint = one.fingerprint();
+        booked.stage = one.stage();
+        booked.prefilled = one.prefilled();
+        booked.placedAt = now;
+        booked.prefillEnds = now;
+        booked.transferEnds = now;
+        // How far the engine has come is unknown, so the bound starts anew; the end report frees the slot earlier.
+        booked.decodeEnds = now + m_targets.perToken * (one.max_tokens() + 1);
+        m_endpoints.adopt(std::move(booked), now);
+    }
+}
+
+void pool::sweep(const std::vector<wire::live_process>& live, time_point now)
+{
+    m_endpoints.sweep(live, now);
+    m_queue.removeIf([&](const pool_request& request) {
+        for (const auto& process : live) {
+            if (process.name() == request.entryName && process.incarnation() == request.entryIncarnation)
+                return false;
+        }
+        return true;
+    });
+}
+
+std::vector<wire::crash_report> pool::expire(time_point now)
+{
+    std::vector<wire::crash_report> certain;
+    for (const auto& id : m_endpoints.table().expire(now)) {
+        m_endpoints.breaker().forget(id);
+        for (auto& report : m_suspects.onSilent(id))
+            certain.push_back(std::move(report));
+    }
+    return certain;
+}
+
+std::vector<pool_decision> pool::decide(time_point now)
+{
+    dropLate(now);
+    bool placed = true;
+    while (placed) {
+        placed = false;
+        for (const auto* head : m_queue.heads()) {
+            if (!tryPlace(*head, now))
+                continue;
+            placed = true;
+            break;
+        }
+    }
+    return std::exchange(m_decisions, {});
+}
+
+std::string pool::describe() const
+{
+    return formatEvent("pool", { { "shard", m_shard }, { "policy", m_settings.policy }, { "endpoints", m_endpoints.table().serving().size() }, { "in_flight", m_endpoints.inFlight() }, { "waiting", m_queue.size() }, { "organisations", m_queue.organisations() }, { "wasted_prefills", m_wastedPrefills } });
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/scheduling/pool.h
@@ -0,0 +1,69 @@
+#pragma once
+#include "scheduling/crash_suspects.h"
+#include "scheduling/fair_queue.h"
+#include "scheduling/placement_policies.h"
+#include "scheduling/pool_endpoints.h"
+#include "scheduling/pool_types.h"
+#include "scheduling/retry_budget.h"
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pistachiolatch {
+
+/// All decisions for one pool (a model or a service): one holder at a time, so that entries don't race each other
+/// onto one endpoint. Pure: takes messages and time, returns decisions. Not thread-safe.
+class pool {
+public:
+    pool(std::string shard, pool_kind kind, pool_settings settings, pool_targets targets);
+
+    void setTargets(pool_targets targets) { m_targets = targets; }
+    /// Takes an endpoint's announcement. Returns crash reports that became certain by it.
+    std::vector<wire::crash_report> announce(const wire::endpoint_announcement& announcement, milliseconds age, time_point now);
+    /// Takes a request that wants endpoints. Precondition: entry, weight and share are filled in.
+    void place(pool_request request, time_point now);
+    /// Takes a stage that a request reached.
+    void progress(const wire::progress& report, time_point now);
+    /// Takes what an entry holds, after this process took the pool over.
+    void held(const wire::held_report& report, const std::string& entryName, std::uint64_t entryIncarnation, time_point now);
+    void crash(const wire::crash_report& report, time_point now) { m_suspects.suspect(report, now); }
+    std::uint32_t crashes(std::uint64_t fingerprint) const { return m_suspects.crashes(fingerprint); }
+    void learnPoison(const std::vector<wire::poison_mark>& marks) { m_suspects.learn(marks); }
+    /// Forgets what entries that are not live held or asked for.
+    void sweep(const std::vector<wire::live_process>& live, time_point now);
+    /// Endpoints that fell silent since the last call become unusable; returns crash reports that became certain.
+    std::vector<wire::crash_report> expire(time_point now);
+    /// The decisions that are due now.
+    std::vector<pool_decision> decide(time_point now);
+
+    const pool_endpoints& endpoints() const { return m_endpoints; }
+    const std::string& shard() const { return m_shard; }
+    std::size_t waiting() const { return m_queue.size(); }
+    std::uint64_t wastedPrefills() const { return m_wastedPrefills; }
+    /// One line for operators.
+    std::string describe() const;
+
+private:
+    void refuse(const pool_request& request, reason why, milliseconds retryAfter);
+    void answer(const pool_request& request, const chosen_endpoints& chosen);
+    bool refusedAtOnce(const pool_request& request, time_point now);
+    bool mustWait(const pool_request& request) const;
+    bool tryPlace(const pool_request& request, time_point now);
+    milliseconds expectedWait(const pool_request& request, time_point now) const;
+    void dropLate(time_point now);
+    bool hasEndpoints(const std::set<std::string>& exclude, time_point now) const;
+
+    std::string m_shard;
+    pool_kind m_kind;
+    pool_settings m_settings;
+    pool_targets m_targets;
+    any_policy m_policy;
+    pool_endpoints m_endpoints;
+    fair_queue m_queue;
+    retry_budget m_budget;
+    crash_suspects m_suspects;
+    std::vector<pool_decision> m_decisions;
+    std::uint64_t m_wastedPrefills = 0;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/scheduling/scheduling.h
@@ -0,0 +1,4 @@
+#pragma once
+/// Which endpoint runs what, and when: pools, reservations, queues, policies.
+/// This is the library's one public header.
+#include "scheduling/pool.h"
--- /dev/null
+++ b/Source/session/control_session.h
@@ -0,0 +1,82 @@
+#pragma once
+#include "membership/membership.h"
+#include "records/records.h"
+#include "wire/wire.h"
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pistachiolatch {
+
+/// What a process does when control tells it something new. Each is called on the control thread.
+struct session_hooks {
+    std::function<void(std::shared_ptr<const config_view>)> onConfig;
+    std::function<void()> onShards;
+    std::function<void()> onPoison;
+    std::function<void()> onLive;
+};
+
+/// Keeps a process in touch with the control leader: heartbeats, the lease, and by them the records in force,
+/// the owners of shards, the marks of requests that crash endpoints and the list of live processes.
+/// Thread safety: the control thread, but for leaseValid() and config().
+class control_session {
+public:
+    control_session(control_loop& loop, const wire_settings& settings, wire::process_kind kind, const clock_source& clock, session_hooks hooks);
+
+    /// Sends heartbeats when they are due.
+    void tick(time_point now);
+    /// Takes a grant from the leader.
+    void onGrant(const wire::session_grant& grant);
+    /// Tells control that this process stops, so that nobody waits for its lease.
+    void leave();
+    /// Calls the leader. The handler gets null when no leader answers in time.
+    void callLeader(wire::envelope& message, milliseconds timeout, control_loop::reply_handler handler);
+    /// Notes something for the operators' list of events.
+    void addEvent(std::string text);
+
+    /// Whether this process may still act on what control told it. Thread safety: any thread.
+    bool leaseValid() const { return m_lease.valid(m_clock.now()); }
+    /// The configuration in force. Never null. Thread safety: any thread.
+    std::shared_ptr<const config_view> config() const { return std::atomic_load(&m_config); }
+    /// The owner of a shard, or null.
+    const wire::shard_owner* owner(const std::string& shard) const;
+    const std::map<std::string, wire::shard_owner>& shards() const { return m_shards; }
+    const std::vector<wire::poison_mark>& poison() const { return m_poison; }
+    const std::vector<wire::live_process>& live() const { return m_live; }
+    const process_identity& self() const { return m_self; }
+    /// Whether a full answer of control has come since the start.
+    bool heard() const { return m_heard; }
+
+private:
+    void sendHeartbeat(time_point now);
+    void tryNextControl();
+    void takeRecords(const wire::session_grant& grant);
+
+    control_loop& m_loop;
+    const clock_source& m_clock;
+    process_identity m_self;
+    wire::process_kind m_kind;
+    session_hooks m_hooks;
+    std::vector<std::string> m_controls;
+    std::string m_leader;
+    std::size_t m_turn = 0;
+    session_lease m_lease;
+    std::shared_ptr<const config_view> m_config;
+    std::map<std::string, wire::shard_owner> m_shards;
+    std::vector<wire::poison_mark> m_poison;
+    std::vector<wire::live_process> m_live;
+    std::uint64_t m_shardVersion = 0;
+    std::uint64_t m_poisonVersion = 0;
+    std::uint64_t m_liveVersion = 0;
+    std::uint64_t m_leaderTerm = 0;
+    bool m_heard = false;
+    bool m_leaving = false;
+    time_point m_nextHeartbeat {};
+    time_point m_lastGrant {};
+    std::deque<wire::process_event> m_events;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/wire/transport.cpp
@@ -0,0 +1,184 @@
+#include "wire/transport.h"
+
+#include <array>
+#include <zmq.hpp>
+
+namespace pistachiolatch {
+
+namespace {
+    constexpr int highWaterMark = 10000;
+    constexpr int reconnectMillis = 50;
+    constexpr int reconnectMostMillis = 500;
+    constexpr int heartbeatMillis = 1000;
+    constexpr int heartbeatTimeoutMillis = 3000;
+    constexpr std::size_t largestFrame = 256UL * 1024 * 1024;
+    constexpr auto idlePeerLifetime = std::chrono::seconds(60);
+
+    struct peer {
+        zmq::socket_t socket;
+        time_point lastUsed;
+    };
+}
+
+struct transport::impl {
+    zmq::context_t context { 1 };
+    zmq::socket_t router { context, zmq::socket_type::router };
+    zmq::socket_t authenticator { context, zmq::socket_type::rep };
+    std::map<std::string, peer> peers;
+    time_point now {};
+};
+
+transport::transport(const wire_settings& settings, std::uint64_t incarnation, metrics& counters)
+    : m_settings(settings)
+    , m_incarnation(incarnation)
+    , m_metrics(counters)
+    , m_impl(std::make_unique<impl>())
+{
+}
+
+transport::~transport() = default;
+
+result<void> transport::open()
+{
+    try {
+        // The ZAP handler must stand before the ROUTER binds, or early peers would be let in unchecked.
+        m_impl->authenticator.bind("inproc://zeromq.zap.01");
+        auto& router = m_impl->router;
+        router.set(zmq::sockopt::linger, 0);
+        router.set(zmq::sockopt::rcvhwm, highWaterMark);
+        router.set(zmq::sockopt::curve_server, true);
+        router.set(zmq::sockopt::curve_secretkey, m_settings.secretKey);
+        router.set(zmq::sockopt::zap_domain, "pistachiolatch");
+        router.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(largestFrame));
+        router.set(zmq::sockopt::heartbeat_ivl, heartbeatMillis);
+        router.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMillis);
+        router.bind("tcp://" + m_settings.listen);
+    } catch (const zmq::error_t& error) {
+        return failure { fmt::format("wire.listen: can't listen on {}: {}; free the address or check the keys", m_settings.listen, error.what()) };
+    }
+    return ok();
+}
+
+void transport::send(const std::string& address, wire::envelope& message)
+{
+    if (address.empty())
+        return;
+    message.set_sender(m_settings.vm);
+    message.set_sender_address(m_settings.advertise);
+    message.set_sender_incarnation(m_incarnation);
+    message.set_sequence(++m_sequence);
+
+    try {
+        auto found = m_impl->peers.find(address);
+        if (found == m_impl->peers.end()) {
+            zmq::socket_t socket(m_impl->context, zmq::socket_type::dealer);
+            socket.set(zmq::sockopt::linger, 0);
+            socket.set(zmq::sockopt::sndhwm, highWaterMark);
+            socket.set(zmq::sockopt::reconnect_ivl, reconnectMillis);
+            socket.set(zmq::sockopt::reconnect_ivl_max, reconnectMostMillis);
+            socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMillis);
+            socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMillis);
+            socket.set(zmq::sockopt::curve_serverkey, m_settings.publicKey);
+            socket.set(zmq::sockopt::curve_publickey, m_settings.publicKey);
+            socket.set(zmq::sockopt::curve_secretkey, m_settings.secretKey);
+            // The source is this VM's own IP, so that a firewall between VMs can tell them apart.
+            auto ip = m_settings.listen.substr(0, m_settings.listen.rfind(':'));
+            socket.connect("tcp://" + ip + ":0;" + address);
+            found = m_impl->peers.emplace(address, peer { std::move(socket), {} }).first;
+        }
+        found->second.lastUsed = m_impl->now;
+        std::string bytes = message.SerializeAsString();
+        m_metrics.count("wire_sent_bytes", static_cast<double>(bytes.size()));
+        m_metrics.count("wire_sent");
+        auto sent = found->second.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+        if (!sent)
+            m_metrics.count("wire_send_queue_full");
+    } catch (const zmq::error_t& error) {
+        m_metrics.count("wire_send_error");
+        logEvent("wire_send_error", { { "peer", address }, { "error", error.what() } });
+    }
+}
+
+void transport::reply(const wire::envelope& call, wire::envelope& message)
+{
+    message.set_reply_to(call.call());
+    send(call.sender_address(), message);
+}
+
+void transport::poll(milliseconds patience, int wakeDescriptor, const receiver& receive)
+{
+    std::array<zmq::pollitem_t, 3> items { {
+        { m_impl->router.handle(), 0, ZMQ_POLLIN, 0 },
+        { m_impl->authenticator.handle(), 0, ZMQ_POLLIN, 0 },
+        { nullptr, wakeDescriptor, ZMQ_POLLIN, 0 },
+    } };
+    try {
+        zmq::poll(items.data(), items.size(), patience);
+    } catch (const zmq::error_t&) {
+        return; // A signal interrupted the wait; the loop comes round again.
+    }
+    if (items[1].revents)
+        authenticate();
+    if (items[0].revents)
+        receiveAll(receive);
+}
+
+void transport::authenticate()
+{
+    // ZAP 1.0: version, request id, domain, address, identity, mechanism, credentials.
+    constexpr std::size_t requestParts = 7;
+    while (true) {
+        std::vector<std::string> parts;
+        zmq::message_t part;
+        if (!m_impl->authenticator.recv(part, zmq::recv_flags::dontwait))
+            return;
+        parts.push_back(part.to_string());
+        while (part.more()) {
+            if (!m_impl->authenticator.recv(part, zmq::recv_flags::none))
+                return;
+            parts.push_back(part.to_string());
+        }
+        std::array<char, 41> clientKey {};
+        bool member = false;
+        constexpr std::size_t rawKeyLength = 32;
+        if (parts.size() == requestParts && parts[5] == "CURVE" && parts[6].size() == rawKeyLength) {
+            zmq_z85_encode(clientKey.data(), reinterpret_cast<const std::uint8_t*>(parts[6].data()), rawKeyLength);
+            member = equalConstantTime(std::string_view(clientKey.data()), m_settings.publicKey);
+        }
+        if (!member)
+            m_metrics.count("wire_stranger_refused");
+        std::array<std::string, 6> answer { "1.0", parts.size() > 1 ? parts[1] : "", member ? "200" : "400", member ? "member" : "not a member", "", "" };
+        for (std::size_t i = 0; i < answer.size(); ++i)
+            m_impl->authenticator.send(zmq::buffer(answer[i]), i + 1 < answer.size() ? zmq::send_flags::sndmore : zmq::send_flags::none);
+    }
+}
+
+void transport::receiveAll(const receiver& receive)
+{
+    // A bound a round keeps timers alive under a flood of messages.
+    constexpr int mostMessagesARound = 2000;
+    for (int i = 0; i < mostMessagesARound; ++i) {
+        zmq::message_t identity;
+        if (!m_impl->router.recv(identity, zmq::recv_flags::dontwait))
+            return;
+        zmq::message_t body;
+        bool whole = identity.more();
+        while (whole && m_impl->router.recv(body, zmq::recv_flags::none) && body.more())
+            whole = false;
+        m_metrics.count("wire_received_bytes", static_cast<double>(body.size()));
+        wire::envelope message;
+        if (!whole || !message.ParseFromArray(body.data(), static_cast<int>(body.size())) || !isAddress(message.sender_address())) {
+            m_metrics.count("wire_frame_dropped");
+            continue;
+        }
+        receive(message);
+    }
+}
+
+void transport::dropIdlePeers(time_point now)
+{
+    m_impl->now = now;
+    std::erase_if(m_impl->peers, [now](const auto& item) { return now - item.second.lastUsed > idlePeerLifetime; });
+}
+
+} // namespace pistachiolatch
