--- a/Source/consensus/raft_core.cpp
+++ b/Source/consensus/raft_core.cpp
@@ -218,7 +218,12 @@
     resetElectionTimer(now);
 
     const auto& snapshot = message.snapshot();
-    if (snapshot.index() > m_commit) {
+    // A snapshot that came late, or twice, may end inside what this log already holds. The entries behind it were
+    // acknowledged; dropping them would leave the leader counting a copy that is gone.
+    bool alreadyHeld = m_log.termAt(snapshot.index()) == snapshot.term();
+    if (alreadyHeld)
+        commitTo(snapshot.index());
+    if (!alreadyHeld && snapshot.index() > m_commit) {
         m_snapshot = snapshot;
         m_log.reset(snapshot.index(), snapshot.term());
         m_commit = snapshot.index();
--- a/Source/consensus/raft_core.h
+++ b/Source/consensus/raft_core.h
@@ -102,6 +102,9 @@
     const wire::raft_snapshot& snapshot() const { return m_snapshot; }
     const wire::replica_set& members() const { return m_members; }
     bool isVoter() const { return isVoter(keyOf(m_self)); }
+    /// Whether this replica should ask to be let in. One that hears no leader asks too: the entry that made it a
+    /// voter may have been lost with its leader, and the new leader then does not know it.
+    bool wantsToJoin() const { return !isVoter() || !m_leader; }
     /// Whether this replica is leader and no other can have been elected yet. Symptom without it: an isolated
     /// leader goes on granting leases while a new leader already counts them as run out.
     bool leaseValid(time_point now) const;
--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -117,7 +117,7 @@
 void control_node::sendJoin()
 {
     auto& core = m_host.core();
-    if (core.isVoter() || m_clock.now() < m_nextJoin)
+    if (!core.wantsToJoin() || m_clock.now() < m_nextJoin)
         return;
     m_nextJoin = m_clock.now() + joinInterval;
     for (const auto& address : m_wire.controls) {
