Wire: Drop what was meant for an earlier run of the receiver

Cause: ZeroMQ keeps messages for a peer that is down and hands them to its next run. A restarted entry got a change to revision 6 that had been meant for its predecessor, took it for the whole, and answered 401 unknown_key for good: it had skipped revisions 1 to 5. By the same way a reply could meet a call of the same number, and a grant could renew a lease over an empty configuration.

Ruled out: a lost key record (other entries had it), a stale lease (revision was current).

Change: replies and grants name the receiver's incarnation, and each grant names the revision that its records are changes to.

Before: DoubleFaultsTest 'A partition and a restart at once' fails (401 at vm2 until the deadline). After: passes.

--- a/Source/control/control_sessions.cpp
+++ b/Source/control/control_sessions.cpp
@@ -26,6 +26,7 @@
 {
     const auto& beat = message.heartbeat();
     wire::envelope envelope;
+    envelope.set_receiver_incarnation(message.sender_incarnation());
     auto* grant = envelope.mutable_grant();
     // A leader whose own lease has run out may have a successor that no longer waits for the leases given here.
     if (!mayGrant()) {
@@ -54,6 +55,7 @@
 {
     grant.set_leader_term(m_host.core().term());
     grant.set_revision(m_state.revision());
+    grant.set_base_revision(revision);
     for (auto& record : m_state.recordsAfter(revision))
         *grant.add_records() = std::move(record);
     grant.set_shard_version(m_state.shardVersion());
@@ -84,6 +86,7 @@
         if (one.lapsed)
             continue;
         wire::envelope envelope;
+        envelope.set_receiver_incarnation(one.process.incarnation());
         fillGrant(*envelope.mutable_grant(), std::min(one.appliedRevision, m_pushedRevision), m_pushedShards, m_pushedPoison, m_pushedLive);
         m_loop.wire().send(one.process.address(), envelope);
     }
--- a/Source/scheduler/owned_pools.cpp
+++ b/Source/scheduler/owned_pools.cpp
@@ -102,6 +102,7 @@
         m_metrics.count(decision.placement.refused().empty() ? "placed" : "place_refused_" + decision.placement.refused());
         *envelope.mutable_placement() = std::move(decision.placement);
         envelope.set_reply_to(decision.call);
+        envelope.set_receiver_incarnation(decision.entryIncarnation);
         m_loop.wire().send(decision.entryAddress, envelope);
     }
 }
--- a/Source/scheduling/crash_suspects.cpp
+++ b/Source/scheduling/crash_suspects.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/crash_suspects.h"
 
+#include "membership/membership.h"
+
 #include <algorithm>
 #include <set>
 
@@ -7,8 +9,6 @@
 
 namespace {
     constexpr std::size_t mostSuspicions = 4096;
-    /// An announcement that left the endpoint just before it broke off may still be on its way.
-    constexpr milliseconds announcementInFlight { 700 };
 
     std::string attemptOf(const wire::crash_report& report)
     {
--- a/Source/scheduling/pool.cpp
+++ b/Source/scheduling/pool.cpp
@@ -40,6 +40,8 @@
         m_endpoints.breaker().onSuccess(booked->endpoints.prefill);
     if (report.stage() == wire::STAGE_FAILED && !report.endpoint().empty())
         m_endpoints.breaker().onFailure(report.endpoint(), now);
+    if (report.reason() == reasonName(reason::ConnectFailed))
+        m_endpoints.table().suspend(report.endpoint(), now);
 }
 
 void pool::held(const wire::held_report& report, const std::string& entryName, std::uint64_t entryIncarnation, time_point now)
@@ -67,6 +69,14 @@
     }
 }
 
+void pool::crash(const wire::crash_report& report, time_point now)
+{
+    m_suspects.suspect(report, now);
+    const auto* endpoint = m_endpoints.table().find(report.endpoint());
+    if (endpoint && endpoint->incarnation() == report.endpoint_incarnation())
+        m_endpoints.table().suspend(report.endpoint(), now);
+}
+
 void pool::sweep(const std::vector<wire::live_process>& live, time_point now)
 {
     m_endpoints.sweep(live, now);
--- a/Source/scheduling/pool.h
+++ b/Source/scheduling/pool.h
@@ -26,7 +26,8 @@
     void progress(const wire::progress& report, time_point now);
     /// Takes what an entry holds, after this process took the pool over.
     void held(const wire::held_report& report, const std::string& entryName, std::uint64_t entryIncarnation, time_point now);
-    void crash(const wire::crash_report& report, time_point now) { m_suspects.suspect(report, now); }
+    /// Takes the report that an endpoint broke off while it ran a request.
+    void crash(const wire::crash_report& report, time_point now);
     std::uint32_t crashes(std::uint64_t fingerprint) const { return m_suspects.crashes(fingerprint); }
     void learnPoison(const std::vector<wire::poison_mark>& marks) { m_suspects.learn(marks); }
     /// Forgets what entries that are not live held or asked for.
--- a/Source/scheduling/pool_queue.cpp
+++ b/Source/scheduling/pool_queue.cpp
@@ -37,6 +37,7 @@
 {
     pool_decision decision;
     decision.entryAddress = request.entryAddress;
+    decision.entryIncarnation = request.entryIncarnation;
     decision.call = request.call;
     auto& placement = decision.placement;
     placement.set_shard(m_shard);
@@ -125,21 +126,25 @@
 
 void pool::answer(const pool_request& request, const chosen_endpoints& chosen)
 {
-    auto addressOf = [this](const std::string& id) {
+    static const wire::endpoint_announcement gone;
+    auto endpointOf = [this](const std::string& id) -> const wire::endpoint_announcement& {
         const auto* endpoint = m_endpoints.table().find(id);
-        return endpoint ? endpoint->address() : std::string();
+        return endpoint ? *endpoint : gone;
     };
     pool_decision decision;
     decision.entryAddress = request.entryAddress;
+    decision.entryIncarnation = request.entryIncarnation;
     decision.call = request.call;
     auto& placement = decision.placement;
     placement.set_shard(m_shard);
     placement.set_request_id(request.place.request_id());
     placement.set_attempt(request.place.attempt());
     placement.set_decode_id(chosen.decode);
-    placement.set_decode_address(addressOf(chosen.decode));
+    placement.set_decode_address(endpointOf(chosen.decode).address());
+    placement.set_decode_incarnation(endpointOf(chosen.decode).incarnation());
     placement.set_prefill_id(chosen.prefill);
-    placement.set_prefill_address(addressOf(chosen.prefill));
+    placement.set_prefill_address(endpointOf(chosen.prefill).address());
+    placement.set_prefill_incarnation(endpointOf(chosen.prefill).incarnation());
     m_decisions.push_back(std::move(decision));
 }
 
--- a/Source/scheduling/pool_types.h
+++ b/Source/scheduling/pool_types.h
@@ -55,6 +55,7 @@
 /// An answer to a place request: endpoints, or a refusal with a time to come back.
 struct pool_decision {
     std::string entryAddress;
+    std::uint64_t entryIncarnation = 0;
     std::uint64_t call = 0;
     wire::placement placement;
 };
--- a/Source/session/control_session.cpp
+++ b/Source/session/control_session.cpp
@@ -79,6 +79,12 @@
         m_leaderTerm = grant.leader_term();
         m_liveVersion = 0;
     }
+    // Changes to a revision that this process does not have would leave out what lies between; the next heartbeat
+    // tells control what is missing.
+    if (grant.base_revision() > m_config->revision()) {
+        m_nextHeartbeat = {};
+        return;
+    }
     m_lastGrant = m_clock.now();
     takeRecords(grant);
     bool newShards = grant.shard_version() > m_shardVersion;
@@ -122,6 +128,8 @@
     std::atomic_store(&m_config, next);
     if (m_hooks.onConfig)
         m_hooks.onConfig(next);
+    // Control waits for this to call the revision in force, so it is told at once and not at the next heartbeat.
+    m_nextHeartbeat = {};
 }
 
 void control_session::callLeader(wire::envelope& message, milliseconds timeout, control_loop::reply_handler handler)
--- a/Source/wire/transport.cpp
+++ b/Source/wire/transport.cpp
@@ -102,6 +102,7 @@
 void transport::reply(const wire::envelope& call, wire::envelope& message)
 {
     message.set_reply_to(call.call());
+    message.set_receiver_incarnation(call.sender_incarnation());
     send(call.sender_address(), message);
 }
 
@@ -171,6 +172,12 @@
             m_metrics.count("wire_frame_dropped");
             continue;
         }
+        // ZeroMQ keeps messages for a peer that is down and gives them to the next run of it. A reply or a grant meant
+        // for the earlier run would meet a call of the same number, or renew a lease over a state it was not made for.
+        if (message.receiver_incarnation() != 0 && message.receiver_incarnation() != m_incarnation) {
+            m_metrics.count("wire_for_earlier_run");
+            continue;
+        }
         receive(message);
     }
 }
