Tests: Provoke the ten promises with real processes and faults

Cause: the promises had mechanisms and no proof. Tests start whole fleets, kill, freeze and cut processes, wipe disks, and check what callers and endpoints see.

Found and mended here: - a blameless request was refused as poison: it was placed on endpoints whose connections had just broken. An endpoint whose connection broke gets no new work until it is heard again. - crash reports lacked the endpoint's incarnation, so any later announcement made a suspicion certain; a broken link made requests poison for ten minutes.

--- a/Source/entry/model_call.cpp
+++ b/Source/entry/model_call.cpp
@@ -157,6 +157,7 @@
     report.set_shard(placement.shard());
     report.set_fingerprint(m_fingerprint);
     report.set_endpoint(end.endpoint);
+    report.set_endpoint_incarnation(end.endpoint == placement.prefill_id() ? placement.prefill_incarnation() : placement.decode_incarnation());
     report.set_request_id(m_caller.requestId);
     report.set_attempt(attempt);
     m_context.loop.post([&context = m_context, report] { context.node.placements().crash(report); });
--- a/Source/membership/endpoint_table.cpp
+++ b/Source/membership/endpoint_table.cpp
@@ -12,7 +12,7 @@
     if (found == m_rows.end()) {
         if (age >= endpointSilence)
             return announcement_effect::Stale;
-        m_rows.emplace(announcement.id(), row { announcement, heardAt, true });
+        m_rows.emplace(announcement.id(), row { announcement, heardAt, true, {} });
         return announcement_effect::Joined;
     }
     auto& known = found->second;
@@ -21,7 +21,8 @@
         return announcement_effect::Stale;
     bool restarted = announcement.incarnation() != known.announcement.incarnation();
     bool wasAlive = known.alive;
-    known = { announcement, std::max(heardAt, known.heardAt), true };
+    bool provesLife = restarted || heardAt - known.suspendedAt > announcementInFlight;
+    known = { announcement, std::max(heardAt, known.heardAt), true, provesLife ? time_point() : known.suspendedAt };
     if (announcement.leaving())
         return announcement_effect::Leaving;
     if (restarted)
@@ -29,6 +30,13 @@
     return wasAlive ? announcement_effect::Refreshed : announcement_effect::Joined;
 }
 
+void endpoint_table::suspend(const std::string& id, time_point now)
+{
+    auto found = m_rows.find(id);
+    if (found != m_rows.end())
+        found->second.suspendedAt = now;
+}
+
 std::vector<std::string> endpoint_table::expire(time_point now)
 {
     std::vector<std::string> gone;
@@ -52,7 +60,7 @@
 {
     std::vector<std::string> ids;
     for (const auto& [id, one] : m_rows) {
-        if (one.alive && !one.announcement.leaving())
+        if (one.alive && !one.announcement.leaving() && one.suspendedAt == time_point())
             ids.push_back(id);
     }
     return ids;
--- a/Source/membership/endpoint_table.h
+++ b/Source/membership/endpoint_table.h
@@ -9,6 +9,8 @@
 
 /// An endpoint not heard for this long gets no new work.
 constexpr milliseconds endpointSilence { 3000 };
+/// An announcement that left an endpoint just before its connection broke may still be on its way for this long.
+constexpr milliseconds announcementInFlight { 700 };
 /// How long an endpoint gone is remembered, so that a delayed announcement can't bring it back.
 constexpr milliseconds endpointMemory { 60000 };
 
@@ -28,6 +30,9 @@
     /// Takes an announcement that was made `age` before now. Ordered by (incarnation, sequence), so one that was
     /// delayed on its way can't undo a later one.
     announcement_effect announce(const wire::endpoint_announcement& announcement, milliseconds age, time_point now);
+    /// Keeps new work away from an endpoint whose connection just broke, until it is heard again. Without it the next
+    /// requests run into the dead endpoint too and fail, or are taken for what killed it.
+    void suspend(const std::string& id, time_point now);
     /// Drops endpoints not heard lately; returns their ids.
     std::vector<std::string> expire(time_point now);
     /// The announcement of an endpoint that is alive, leaving or not; else null.
@@ -42,6 +47,8 @@
         wire::endpoint_announcement announcement;
         time_point heardAt;
         bool alive = true;
+        /// When its connection broke; the start of time when it is not suspended.
+        time_point suspendedAt {};
     };
     std::map<std::string, row> m_rows;
 };
--- /dev/null
+++ b/Tests/Membership/MembershipTest.cpp
@@ -0,0 +1,110 @@
+#include "membership/membership.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+using namespace pistachiolatch;
+
+namespace {
+wire::endpoint_announcement announce(std::uint64_t incarnation, std::uint64_t sequence, bool leaving = false)
+{
+    wire::endpoint_announcement announcement;
+    announcement.set_id("decode-1");
+    announcement.set_incarnation(incarnation);
+    announcement.set_sequence(sequence);
+    announcement.set_leaving(leaving);
+    return announcement;
+}
+
+wire::session_heartbeat beat(wire::process_kind kind, std::uint64_t revision, bool leaving = false)
+{
+    wire::session_heartbeat heartbeat;
+    heartbeat.set_kind(kind);
+    heartbeat.set_applied_revision(revision);
+    heartbeat.set_max_schema_version(2);
+    heartbeat.set_leaving(leaving);
+    return heartbeat;
+}
+
+class mock_clock : public clock_source {
+public:
+    MAKE_CONST_MOCK0(now, time_point(), override);
+};
+}
+
+// An endpoint says that it leaves; an announcement it made before is delayed at another entry and comes after.
+// If that counted, the leaving endpoint would get new work again.
+TEST_CASE("A delayed announcement can't undo a later one", "[promise]")
+{
+    manual_clock_source clock;
+    endpoint_table table;
+    CHECK(table.announce(announce(1, 5), milliseconds(0), clock.now()) == announcement_effect::Joined);
+    CHECK(table.announce(announce(1, 7, true), milliseconds(0), clock.now()) == announcement_effect::Leaving);
+    CHECK(table.announce(announce(1, 6), milliseconds(0), clock.now()) == announcement_effect::Stale);
+    CHECK(table.serving().empty());
+    CHECK(table.announce(announce(2, 1), milliseconds(0), clock.now()) == announcement_effect::Restarted);
+    CHECK(table.serving().size() == 1);
+    clock.advance(endpointSilence + milliseconds(1));
+    CHECK(table.expire(clock.now()).size() == 1);
+    CHECK(table.announce(announce(1, 9), milliseconds(0), clock.now()) == announcement_effect::Stale);
+    CHECK(table.serving().empty());
+}
+
+// A VM is cut off with the old configuration. A change must not count as in force while that VM may still act.
+TEST_CASE("A revision is in force once nobody can act on an older one", "[promise]")
+{
+    manual_clock_source clock;
+    session_table sessions(clock.now());
+    sessions.heartbeat("vm1", 1, "a", beat(wire::PROCESS_ENTRY, 5), clock.now());
+    CHECK(!sessions.inForce(5, clock.now()));
+    clock.advance(entryLease + leaseMargin);
+    sessions.heartbeat("vm1", 1, "a", beat(wire::PROCESS_ENTRY, 6), clock.now());
+    sessions.heartbeat("vm2", 1, "b", beat(wire::PROCESS_ENTRY, 5), clock.now());
+    CHECK(sessions.inForce(5, clock.now()));
+    CHECK(!sessions.inForce(6, clock.now()));
+    clock.advance(entryLease);
+    CHECK(!sessions.inForce(6, clock.now()));
+    clock.advance(leaseMargin);
+    CHECK(sessions.inForce(6, clock.now()));
+}
+
+// A shard's owner is silent. Until its lease has surely run out it may still grant tokens and place requests, so
+// nobody else may get the shard; after that somebody must.
+TEST_CASE("A shard moves only when its owner can't act any more", "[promise]")
+{
+    manual_clock_source clock;
+    session_table sessions(clock.now());
+    sessions.heartbeat("vm1", 1, "a", beat(wire::PROCESS_SCHEDULER, 0), clock.now());
+    auto first = assignShards({ "limit:0" }, {}, sessions, clock.now());
+    REQUIRE(first.size() == 1);
+    std::map<std::string, wire::shard_owner> current { { "limit:0", first[0] } };
+    clock.advance(schedulerLease);
+    sessions.heartbeat("vm2", 1, "b", beat(wire::PROCESS_SCHEDULER, 0), clock.now());
+    CHECK(assignShards({ "limit:0" }, current, sessions, clock.now()).empty());
+    clock.advance(leaseMargin);
+    auto moved = assignShards({ "limit:0" }, current, sessions, clock.now());
+    REQUIRE(moved.size() == 1);
+    CHECK(moved[0].scheduler() == "vm2");
+
+    // A new leader does not know which leases its predecessor gave.
+    session_table fresh(clock.now());
+    fresh.heartbeat("vm2", 1, "b", beat(wire::PROCESS_SCHEDULER, 0), clock.now());
+    CHECK(assignShards({ "limit:0" }, current, fresh, clock.now()).empty());
+    // But a restarted owner proves that its earlier run is over, and one that leaves gives its shards back.
+    fresh.heartbeat("vm1", 2, "a", beat(wire::PROCESS_SCHEDULER, 0), clock.now());
+    CHECK(assignShards({ "limit:0" }, current, fresh, clock.now()).size() == 1);
+}
+
+TEST_CASE("A lease is valid for its length from when it was asked for")
+{
+    mock_clock clock;
+    time_point start { std::chrono::hours(5) };
+    trompeloeil::sequence order;
+    REQUIRE_CALL(clock, now()).IN_SEQUENCE(order).RETURN(start + milliseconds(99));
+    REQUIRE_CALL(clock, now()).IN_SEQUENCE(order).RETURN(start + milliseconds(100));
+    session_lease lease;
+    lease.renew(start, milliseconds(100));
+    lease.renew(start - milliseconds(50), milliseconds(100));
+    CHECK(lease.valid(clock.now()));
+    CHECK(!lease.valid(clock.now()));
+}
--- /dev/null
+++ b/Tests/Records/ControlStateTest.cpp
@@ -0,0 +1,156 @@
+#include "records/records.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachiolatch;
+
+namespace {
+wire::record makeLimit(std::uint64_t version, int rate, const std::string& submitter = "anna")
+{
+    wire::record record;
+    record.set_kind("limit");
+    record.set_name("alpha");
+    record.set_version(version);
+    record.set_schema_version(1);
+    record.set_body(canonicalJson(fmt::format(R"({{"burst":{},"rate":{}}})", rate, rate)).value());
+    record.set_submitter(submitter);
+    return record;
+}
+
+submit_outcome submit(control_state& state, const std::vector<wire::record>& records)
+{
+    wire::command command;
+    for (const auto& record : records)
+        *command.mutable_submit()->add_records() = record;
+    return *state.apply(command).submit;
+}
+
+wire::ledger_begin intent(const std::string& key, const std::string& request, const std::string& digest = "d")
+{
+    wire::ledger_begin begin;
+    begin.set_key(key);
+    begin.set_digest(digest);
+    begin.set_request_id(request);
+    begin.set_entry("vm1");
+    begin.set_entry_incarnation(1);
+    return begin;
+}
+
+wire::ledger_finish outcome(const std::string& key, const std::string& request)
+{
+    wire::ledger_finish finish;
+    finish.set_key(key);
+    finish.set_request_id(request);
+    return finish;
+}
+}
+
+// Two operators edit the same version and both submit the next. One wins; the other hears whose it was and loses
+// nothing silently. A resend after a lost answer is accepted and changes nothing.
+TEST_CASE("Operators who race under one version get one winner", "[promise]")
+{
+    control_state state;
+    CHECK(submit(state, { makeLimit(1, 100) }).status == submit_status::Accepted);
+    CHECK(submit(state, { makeLimit(2, 200, "anna") }).status == submit_status::Accepted);
+    auto lost = submit(state, { makeLimit(2, 300, "juris") });
+    CHECK(lost.status == submit_status::Conflict);
+    CHECK(lost.message.find("submitted by anna") != std::string::npos);
+
+    auto resent = submit(state, { makeLimit(2, 200, "anna") });
+    CHECK(resent.status == submit_status::AlreadyAccepted);
+    CHECK(resent.revision == 2);
+    CHECK(submit(state, { makeLimit(3, 250) }).status == submit_status::Accepted);
+    // A resend so late that its version was followed by another must not bring the old content back.
+    CHECK(submit(state, { makeLimit(2, 200, "anna") }).status == submit_status::AlreadyAccepted);
+    CHECK(state.find("limit", "alpha")->version() == 3);
+    CHECK(submit(state, { makeLimit(9, 250) }).status == submit_status::Conflict);
+}
+
+// One record of a batch is wrong: none of the batch may come into force.
+TEST_CASE("A batch is in force as a whole or not at all", "[promise]")
+{
+    control_state state;
+    auto good = makeLimit(1, 100);
+    auto bad = makeLimit(1, 100);
+    bad.set_name("beta");
+    bad.set_body("{\"rate\":1}");
+    auto refused = submit(state, { good, bad });
+    CHECK(refused.status == submit_status::Invalid);
+    CHECK(refused.message.find("burst is missing") != std::string::npos);
+    CHECK(state.find("limit", "alpha") == nullptr);
+    CHECK(submit(state, { good, good }).status == submit_status::Invalid);
+}
+
+TEST_CASE("Old and new schema versions give one canonical type")
+{
+    wire::record record;
+    record.set_kind("organisation");
+    record.set_name("alpha");
+    record.set_version(1);
+    record.set_schema_version(1);
+    record.set_body(R"({"models":["m"]})");
+    CHECK(decodeOrganisation(record).value().weight == 1);
+    record.set_schema_version(2);
+    CHECK(!decodeOrganisation(record));
+    record.set_body(R"({"models":["m"],"weight":3})");
+    CHECK(decodeOrganisation(record).value().weight == 3);
+    record.set_schema_version(1);
+    auto refused = decodeOrganisation(record);
+    REQUIRE(!refused);
+    CHECK(refused.error().message == "organisation \"alpha\": weight is unknown in schema 1");
+}
+
+// A booking's answer is lost and the caller sends it again through another entry. The ledger grants the key once:
+// the resend gets the stored answer, and a different body under the same key is refused.
+TEST_CASE("The ledger grants a key once", "[promise]")
+{
+    ledger calls;
+    CHECK(calls.begin(intent("k", "r1")).granted());
+    CHECK(calls.begin(intent("k", "r1")).granted());
+    auto second = calls.begin(intent("k", "r2"));
+    CHECK(!second.granted());
+    CHECK(second.state() == wire::LEDGER_RUNNING);
+    CHECK(calls.begin(intent("k", "r3", "other")).reused());
+
+    auto finish = outcome("k", "r1");
+    finish.mutable_answer()->set_status(200);
+    finish.mutable_answer()->set_body("booked");
+    calls.finish(finish);
+    CHECK(calls.begin(intent("k", "r4")).answer().body() == "booked");
+}
+
+// An entry gives up on its intent because no leader answered, and tells its caller "not run". The intent is
+// committed late, after it was taken back: granting it then would leave the key running for ever.
+TEST_CASE("An intent that was taken back is not granted late", "[promise]")
+{
+    ledger calls;
+    auto takeBack = outcome("k", "r1");
+    takeBack.set_not_sent(true);
+    calls.finish(takeBack);
+    CHECK(calls.begin(intent("k", "r1")).unavailable());
+    CHECK(calls.begin(intent("k", "r2")).granted());
+    // A stranger's outcome does not touch it.
+    auto stranger = outcome("k", "r1");
+    stranger.set_unknown(true);
+    CHECK(calls.finish(stranger).state() == wire::LEDGER_RUNNING);
+}
+
+TEST_CASE("A snapshot holds the whole state")
+{
+    control_state state;
+    submit(state, { makeLimit(1, 100) });
+    submit(state, { makeLimit(2, 200, "juris") });
+    wire::command command;
+    *command.mutable_ledger_begin() = intent("k", "r1");
+    state.apply(command);
+    command.mutable_crash()->set_fingerprint(5);
+    command.mutable_crash()->set_request_id("r1");
+    CHECK(state.apply(command).crashes == 1U);
+    CHECK(state.apply(command).crashes == 1U);
+
+    control_state copy;
+    REQUIRE(copy.load(state.save()));
+    CHECK(copy.save() == state.save());
+    CHECK(submit(copy, { makeLimit(2, 300) }).message.find("juris") != std::string::npos);
+    CHECK(!copy.load("\xff\xff\xff"));
+}
--- /dev/null
+++ b/Tests/Support/child_process.cpp
@@ -0,0 +1,101 @@
+#include "Support/child_process.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <sstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+namespace pistachiolatch::test {
+
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputPrefix)
+{
+    std::vector<char*> argv { const_cast<char*>(program.c_str()) };
+    for (const auto& argument : arguments)
+        argv.push_back(const_cast<char*>(argument.c_str()));
+    argv.push_back(nullptr);
+    auto out = outputPrefix + ".out";
+    auto err = outputPrefix + ".log";
+    m_pid = ::fork();
+    if (m_pid != 0)
+        return;
+    // A test that is killed takes its processes with it.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::dup2(::open(out.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600), STDOUT_FILENO);
+    ::dup2(::open(err.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600), STDERR_FILENO);
+    ::execv(program.c_str(), argv.data());
+    ::_exit(127);
+}
+
+child_process::child_process(child_process&& other) noexcept
+    : m_pid(std::exchange(other.m_pid, -1))
+{
+}
+
+child_process& child_process::operator=(child_process&& other) noexcept
+{
+    if (this != &other) {
+        kill();
+        m_pid = std::exchange(other.m_pid, -1);
+    }
+    return *this;
+}
+
+child_process::~child_process()
+{
+    kill();
+}
+
+bool child_process::running()
+{
+    return m_pid > 0 && ::waitid(P_PID, static_cast<id_t>(m_pid), nullptr, WEXITED | WNOHANG | WNOWAIT) == 0 && ::kill(m_pid, 0) == 0;
+}
+
+void child_process::signal(int number) const
+{
+    if (m_pid > 0)
+        ::kill(m_pid, number);
+}
+
+int child_process::wait()
+{
+    int status = 0;
+    if (m_pid <= 0)
+        return -1;
+    ::waitpid(m_pid, &status, 0);
+    m_pid = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void child_process::kill()
+{
+    if (m_pid <= 0)
+        return;
+    ::kill(m_pid, SIGKILL);
+    wait();
+}
+
+std::string readFile(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::stringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+command_output runToEnd(const std::string& program, const std::vector<std::string>& arguments, const std::string& scratchPrefix)
+{
+    ::unlink((scratchPrefix + ".out").c_str());
+    ::unlink((scratchPrefix + ".log").c_str());
+    child_process process(program, arguments, scratchPrefix);
+    command_output output;
+    output.code = process.wait();
+    output.out = readFile(scratchPrefix + ".out");
+    output.err = readFile(scratchPrefix + ".log");
+    return output;
+}
+
+} // namespace pistachiolatch::test
--- /dev/null
+++ b/Tests/Support/fault_proxy.cpp
@@ -0,0 +1,139 @@
+#include "Support/fault_proxy.h"
+
+#include "http/http_server.h"
+
+namespace pistachiolatch::test {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr std::chrono::milliseconds look { 10 };
+}
+
+struct fault_proxy::tunnel {
+    tcp::socket caller;
+    tcp::socket target;
+    std::string callerIp;
+    std::string listenIp;
+    std::size_t passed = 0;
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        caller.close(ignored);
+        target.close(ignored);
+    }
+};
+
+fault_proxy::fault_proxy()
+    : m_guard(asio::make_work_guard(m_context))
+    , m_thread([this] { m_context.run(); })
+{
+}
+
+fault_proxy::~fault_proxy()
+{
+    m_context.stop();
+    m_thread.join();
+}
+
+void fault_proxy::forward(const std::string& listen, const std::string& target)
+{
+    auto acceptor = std::make_shared<tcp::acceptor>(m_context, parseAddress(listen));
+    asio::co_spawn(m_context, acceptAll(acceptor, target), asio::detached);
+}
+
+void fault_proxy::setRule(const std::string& fromIp, const std::string& listenIp, link_rule rule)
+{
+    std::lock_guard lock(m_mutex);
+    m_rules[{ fromIp, listenIp }] = rule;
+}
+
+void fault_proxy::isolate(const std::string& ip, bool cut)
+{
+    std::lock_guard lock(m_mutex);
+    m_isolated[ip] = cut;
+}
+
+void fault_proxy::breakAll(const std::string& listenIp)
+{
+    asio::post(m_context, [this, listenIp] {
+        for (auto& weak : m_tunnels) {
+            if (auto one = weak.lock(); one && one->listenIp == listenIp)
+                one->close();
+        }
+    });
+}
+
+link_rule fault_proxy::ruleFor(const std::string& fromIp, const std::string& listenIp) const
+{
+    std::lock_guard lock(m_mutex);
+    link_rule rule;
+    for (const auto& key : { std::pair(std::string(), listenIp), std::pair(fromIp, listenIp) }) {
+        if (auto found = m_rules.find(key); found != m_rules.end())
+            rule = found->second;
+    }
+    auto apart = [&](const std::string& ip) {
+        auto found = m_isolated.find(ip);
+        return found != m_isolated.end() && found->second;
+    };
+    // A VM keeps reaching itself.
+    if (fromIp != listenIp && (apart(fromIp) || apart(listenIp)))
+        rule.cut = true;
+    return rule;
+}
+
+asio::awaitable<void> fault_proxy::acceptAll(std::shared_ptr<tcp::acceptor> acceptor, std::string target)
+{
+    auto listenIp = acceptor->local_endpoint().address().to_string();
+    while (true) {
+        auto [error, socket] = co_await acceptor->async_accept(asTuple);
+        if (error)
+            co_return;
+        auto one = std::make_shared<tunnel>(tunnel { std::move(socket), tcp::socket(m_context), "", listenIp });
+        one->callerIp = one->caller.remote_endpoint().address().to_string();
+        auto [connectError] = co_await one->target.async_connect(parseAddress(target), asTuple);
+        if (connectError)
+            continue;
+        std::erase_if(m_tunnels, [](const auto& weak) { return weak.expired(); });
+        m_tunnels.push_back(one);
+        asio::co_spawn(m_context, pump(one, true), asio::detached);
+        asio::co_spawn(m_context, pump(one, false), asio::detached);
+    }
+}
+
+asio::awaitable<void> fault_proxy::pump(std::shared_ptr<tunnel> one, bool toTarget)
+{
+    auto& from = toTarget ? one->caller : one->target;
+    auto& to = toTarget ? one->target : one->caller;
+    asio::steady_timer timer(m_context);
+    std::vector<char> block(64UL * 1024);
+    while (true) {
+        auto [error, bytes] = co_await from.async_read_some(asio::buffer(block), asTuple);
+        if (error)
+            break;
+        auto rule = ruleFor(one->callerIp, one->listenIp);
+        while (rule.frozen && one->caller.is_open()) {
+            timer.expires_after(look);
+            co_await timer.async_wait(asTuple);
+            rule = ruleFor(one->callerIp, one->listenIp);
+        }
+        if (rule.cut)
+            continue;
+        if (rule.delay.count() > 0) {
+            timer.expires_after(rule.delay);
+            co_await timer.async_wait(asTuple);
+        }
+        one->passed += toTarget ? 0 : bytes;
+        if (rule.breakAfterBytes > 0 && one->passed > rule.breakAfterBytes)
+            break;
+        auto [writeError, written] = co_await asio::async_write(to, asio::buffer(block.data(), bytes), asTuple);
+        if (writeError)
+            break;
+    }
+    one->close();
+}
+
+} // namespace pistachiolatch::test
--- /dev/null
+++ b/Tests/Support/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
