Cost: Find endpoints, changes and waiting questions without looking at all

Cause: build/decision-bench showed slopes that the target size does not allow. A heartbeat looked at every record (2106 us at 12,000 organisations, at 4 heartbeats a second and process); a step of a limit owner at every bucket; a placement copied the ids of all endpoints several times.

Conclusion: the heartbeat and limit costs no longer grow with organisations; a placement still grows with the pool's endpoints, which cells bound.

--- a/Source/limits/limit_owner.cpp
+++ b/Source/limits/limit_owner.cpp
@@ -26,6 +26,7 @@
         return;
     for (const auto& waiting : found->second.waiting)
         m_verdicts.push_back({ waiting.question.ticket, organisation, 0, unknownOrganisationRetry });
+    m_withWaiting.erase(organisation);
     m_accounts.erase(found);
 }
 
@@ -48,6 +49,8 @@
     auto deadline = now + question.patience;
     one.waiting.push_back({ std::move(question), deadline });
     serve(one, now);
+    if (!one.waiting.empty())
+        m_withWaiting.insert(found->first);
 }
 
 std::uint64_t limit_owner::aheadOf(account& one, const limit_ask& question, time_point now)
@@ -85,8 +88,11 @@
 
 std::vector<limit_verdict> limit_owner::step(time_point now)
 {
-    for (auto& [name, one] : m_accounts)
+    for (auto it = m_withWaiting.begin(); it != m_withWaiting.end();) {
+        auto& one = m_accounts.at(*it);
         serve(one, now);
+        it = one.waiting.empty() ? m_withWaiting.erase(it) : std::next(it);
+    }
     return std::exchange(m_verdicts, {});
 }
 
--- a/Source/limits/limit_owner.h
+++ b/Source/limits/limit_owner.h
@@ -2,6 +2,7 @@
 #include "limits/token_bucket.h"
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,8 @@
 
     time_point m_fillFrom;
     std::map<std::string, account> m_accounts;
+    /// Organisations with questions that wait; the others need no look at each step.
+    std::set<std::string> m_withWaiting;
     std::vector<limit_verdict> m_verdicts;
 };
 
--- a/Source/membership/endpoint_table.cpp
+++ b/Source/membership/endpoint_table.cpp
@@ -56,14 +56,14 @@
     return found != m_rows.end() && found->second.alive ? &found->second.announcement : nullptr;
 }
 
-std::vector<std::string> endpoint_table::serving() const
+std::vector<const wire::endpoint_announcement*> endpoint_table::serving() const
 {
-    std::vector<std::string> ids;
+    std::vector<const wire::endpoint_announcement*> endpoints;
     for (const auto& [id, one] : m_rows) {
         if (one.alive && !one.announcement.leaving() && one.suspendedAt == time_point())
-            ids.push_back(id);
+            endpoints.push_back(&one.announcement);
     }
-    return ids;
+    return endpoints;
 }
 
 std::vector<std::string> endpoint_table::alive() const
--- a/Source/membership/endpoint_table.h
+++ b/Source/membership/endpoint_table.h
@@ -37,8 +37,8 @@
     std::vector<std::string> expire(time_point now);
     /// The announcement of an endpoint that is alive, leaving or not; else null.
     const wire::endpoint_announcement* find(const std::string& id) const;
-    /// Ids of endpoints alive and not leaving.
-    std::vector<std::string> serving() const;
+    /// Announcements of endpoints that may get new work. The pointers hold until the table is changed.
+    std::vector<const wire::endpoint_announcement*> serving() const;
     /// Ids of all endpoints alive.
     std::vector<std::string> alive() const;
 
--- a/Source/records/control_state.cpp
+++ b/Source/records/control_state.cpp
@@ -96,8 +96,12 @@
 {
     record_key key { record.kind(), record.name() };
     auto& stored = m_records[key];
+    auto earlier = m_byRevision.find(stored.revision());
+    if (earlier != m_byRevision.end() && earlier->second.erase(key) > 0 && earlier->second.empty())
+        m_byRevision.erase(earlier);
     stored = record;
     stored.set_revision(m_revision);
+    m_byRevision[m_revision].insert(key);
     auto& versions = m_history[key];
     wire::version_digest digest;
     digest.set_version(record.version());
@@ -139,9 +143,9 @@
 std::vector<wire::record> control_state::recordsAfter(std::uint64_t revision) const
 {
     std::vector<wire::record> changed;
-    for (const auto& [key, record] : m_records) {
-        if (record.revision() > revision)
-            changed.push_back(record);
+    for (auto it = m_byRevision.upper_bound(revision); it != m_byRevision.end(); ++it) {
+        for (const auto& key : it->second)
+            changed.push_back(m_records.at(key));
     }
     return changed;
 }
@@ -196,8 +200,10 @@
     m_shardVersion = image.shard_version();
     m_poisonVersion = image.poison_version();
     m_nextEpoch = std::max<std::uint64_t>(image.next_epoch(), 1);
-    for (const auto& record : image.records())
+    for (const auto& record : image.records()) {
         m_records[{ record.kind(), record.name() }] = record;
+        m_byRevision[record.revision()].insert({ record.kind(), record.name() });
+    }
     for (const auto& history : image.history())
         m_history[{ history.kind(), history.name() }].assign(history.versions().begin(), history.versions().end());
     for (const auto& owner : image.shards())
--- a/Source/records/control_state.h
+++ b/Source/records/control_state.h
@@ -4,6 +4,7 @@
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -69,6 +70,8 @@
     std::uint64_t m_poisonVersion = 0;
     std::uint64_t m_nextEpoch = 1;
     std::map<record_key, wire::record> m_records;
+    /// Where each record's latest change stands, so that a change is found without a look at every record.
+    std::map<std::uint64_t, std::set<record_key>> m_byRevision;
     std::map<record_key, std::vector<wire::version_digest>> m_history;
     std::map<std::string, wire::shard_owner> m_shards;
     std::map<std::uint64_t, wire::poison_mark> m_poison;
--- a/Source/scheduling/placement_policies.cpp
+++ b/Source/scheduling/placement_policies.cpp
@@ -22,39 +22,39 @@
     {
         std::optional<chosen_endpoints> best;
         std::uint32_t least = 0;
-        for (const auto& id : endpoints.usable(serviceRole, exclude, breaker, now)) {
-            auto calls = endpoints.loadOf(id).requests;
-            if (bounded && calls >= endpoints.table().find(id)->slots())
+        for (const auto* endpoint : endpoints.usable(serviceRole, exclude, breaker, now)) {
+            auto calls = endpoints.loadOf(endpoint->id()).requests;
+            if (bounded && calls >= endpoint->slots())
                 continue;
             if (best && calls >= least)
                 continue;
             least = calls;
-            best = chosen_endpoints { "", id, {} };
+            best = chosen_endpoints { "", endpoint->id(), {} };
         }
         return best;
     }
 
     struct prefill_choice {
-        std::string id;
+        const wire::endpoint_announcement* endpoint;
         time_point ends;
     };
 
     std::optional<prefill_choice> choosePrefill(const pool_endpoints& endpoints, const pool_request& request, const std::set<std::string>& exclude, bool breaker, time_point now)
     {
-        auto ids = endpoints.usable(prefillRole, exclude, breaker, now);
-        auto withLong = static_cast<std::size_t>(std::count_if(ids.begin(), ids.end(), [&](const auto& id) { return endpoints.loadOf(id).longPrompts > 0; }));
+        auto usable = endpoints.usable(prefillRole, exclude, breaker, now);
+        auto withLong = static_cast<std::size_t>(std::count_if(usable.begin(), usable.end(), [&](const auto* endpoint) { return endpoints.loadOf(endpoint->id()).longPrompts > 0; }));
         bool isLong = request.place.prompt_tokens() > longPromptTokens;
         std::optional<prefill_choice> best;
-        for (const auto& id : ids) {
-            const auto& load = endpoints.loadOf(id);
+        for (const auto* endpoint : usable) {
+            const auto& load = endpoints.loadOf(endpoint->id());
             if (load.requests >= mostPromptsPerEngine)
                 continue;
             // One engine stays clear of long prompts, or short ones would stand behind them on every engine.
-            if (isLong && load.longPrompts == 0 && ids.size() > 1 && withLong + 1 >= ids.size())
+            if (isLong && load.longPrompts == 0 && usable.size() > 1 && withLong + 1 >= usable.size())
                 continue;
-            auto ends = std::max(now, load.busyUntil) + endpoints.prefillTime(id, request.place.prompt_tokens(), request.place.prefix());
+            auto ends = std::max(now, load.busyUntil) + pool_endpoints::prefillTime(*endpoint, request.place.prompt_tokens(), request.place.prefix());
             if (!best || ends < best->ends)
-                best = prefill_choice { id, ends };
+                best = prefill_choice { endpoint, ends };
         }
         return best;
     }
@@ -70,10 +70,10 @@
     std::optional<chosen_endpoints> best;
     time_point bestReady {};
     std::uint32_t bestRequests = 0;
-    for (const auto& id : endpoints.usable(decodeRole, exclude, breaker, now)) {
-        const auto& load = endpoints.loadOf(id);
-        auto ready = std::max(prefill->ends, load.busyUntil) + endpoints.transferTime(prefill->id, id, request.place.prompt_tokens());
-        if (!endpoints.fitsAt(id, request.pieces(), ready))
+    for (const auto* endpoint : endpoints.usable(decodeRole, exclude, breaker, now)) {
+        const auto& load = endpoints.loadOf(endpoint->id());
+        auto ready = std::max(prefill->ends, load.busyUntil) + pool_endpoints::transferTime(*prefill->endpoint, *endpoint, request.place.prompt_tokens());
+        if (!endpoints.fitsAt(*endpoint, request.pieces(), ready))
             continue;
         // The link that is free first; among equals the engine with the fewest requests, which also steps fastest.
         constexpr milliseconds sameMoment { 5 };
@@ -81,7 +81,7 @@
         bool lighter = best && ready < bestReady + sameMoment && load.requests < bestRequests;
         if (!sooner && !lighter)
             continue;
-        best = chosen_endpoints { prefill->id, id, ready };
+        best = chosen_endpoints { prefill->endpoint->id(), endpoint->id(), ready };
         bestReady = ready;
         bestRequests = load.requests;
     }
@@ -92,8 +92,8 @@
 {
     ++m_turn;
     auto pick = [&](const char* role) {
-        auto ids = endpoints.usable(role, exclude, breaker, now);
-        return ids.empty() ? std::string() : ids[m_turn % ids.size()];
+        auto usable = endpoints.usable(role, exclude, breaker, now);
+        return usable.empty() ? std::string() : usable[m_turn % usable.size()]->id();
     };
     chosen_endpoints chosen;
     chosen.decode = pick(isServiceCall(request) ? serviceRole : decodeRole);
@@ -107,13 +107,11 @@
 std::optional<chosen_endpoints> least_reported_policy::choose(const pool_endpoints& endpoints, const pool_request& request, const std::set<std::string>& exclude, bool breaker, time_point now)
 {
     auto pick = [&](const char* role) {
-        auto ids = endpoints.usable(role, exclude, breaker, now);
-        auto reported = [&](const std::string& id) {
-            const auto* endpoint = endpoints.table().find(id);
-            return endpoint->running() + endpoint->waiting();
-        };
-        auto least = std::min_element(ids.begin(), ids.end(), [&](const auto& a, const auto& b) { return reported(a) < reported(b); });
-        return least == ids.end() ? std::string() : *least;
+        auto usable = endpoints.usable(role, exclude, breaker, now);
+        auto least = std::min_element(usable.begin(), usable.end(), [](const auto* a, const auto* b) {
+            return a->running() + a->waiting() < b->running() + b->waiting();
+        });
+        return least == usable.end() ? std::string() : (*least)->id();
     };
     chosen_endpoints chosen;
     chosen.decode = pick(isServiceCall(request) ? serviceRole : decodeRole);
--- a/Source/scheduling/pool_endpoints.cpp
+++ b/Source/scheduling/pool_endpoints.cpp
@@ -24,16 +24,13 @@
     return fmt::format("{}#{}", requestId, attempt);
 }
 
-std::vector<std::string> pool_endpoints::usable(const std::string& role, const std::set<std::string>& exclude, bool withBreaker, time_point now) const
+std::vector<const wire::endpoint_announcement*> pool_endpoints::usable(const std::string& role, const std::set<std::string>& exclude, bool withBreaker, time_point now) const
 {
-    std::vector<std::string> ids;
-    for (auto& id : m_table.serving()) {
-        const auto* endpoint = m_table.find(id);
-        if (endpoint->role() != role || exclude.count(id) || (withBreaker && !m_breaker.allows(id, now)))
-            continue;
-        ids.push_back(std::move(id));
-    }
-    return ids;
+    auto endpoints = m_table.serving();
+    std::erase_if(endpoints, [&](const auto* endpoint) {
+        return endpoint->role() != role || exclude.count(endpoint->id()) || (withBreaker && !m_breaker.allows(endpoint->id(), now));
+    });
+    return endpoints;
 }
 
 const pool_endpoints::load& pool_endpoints::loadOf(const std::string& id) const
@@ -43,23 +40,20 @@
     return found == m_loads.end() ? idle : found->second;
 }
 
-milliseconds pool_endpoints::prefillTime(const std::string& id, std::uint32_t promptTokens, std::uint64_t prefix) const
+milliseconds pool_endpoints::prefillTime(const wire::endpoint_announcement& endpoint, std::uint32_t promptTokens, std::uint64_t prefix)
 {
-    const auto* endpoint = m_table.find(id);
-    auto rate = orElse(endpoint ? endpoint->prefill_tokens_per_s() : 0, fallbackPrefillRate);
-    bool cached = endpoint && prefix != 0
-        && std::find(endpoint->cached_prefixes().begin(), endpoint->cached_prefixes().end(), prefix) != endpoint->cached_prefixes().end();
+    auto rate = orElse(endpoint.prefill_tokens_per_s(), fallbackPrefillRate);
+    const auto& prefixes = endpoint.cached_prefixes();
+    bool cached = prefix != 0 && std::find(prefixes.begin(), prefixes.end(), prefix) != prefixes.end();
     auto tokens = cached ? promptTokens - std::min(promptTokens, tokensPerPiece) : promptTokens;
     return requestOverhead + milliseconds(1000ULL * tokens / rate);
 }
 
-milliseconds pool_endpoints::transferTime(const std::string& prefill, const std::string& decode, std::uint32_t promptTokens) const
+milliseconds pool_endpoints::transferTime(const wire::endpoint_announcement& source, const wire::endpoint_announcement& target, std::uint32_t promptTokens)
 {
-    const auto* source = m_table.find(prefill);
-    const auto* target = m_table.find(decode);
-    auto kvBytes = orElse(source ? source->kv_bytes_per_token() : 0, fallbackKvBytes);
-    auto sourceMbps = orElse(source ? source->link_mbps() : 0, fallbackLinkMbps);
-    auto targetMbps = orElse(target ? target->link_mbps() : 0, fallbackLinkMbps);
+    auto kvBytes = orElse(source.kv_bytes_per_token(), fallbackKvBytes);
+    auto sourceMbps = orElse(source.link_mbps(), fallbackLinkMbps);
+    auto targetMbps = orElse(target.link_mbps(), fallbackLinkMbps);
     constexpr std::uint64_t bitsPerByte = 8;
     auto bits = bitsPerByte * kvBytes * promptTokens;
     return requestOverhead + milliseconds(bits / 1000 / std::min(sourceMbps, targetMbps));
@@ -79,16 +73,20 @@
     booked.pieces = request.pieces();
     booked.fingerprint = request.place.fingerprint();
     booked.placedAt = now;
+    static const wire::endpoint_announcement unknown;
+    auto endpointOf = [this](const std::string& id) -> const wire::endpoint_announcement& {
+        const auto* endpoint = m_table.find(id);
+        return endpoint ? *endpoint : unknown;
+    };
     if (!chosen.prefill.empty()) {
         auto starts = std::max(now, loadOf(chosen.prefill).busyUntil);
-        booked.prefillEnds = starts + prefillTime(chosen.prefill, booked.promptTokens, request.place.prefix());
+        booked.prefillEnds = starts + prefillTime(endpointOf(chosen.prefill), booked.promptTokens, request.place.prefix());
     } else {
         booked.prefillEnds = now;
     }
     auto linkFree = std::max(booked.prefillEnds, m_kind == pool_kind::Model ? loadOf(chosen.decode).busyUntil : now);
-    booked.transferEnds = chosen.prefill.empty() ? linkFree : linkFree + transferTime(chosen.prefill, chosen.decode, booked.promptTokens);
-    const auto* decode = m_table.find(chosen.decode);
-    auto step = std::chrono::microseconds(orElse(decode ? decode->step_us() : 0, fallbackStepMicros));
+    booked.transferEnds = chosen.prefill.empty() ? linkFree : linkFree + transferTime(endpointOf(chosen.prefill), endpointOf(chosen.decode), booked.promptTokens);
+    auto step = std::chrono::microseconds(orElse(endpointOf(chosen.decode).step_us(), fallbackStepMicros));
     booked.decodeEnds = booked.transferEnds + step * (booked.maxTokens + 1);
     m_breaker.onSent(chosen.decode, now);
     if (!chosen.prefill.empty())
@@ -196,21 +194,18 @@
     }
 }
 
-bool pool_endpoints::fitsAt(const std::string& id, std::uint32_t pieces, time_point at) const
+bool pool_endpoints::fitsAt(const wire::endpoint_announcement& endpoint, std::uint32_t pieces, time_point at) const
 {
-    const auto* endpoint = m_table.find(id);
-    if (!endpoint)
-        return false;
-    const auto& held = loadOf(id);
+    const auto& held = loadOf(endpoint.id());
     auto requests = held.requests;
     auto used = held.pieces;
-    bool slotFree = requests < endpoint->slots();
-    bool memoryFree = endpoint->memory_pieces() == 0 || used + pieces <= endpoint->memory_pieces();
-    if (slotFree && memoryFree)
-        return true;
-    auto running = m_byDecode.find(id);
-    if (running == m_byDecode.end())
-        return slotFree && memoryFree;
+    auto hasRoom = [&] {
+        bool memoryFree = endpoint.memory_pieces() == 0 || used + pieces <= endpoint.memory_pieces();
+        return requests < endpoint.slots() && memoryFree;
+    };
+    auto running = m_byDecode.find(endpoint.id());
+    if (hasRoom() || running == m_byDecode.end())
+        return hasRoom();
     for (const auto& key : running->second) {
         const auto& booked = m_reservations.at(key);
         if (booked.decodeEnds > at)
@@ -218,24 +213,24 @@
         --requests;
         used -= booked.pieces;
     }
-    return requests < endpoint->slots() && (endpoint->memory_pieces() == 0 || used + pieces <= endpoint->memory_pieces());
+    return hasRoom();
 }
 
 double pool_endpoints::prefillRate(time_point now) const
 {
     double rate = 0;
-    for (const auto& id : usable("prefill", {}, true, now))
-        rate += orElse(m_table.find(id)->prefill_tokens_per_s(), fallbackPrefillRate);
+    for (const auto* endpoint : usable("prefill", {}, true, now))
+        rate += orElse(endpoint->prefill_tokens_per_s(), fallbackPrefillRate);
     return rate;
 }
 
 time_point pool_endpoints::nextSlot(std::uint32_t pieces, time_point now) const
 {
     time_point earliest = time_point::max();
-    for (const auto& id : usable(m_kind == pool_kind::Model ? "decode" : "service", {}, true, now)) {
-        if (fitsAt(id, pieces, now))
+    for (const auto* endpoint : usable(m_kind == pool_kind::Model ? "decode" : "service", {}, true, now)) {
+        if (fitsAt(*endpoint, pieces, now))
             return now;
-        auto running = m_byDecode.find(id);
+        auto running = m_byDecode.find(endpoint->id());
         if (running == m_byDecode.end())
             continue;
         for (const auto& key : running->second)
@@ -247,8 +242,7 @@
 std::uint32_t pool_endpoints::slotsTotal() const
 {
     std::uint32_t slots = 0;
-    for (const auto& id : m_table.serving()) {
-        const auto* endpoint = m_table.find(id);
+    for (const auto* endpoint : m_table.serving()) {
         slots += endpoint->role() == "prefill" ? 0 : endpoint->slots();
     }
     return slots;
--- a/Source/scheduling/pool_endpoints.h
+++ b/Source/scheduling/pool_endpoints.h
@@ -53,8 +53,8 @@
     circuit_breaker& breaker() { return m_breaker; }
     const circuit_breaker& breaker() const { return m_breaker; }
 
-    /// Ids of endpoints of a role that may get new work, less the excluded ones.
-    std::vector<std::string> usable(const std::string& role, const std::set<std::string>& exclude, bool withBreaker, time_point now) const;
+    /// Endpoints of a role that may get new work, less the excluded ones. The pointers hold until the next announcement.
+    std::vector<const wire::endpoint_announcement*> usable(const std::string& role, const std::set<std::string>& exclude, bool withBreaker, time_point now) const;
     /// Own bookkeeping of an endpoint.
     const load& loadOf(const std::string& id) const;
     /// Books a request onto its endpoints and predicts its stages.
@@ -69,11 +69,11 @@
     void sweep(const std::vector<wire::live_process>& live, time_point now);
 
     /// Time for a prompt on a prefill engine, counting a cached prefix as free.
-    milliseconds prefillTime(const std::string& id, std::uint32_t promptTokens, std::uint64_t prefix) const;
+    static milliseconds prefillTime(const wire::endpoint_announcement& endpoint, std::uint32_t promptTokens, std::uint64_t prefix);
     /// Time for a prompt's KV cache on the link to a decode engine.
-    milliseconds transferTime(const std::string& prefill, const std::string& decode, std::uint32_t promptTokens) const;
+    static milliseconds transferTime(const wire::endpoint_announcement& source, const wire::endpoint_announcement& target, std::uint32_t promptTokens);
     /// Slots of a decode engine that are surely free at a moment, by the upper bounds of what runs on it.
-    bool fitsAt(const std::string& id, std::uint32_t pieces, time_point at) const;
+    bool fitsAt(const wire::endpoint_announcement& endpoint, std::uint32_t pieces, time_point at) const;
     /// Prompt tokens a second that the usable prefill engines work off together.
     double prefillRate(time_point now) const;
     /// When the next decode slot is surely free, over all engines; `now` when one is.
--- /dev/null
+++ b/Tests/Bench/decision_bench.cpp
@@ -0,0 +1,243 @@
+// Measures what decisions and state cost against their number, for docs/CAPACITY.md. Prints a Markdown table.
+#include "limits/limits.h"
+#include "records/records.h"
+#include "scheduling/scheduling.h"
+#include "wire/generated/pistachiolatch.pb.h"
+
+#include <chrono>
+#include <fmt/format.h>
+#include <functional>
+#include <malloc.h>
+
+using namespace pistachiolatch;
+
+namespace {
+double microsOf(int times, const std::function<void(int)>& work)
+{
+    auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < times; ++i)
+        work(i);
+    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count() / times;
+}
+
+std::size_t heapBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+void row(const std::string& what, std::size_t size, double value, const char* unit)
+{
+    fmt::print("| {} | {} | {:.2f} | {} |\n", what, size, value, unit);
+}
+
+wire::endpoint_announcement announcement(std::size_t number, const char* role, std::uint64_t sequence)
+{
+    wire::endpoint_announcement endpoint;
+    endpoint.set_id(fmt::format("{}-{}", role, number));
+    endpoint.set_incarnation(1);
+    endpoint.set_sequence(sequence);
+    endpoint.set_address("10.11.12.13:9000");
+    endpoint.set_role(role);
+    endpoint.set_model("advisor-llm");
+    endpoint.set_model_version("v1");
+    endpoint.set_slots(20);
+    endpoint.set_memory_pieces(400);
+    endpoint.set_prefill_tokens_per_s(40000);
+    endpoint.set_step_us(30000);
+    endpoint.set_link_mbps(10000);
+    endpoint.set_kv_bytes_per_token(20000);
+    return endpoint;
+}
+
+pool_request request(int number, const std::string& organisation)
+{
+    pool_request one;
+    one.place.set_shard("model:advisor-llm");
+    one.place.set_request_id(fmt::format("vm1.{:024}", number));
+    one.place.set_organisation(organisation);
+    one.place.set_prompt_tokens(1000);
+    one.place.set_max_tokens(100);
+    one.place.set_patience_ms(5000);
+    one.place.set_fingerprint(static_cast<std::uint64_t>(number));
+    one.entryName = "vm1";
+    one.entryAddress = "10.11.12.1:7101";
+    return one;
+}
+
+void finish(pool& decisions, const wire::placement& placement, time_point now)
+{
+    wire::progress report;
+    report.set_request_id(placement.request_id());
+    for (auto stage : { wire::STAGE_PREFILLED, wire::STAGE_TRANSFERRED, wire::STAGE_FINISHED }) {
+        report.set_stage(stage);
+        decisions.progress(report, now);
+    }
+}
+
+void measurePool(std::size_t endpoints, std::size_t organisations)
+{
+    manual_clock_source clock;
+    auto before = heapBytes();
+    pool decisions("model:advisor-llm", pool_kind::Model, {}, {});
+    for (std::size_t i = 0; i < endpoints; ++i)
+        decisions.announce(announcement(i, i % 3 == 0 ? "prefill" : "decode", 1), milliseconds(0), clock.now());
+    if (organisations == 1)
+        row("pool: bytes an endpoint", endpoints, static_cast<double>(heapBytes() - before) / static_cast<double>(endpoints), "bytes");
+    auto micros = microsOf(400, [&](int i) {
+        decisions.place(request(i, fmt::format("organisation-{}", static_cast<std::size_t>(i) % organisations)), clock.now());
+        for (const auto& decision : decisions.decide(clock.now()))
+            finish(decisions, decision.placement, clock.now());
+    });
+    row(organisations == 1 ? "pool: a request placed and finished, by endpoints" : "pool: a request placed and finished, by organisations (100 endpoints)", organisations == 1 ? endpoints : organisations, micros, "us");
+    if (organisations > 1)
+        return;
+    auto again = microsOf(2000, [&](int i) {
+        decisions.announce(announcement(static_cast<std::size_t>(i) % endpoints, "decode", 2 + static_cast<std::uint64_t>(i)), milliseconds(0), clock.now());
+    });
+    row("pool: an announcement taken", endpoints, again, "us");
+}
+
+void measureInFlight()
+{
+    manual_clock_source clock;
+    pool_settings settings;
+    settings.policy = "round_robin";
+    pool decisions("model:advisor-llm", pool_kind::Model, settings, {});
+    for (std::size_t i = 0; i < 30; ++i)
+        decisions.announce(announcement(i, i % 3 == 0 ? "prefill" : "decode", 1), milliseconds(0), clock.now());
+    constexpr int requests = 10000;
+    auto before = heapBytes();
+    for (int i = 0; i < requests; ++i) {
+        decisions.place(request(i, "alpha"), clock.now());
+        decisions.decide(clock.now());
+    }
+    row("pool: bytes a request in flight", requests, static_cast<double>(heapBytes() - before) / requests, "bytes");
+}
+
+void measureLimits(std::size_t organisations)
+{
+    manual_clock_source clock;
+    auto before = heapBytes();
+    limit_owner owner(clock.now());
+    for (std::size_t i = 0; i < organisations; ++i)
+        owner.configure(fmt::format("organisation-{}", i), 1000000, 1000000, clock.now());
+    row("limits: bytes an organisation", organisations, static_cast<double>(heapBytes() - before) / static_cast<double>(organisations), "bytes");
+    clock.advance(milliseconds(1000));
+    auto ask = microsOf(5000, [&](int i) {
+        owner.ask({ fmt::format("organisation-{}", static_cast<std::size_t>(i) % organisations), 100, 100, milliseconds(100), static_cast<std::uint64_t>(i) }, clock.now());
+    });
+    row("limits: a question", organisations, ask, "us");
+    row("limits: one step over all buckets", organisations, microsOf(50, [&](int) { owner.step(clock.now()); }), "us");
+}
+
+std::vector<wire::record> recordsOf(std::size_t organisations)
+{
+    std::vector<wire::record> records;
+    for (std::size_t i = 0; i < organisations; ++i) {
+        auto name = fmt::format("organisation-{}", i);
+        wire::record record;
+        record.set_name(name);
+        record.set_version(1);
+        record.set_schema_version(2);
+        record.set_submitter("anna");
+        record.set_kind("organisation");
+        record.set_body(R"({"models":["advisor-llm"],"services":["orderdesk"],"weight":1})");
+        records.push_back(record);
+        record.set_kind("limit");
+        record.set_body(R"({"burst":300000,"in_flight_share":60,"rate":100000})");
+        records.push_back(record);
+        record.set_kind("key");
+        record.set_schema_version(1);
+        record.set_body(fmt::format(R"({{"organisation":"{}","sha256":"{}","withdrawn":false}})", name, sha256Hex(name)));
+        records.push_back(record);
+    }
+    return records;
+}
+
+void measureConfig(std::size_t organisations)
+{
+    auto records = recordsOf(organisations);
+    std::vector<std::string> problems;
+    auto before = heapBytes();
+    std::shared_ptr<const config_view> view = std::make_shared<config_view>();
+    view = config_view::after(*view, 1, records, problems);
+    row("entry: bytes of configuration an organisation", organisations, static_cast<double>(heapBytes() - before) / static_cast<double>(organisations), "bytes");
+    row("entry: one change applied", organisations, microsOf(5, [&](int i) { view = config_view::after(*view, 2 + static_cast<std::uint64_t>(i), { records.front() }, problems); }), "us");
+    row("entry: a key looked up", organisations, microsOf(20000, [&](int i) { (void)view->keyByDigest(sha256Hex(fmt::format("organisation-{}", static_cast<std::size_t>(i) % organisations))); }), "us");
+
+    before = heapBytes();
+    control_state state;
+    wire::command command;
+    for (const auto& record : records)
+        *command.mutable_submit()->add_records() = record;
+    state.apply(command);
+    row("control: bytes of state an organisation", organisations, static_cast<double>(heapBytes() - before) / static_cast<double>(organisations), "bytes");
+    std::string image;
+    row("control: a snapshot made", organisations, microsOf(2, [&](int) { image = state.save(); }), "us");
+    row("control: bytes of a snapshot an organisation", organisations, static_cast<double>(image.size()) / static_cast<double>(organisations), "bytes");
+    row("control: records changed since a revision found", organisations, microsOf(20, [&](int) { (void)state.recordsAfter(1); }), "us");
+}
+
+void measureSessions(std::size_t processes)
+{
+    manual_clock_source clock;
+    session_table sessions(clock.now());
+    wire::session_heartbeat beat;
+    auto micros = microsOf(20000, [&](int i) {
+        beat.set_kind(i % 2 ? wire::PROCESS_ENTRY : wire::PROCESS_SCHEDULER);
+        sessions.heartbeat(fmt::format("vm{}", static_cast<std::size_t>(i) % processes), 1, "10.11.12.13:7101", beat, clock.now());
+    });
+    row("control: a heartbeat taken", processes, micros, "us");
+}
+
+void measureMessages()
+{
+    wire::envelope place;
+    place.set_sender("vm123");
+    place.set_sender_address("10.11.12.13:7101");
+    place.set_sender_incarnation(1);
+    place.set_sequence(100000);
+    place.set_call(100000);
+    *place.mutable_place() = request(1, "organisation-1234").place;
+    row("message: a place request", 1, static_cast<double>(place.ByteSizeLong()), "bytes");
+    wire::envelope progress = place;
+    progress.clear_place();
+    progress.mutable_progress()->set_shard("model:advisor-llm");
+    progress.mutable_progress()->set_request_id(fmt::format("vm1.{:024}", 1));
+    row("message: a progress report", 1, static_cast<double>(progress.ByteSizeLong()), "bytes");
+    wire::envelope announce = place;
+    announce.clear_place();
+    *announce.mutable_announce()->mutable_endpoint() = announcement(1234, "decode", 100000);
+    row("message: an announcement forwarded", 1, static_cast<double>(announce.ByteSizeLong()), "bytes");
+    wire::envelope limit = place;
+    limit.clear_place();
+    limit.mutable_limit()->set_shard("limit:1");
+    limit.mutable_limit()->set_organisation("organisation-1234");
+    limit.mutable_limit()->set_need(2000);
+    row("message: a limit question", 1, static_cast<double>(limit.ByteSizeLong()), "bytes");
+    wire::envelope beat = place;
+    beat.clear_place();
+    beat.mutable_heartbeat()->set_data_centre("riga-a");
+    beat.mutable_heartbeat()->set_applied_revision(100000);
+    beat.mutable_heartbeat()->set_sent_ns(1LL << 50);
+    row("message: a heartbeat", 1, static_cast<double>(beat.ByteSizeLong()), "bytes");
+}
+}
+
+int main()
+{
+    fmt::print("| what | size | value | unit |\n|---|---|---|---|\n");
+    for (std::size_t endpoints : { 10, 100, 1000, 4200 })
+        measurePool(endpoints, 1);
+    for (std::size_t organisations : { 10, 100, 1000, 12000 })
+        measurePool(100, organisations);
+    measureInFlight();
+    for (std::size_t organisations : { 10, 100, 1000, 12000 }) {
+        measureLimits(organisations);
+        measureConfig(organisations);
+    }
+    for (std::size_t processes : { 14, 100, 780 })
+        measureSessions(processes);
+    measureMessages();
+    return 0;
+}
