--- a/Tests/Consensus/raft_simulation.cpp
+++ b/Tests/Consensus/raft_simulation.cpp
@@ -156,21 +156,17 @@
     }
 }
 
-std::size_t raft_simulation::healthyCopies() const
+std::size_t raft_simulation::repairedVoters() const
 {
-    std::uint64_t highest = m_committed.empty() ? 0 : m_committed.rbegin()->first;
-    std::size_t copies = 0;
+    // What an operator goes by: the leader says that a VM's present replica is a voter.
+    std::set<replica_key> voters;
     for (const auto& node : m_nodes) {
-        bool member = false;
-        for (const auto& other : m_nodes) {
-            if (other.core->role() != raft_role::Leader)
-                continue;
-            for (const auto& voter : other.core->members().voters())
-                member = member || keyOf(voter) == keyOf(node.id);
-        }
-        copies += member && node.core->log().lastIndex() >= highest ? 1 : 0;
+        if (!node.core->leaseValid(m_now))
+            continue;
+        for (const auto& voter : node.core->members().voters())
+            voters.insert(keyOf(voter));
     }
-    return copies;
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [&](const auto& node) { return voters.count(keyOf(node.id)) > 0; }));
 }
 
 void raft_simulation::randomFault()
@@ -183,11 +179,9 @@
             restart(victim);
         break;
     case 1:
-        // What five replicas promise to survive: one is lost at a time, the next only after the repair.
-        if (healthyCopies() == nodeCount) {
+        // What five replicas promise to survive: one is lost at a time, the next right after the repair.
+        if (repairedVoters() == nodeCount)
             wipe(victim);
-            m_lastWipe = m_now;
-        }
         break;
     case 2:
         victim.cut = true;
--- a/Tests/Consensus/raft_simulation.h
+++ b/Tests/Consensus/raft_simulation.h
@@ -54,7 +54,7 @@
     void randomFault();
     void checkLeases();
     void fail(const std::string& problem);
-    std::size_t healthyCopies() const;
+    std::size_t repairedVoters() const;
     std::uint64_t pick(std::uint64_t bound) { return m_random() % bound; }
 
     std::mt19937_64 m_random;
@@ -69,7 +69,6 @@
     std::size_t m_wipes = 0;
     bool m_faults = true;
     bool m_proposing = true;
-    time_point m_lastWipe {};
     std::string m_problem;
 };
 
--- a/Tests/Promises/LimitsUnderFaultTest.cpp
+++ b/Tests/Promises/LimitsUnderFaultTest.cpp
@@ -1,3 +1,4 @@
+#include "records/records.h"
 #include "Support/fleet.h"
 
 #include <catch2/catch.hpp>
@@ -9,8 +10,9 @@
 using namespace pistachiolatch::test;
 
 namespace {
-constexpr int rate = 600;
-constexpr int burst = 900;
+// The burst is worth ten seconds of the rate: an owner that started with a full bucket would show at once.
+constexpr int rate = 300;
+constexpr int burst = 3000;
 
 const std::string records = fmt::format(R"(
 [[organisation]]
@@ -58,12 +60,6 @@
     double worstExcess() const
     {
         double worst = -1e18;
-        for (std::size_t i = 0; i < m_calls.size(); ++i) {
-            double total = 0;
-            for (const auto& call : m_calls)
-                total += call.sent >= m_calls[i].sent && call.answered <= m_calls[i].answered ? 20 : 0;
-            (void)total;
-        }
         for (const auto& first : m_calls) {
             for (const auto& last : m_calls) {
                 if (last.answered < first.sent)
@@ -121,11 +117,11 @@
     shape.endpointLines = "service_ms = 1\n";
     fleet where(shape);
     where.start();
-    // The bucket of alpha is in the limit shard that its name hashes to; every owner is tried in turn.
     flood traffic(where);
-    REQUIRE(eventually([&] { return traffic.admitted() > 60; }));
-    int victim = where.owner("limit:3") ? where.owner("limit:3") : 1;
+    REQUIRE(eventually([&] { return traffic.admitted() > 160; }));
     for (int round = 0; round < 2; ++round) {
+        int victim = where.owner(limitShard("alpha"));
+        REQUIRE(victim > 0);
         INFO(faultKind << " scheduler of vm" << victim);
         if (faultKind == "kill")
             where.scheduler(victim).kill();
@@ -134,7 +130,7 @@
         else
             where.proxy().isolate(where.ip(victim), true);
         auto before = traffic.admitted();
-        REQUIRE(eventually([&] { return traffic.admitted() > before + 60; }));
+        REQUIRE(eventually([&] { return traffic.admitted() > before + 40; }));
         if (faultKind == "kill")
             where.startScheduler(victim);
         else if (faultKind == "freeze")
@@ -142,7 +138,6 @@
         else
             where.proxy().isolate(where.ip(victim), false);
         REQUIRE(eventually([&] { return where.ready(where.schedulerAdmin(victim)); }));
-        victim = victim % 3 + 1;
     }
     traffic.stop();
     CHECK(traffic.worstExcess() <= 0);
--- a/Tests/Promises/WholeAnswersTest.cpp
+++ b/Tests/Promises/WholeAnswersTest.cpp
@@ -42,6 +42,22 @@
     CHECK(answer.body.find(expectedText(prompt, 40)) != std::string::npos);
 }
 
+// An engine loses a token of its stream. Waiting can't mend it; the entry must not pass on an answer with a hole, so
+// another engine resumes at the missing index.
+TEST_CASE("A lost token is made up by another engine", "[promise]")
+{
+    fleet where({});
+    where.start();
+    where.fault("decode-1", R"({"skip_token":true})");
+    for (int i = 0; i < 6; ++i) {
+        auto unique = prompt + " hole " + std::to_string(i);
+        auto answer = where.complete(1, unique, 30);
+        CHECK(answer.status == 200);
+        CHECK(answer.body.find(expectedText(unique, 30)) != std::string::npos);
+    }
+    CHECK(where.metric(where.entryAdmin(1), "pistachiolatch_events_total{event=\"token_gap\"}") != "");
+}
+
 // An engine mixes up two streams and sends another request's tokens. Nobody may read a neighbour's answer: the
 // entry finds the foreign tag, drops the stream and asks another engine.
 TEST_CASE("A crossed answer never reaches the caller", "[promise]")
