--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -10,11 +10,6 @@
     constexpr milliseconds forceTimeout { 10000 };
     constexpr milliseconds explainTimeout { 1000 };
     constexpr std::size_t mostEventsKept = 1000;
-
-    std::int64_t wallMillis()
-    {
-        return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    }
 }
 
 control_node::control_node(parts given)
@@ -284,7 +279,7 @@
         return;
     wire::command command;
     *command.mutable_crash() = message.crash();
-    command.mutable_crash()->set_now_ms(wallMillis());
+    command.mutable_crash()->set_now_ms(wallClock().count());
     propose(command, [this, call = message](const apply_outcome* outcome) {
         if (!outcome)
             return;
@@ -298,7 +293,7 @@
 void control_node::noteEvent(const std::string& process, const std::string& text)
 {
     wire::process_event event;
-    event.set_at_ms(wallMillis());
+    event.set_at_ms(wallClock().count());
     event.set_process(process);
     event.set_text(text);
     m_events.push_back(std::move(event));
@@ -360,5 +355,4 @@
         });
     }
 }
-
 } // namespace pistachiolatch
--- a/Source/control/control_sessions.cpp
+++ b/Source/control/control_sessions.cpp
@@ -10,11 +10,6 @@
     constexpr milliseconds gatherSchedulers { 1000 };
     constexpr milliseconds ledgerExpiryInterval { 60000 };
     constexpr std::int64_t ledgerLifetimeMillis = 24LL * 3600 * 1000;
-
-    std::int64_t wallMillis()
-    {
-        return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    }
 }
 
 bool control_node::mayGrant() const
@@ -159,8 +154,7 @@
     if (m_state.calls().size() == 0)
         return;
     wire::command command;
-    command.mutable_expire()->set_before_ms(wallMillis() - ledgerLifetimeMillis);
+    command.mutable_expire()->set_before_ms(wallClock().count() - ledgerLifetimeMillis);
     propose(command, [](const apply_outcome*) {});
 }
-
 } // namespace pistachiolatch
--- a/Source/control/main.cpp
+++ b/Source/control/main.cpp
@@ -25,8 +25,8 @@
         return reader.finish();
     }
 
-    /// All parts of a control process, in the order in which they are built.
-    class control_process {
+    /// A control process: a replica of the log and the operators' interface.
+    class control_process : public wired_process {
     public:
         control_settings settings;
         /// Begin a new log. A flag and no setting: left in a settings file it would let a VM whose disk was
@@ -35,24 +35,22 @@
 
         result<void> start()
         {
-            setLogProcess("pistachiolatch-control", settings.wire.vm);
             BOOST_OUTCOME_TRYV(openStorage());
-            m_wire.emplace(settings.wire, freshIncarnation(), m_metrics);
-            m_loop.emplace(*m_wire, m_clock);
-            control_node::parts parts { *m_loop, m_clock, m_metrics, settings.wire, m_self, std::move(*m_store), std::move(m_replica.restored), bootstrap };
-            m_node = std::make_unique<control_node>(std::move(parts));
-            m_loop->onMessage([this](const wire::envelope& message) { m_node->onMessage(message); });
-            m_loop->onTick([this] { m_node->tick(); });
-            m_operators = std::make_unique<operator_api>(m_threads, *m_loop, *m_node, m_metrics, settings.operators);
-            m_admin = std::make_unique<admin_server>(m_threads, m_metrics, admin_hooks { [this] { return std::string(m_stopping ? "shutting down" : ""); }, {} });
-            addServices();
-            return m_registry.startAll();
+            addCore("pistachiolatch-control", settings.wire, 1);
+            auto& loop = registry.find<control_loop>(loopService);
+            m_node = std::make_unique<control_node>(control_node::parts { loop, clock, counters, settings.wire, m_self, std::move(*m_store), std::move(m_replica.restored), bootstrap });
+            loop.onMessage([this](const wire::envelope& message) { m_node->onMessage(message); });
+            loop.onTick([this] { m_node->tick(); });
+            m_operators = std::make_unique<operator_api>(registry.find<traffic_threads>(trafficService), loop, *m_node, counters, settings.operators);
+            addListener("operators", *m_operators, settings.operatorListen, true);
+            addAdmin(settings.adminListen, { [this] { return std::string(m_stopping ? "shutting down" : ""); }, {} });
+            return registry.startAll();
         }
 
         void stop()
         {
             m_stopping = true;
-            m_registry.stopAll();
+            registry.stopAll();
         }
 
     private:
@@ -61,11 +59,11 @@
             m_self.set_vm(settings.wire.vm);
             m_self.set_address(settings.wire.advertise);
             if (settings.dataFolder.empty()) {
+                if (bootstrap)
+                    return failure { "--bootstrap needs control.data_folder: the first replica of a log must be on a disk" };
                 // Without a disk nothing of an earlier run is left, so this is a new replica.
                 m_self.set_incarnation(freshIncarnation());
                 m_store.emplace(memory_log_store());
-                if (bootstrap)
-                    return failure { "--bootstrap needs control.data_folder: the first replica of a log must be on a disk" };
                 return ok();
             }
             file_log_store files;
@@ -81,28 +79,12 @@
             return ok();
         }
 
-        void addServices()
-        {
-            m_registry.add("wire", *m_wire, { {}, [this] { return m_wire->open(); }, {} });
-            m_registry.add("control_loop", *m_loop, { { "wire" }, [this] { m_loop->start(); return ok(); }, [this] { m_loop->stop(); } });
-            m_registry.add("traffic", m_threads, { { "control_loop" }, [this] { m_threads.start(); return ok(); }, [this] { m_threads.stop(); } });
-            m_registry.add("operators", *m_operators, { { "traffic" }, [this] { return m_operators->listen(settings.operatorListen); }, [this] { m_operators->stop(); } });
-            m_registry.add("admin", *m_admin, { { "traffic" }, [this] { return m_admin->listen(settings.adminListen); }, [this] { m_admin->stop(); } });
-        }
-
-        steady_clock_source m_clock;
-        metrics m_metrics;
-        service_registry m_registry;
         wire::replica_id m_self;
         stored_replica m_replica;
         std::optional<replica_store> m_store;
         std::atomic<bool> m_stopping { false };
-        std::optional<transport> m_wire;
-        std::optional<control_loop> m_loop;
         std::unique_ptr<control_node> m_node;
-        traffic_threads m_threads { 1 };
         std::unique_ptr<operator_api> m_operators;
-        std::unique_ptr<admin_server> m_admin;
     };
 }
 
--- a/Source/control/operator_api.h
+++ b/Source/control/operator_api.h
@@ -19,7 +19,7 @@
     operator_api(traffic_threads& threads, control_loop& loop, control_node& node, metrics& counters, std::vector<operator_credential> operators);
     /// Errors: address in use, in words.
     result<void> listen(const std::string& address) { return m_server.listen(address); }
-    void stop() { m_server.stopAccepting(); }
+    void stopAccepting() { m_server.stopAccepting(); }
     unsigned activeRequests() const { return m_server.activeRequests(); }
 
 private:
--- a/Source/entry/ledger_client.cpp
+++ b/Source/entry/ledger_client.cpp
@@ -6,11 +6,6 @@
     constexpr milliseconds tryTimeout { 700 };
     constexpr milliseconds pause { 100 };
     constexpr auto finishFor = std::chrono::minutes(5);
-
-    std::int64_t wallMillis()
-    {
-        return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    }
 }
 
 ledger_client::ledger_client(control_loop& loop, control_session& session)
@@ -23,7 +18,7 @@
 {
     command.set_entry(m_session.self().name);
     command.set_entry_incarnation(m_session.self().incarnation);
-    command.set_now_ms(wallMillis());
+    command.set_now_ms(wallClock().count());
     tryBegin(std::move(command), m_loop.now() + timeout, std::move(answer));
 }
 
@@ -57,7 +52,7 @@
 {
     command.set_entry(m_session.self().name);
     command.set_entry_incarnation(m_session.self().incarnation);
-    command.set_now_ms(wallMillis());
+    command.set_now_ms(wallClock().count());
     ++m_open;
     tryFinish(std::move(command), m_loop.now() + finishFor);
 }
@@ -92,5 +87,4 @@
     for (auto& work : due)
         work();
 }
-
 } // namespace pistachiolatch
--- a/Source/entry/model_call.cpp
+++ b/Source/entry/model_call.cpp
@@ -79,7 +79,7 @@
     if (m_request.prompt.size() >= prefixBytes)
         m_prefix = XXH3_64bits(m_request.prompt.data(), prefixBytes);
     m_identity = { m_caller.requestId, m_request.model, m_request.chat,
-        std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count() };
+        std::chrono::floor<std::chrono::seconds>(wallClock()).count() };
 
     std::uint64_t tokens = static_cast<std::uint64_t>(m_promptTokens) + m_maxTokens;
     auto verdict = co_await acquireTokens(m_context, m_caller.organisation, tokens);
--- a/Source/entry/service_call.cpp
+++ b/Source/entry/service_call.cpp
@@ -88,62 +88,80 @@
     co_await exchange.respond(result.status, result.contentType, std::move(result.body), headers);
 }
 
+wire::place_request service_calls::placeRequest(const service_request& request, std::uint32_t attempt, const std::set<std::string>& exclude, milliseconds patience) const
+{
+    wire::place_request place;
+    place.set_shard(serviceShard(request.service));
+    place.set_request_id(request.caller.requestId);
+    place.set_attempt(attempt);
+    place.set_organisation(request.caller.organisation);
+    place.set_patience_ms(static_cast<std::uint32_t>(patience.count()));
+    for (const auto& id : exclude)
+        place.add_exclude(id);
+    return place;
+}
+
 task_of<service_result> service_calls::runRepeatable(service_request request, const service_record& record, bool idempotent)
 {
     auto verdict = co_await acquireTokens(m_context, request.caller.organisation, std::max<std::uint32_t>(record.costTokens, 1));
     if (!verdict.granted)
         co_return failedWith(verdict.why, run_state::NotRun, verdict.retryAfter);
     std::set<std::string> exclude;
-    bool sent = false;
+    auto run = run_state::NotRun;
     auto deadline = m_context.clock.now() + record.deadline;
+    auto timeLeft = [&] { return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(deadline - m_context.clock.now())); };
     for (std::uint32_t attempt = 0;; ++attempt) {
-        wire::place_request place;
-        place.set_shard(serviceShard(request.service));
-        place.set_request_id(request.caller.requestId);
-        place.set_attempt(attempt);
-        place.set_organisation(request.caller.organisation);
-        place.set_patience_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(1, std::chrono::ceil<milliseconds>(deadline - m_context.clock.now()).count())));
-        for (const auto& id : exclude)
-            place.add_exclude(id);
-        auto placement = co_await acquirePlacement(m_context, std::move(place));
-        auto runSoFar = sent ? run_state::MayHaveRun : run_state::NotRun;
+        auto placement = co_await acquirePlacement(m_context, placeRequest(request, attempt, exclude, timeLeft()));
         if (!placement.refused().empty())
-            co_return failedWith(reasonFromName(placement.refused()).value_or(reason::Internal), runSoFar, milliseconds(placement.retry_after_ms()));
-
-        wire::progress last;
-        last.set_shard(placement.shard());
-        last.set_request_id(request.caller.requestId);
-        last.set_attempt(attempt);
-        last.set_stage(wire::STAGE_FAILED);
-        booking_hold booking(m_context, std::move(last));
-        auto call = callTo(request);
-        auto left = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(deadline - m_context.clock.now()));
-        auto answer = co_await http_client::fetch(placement.decode_address(), call, m_context.settings.timeouts.connect, left);
-        if (answer.failed == call_failure::None) {
-            booking.report().set_stage(wire::STAGE_FINISHED);
-            service_result result;
-            result.status = answer.status;
-            result.contentType = answer.contentType;
-            result.body = std::move(answer.body);
-            co_return result;
-        }
-        // A caller that left cancelled the call; that is no failure of the endpoint.
-        auto cancelled = (co_await boost::asio::this_coro::cancellation_state).cancelled();
-        if (cancelled != boost::asio::cancellation_type::none)
+            co_return failedWith(reasonFromName(placement.refused()).value_or(reason::Internal), run, milliseconds(placement.retry_after_ms()));
+        auto end = co_await callEndpoint(request, placement, timeLeft());
+        if (end.callerGone)
             co_return failedWith(reason::CallerGone, run_state::MayHaveRun);
-        booking.report().set_endpoint(placement.decode_id());
-        booking.report().set_reason(answer.failed == call_failure::NotSent ? "connect_failed" : "endpoint_failed");
+        if (end.failed == call_failure::None)
+            co_return end.result;
         // Once a byte may have left, a call that may not be repeated is over: its outcome is unknown.
-        sent = sent || answer.failed != call_failure::NotSent;
-        auto why = answer.failed == call_failure::NotSent ? reason::ConnectFailed : reason::EndpointFailed;
-        bool again = attempt + 1 < mostAttempts && (idempotent || !sent) && m_context.clock.now() < deadline;
-        if (!again)
-            co_return failedWith(sent && !idempotent ? reason::OutcomeUnknown : why, sent ? run_state::MayHaveRun : run_state::NotRun, comeBack);
+        if (end.failed != call_failure::NotSent)
+            run = run_state::MayHaveRun;
+        auto why = end.failed == call_failure::NotSent ? reason::ConnectFailed : reason::EndpointFailed;
+        bool mayRepeat = idempotent || run == run_state::NotRun;
+        if (!mayRepeat)
+            co_return failedWith(reason::OutcomeUnknown, run, comeBack);
+        if (attempt + 1 >= mostAttempts || m_context.clock.now() >= deadline)
+            co_return failedWith(why, run, comeBack);
         m_context.counters.countRetry(why);
         exclude.insert(placement.decode_id());
     }
 }
 
+task_of<service_calls::call_end> service_calls::callEndpoint(const service_request& request, const wire::placement& placement, milliseconds timeLeft)
+{
+    wire::progress last;
+    last.set_shard(placement.shard());
+    last.set_request_id(request.caller.requestId);
+    last.set_attempt(placement.attempt());
+    last.set_stage(wire::STAGE_FAILED);
+    booking_hold booking(m_context, std::move(last));
+    auto call = callTo(request);
+    auto answer = co_await http_client::fetch(placement.decode_address(), call, m_context.settings.timeouts.connect, timeLeft);
+    call_end end;
+    end.failed = answer.failed;
+    // A caller that left cancelled the call; that is no failure of the endpoint.
+    auto cancelled = (co_await boost::asio::this_coro::cancellation_state).cancelled();
+    end.callerGone = cancelled != boost::asio::cancellation_type::none;
+    if (end.callerGone)
+        co_return end;
+    if (answer.failed == call_failure::None) {
+        booking.report().set_stage(wire::STAGE_FINISHED);
+        end.result.status = answer.status;
+        end.result.contentType = answer.contentType;
+        end.result.body = std::move(answer.body);
+        co_return end;
+    }
+    booking.report().set_endpoint(placement.decode_id());
+    booking.report().set_reason(std::string(reasonName(answer.failed == call_failure::NotSent ? reason::ConnectFailed : reason::EndpointFailed)));
+    co_return end;
+}
+
 task_of<wire::ledger_reply> service_calls::beginIntent(const service_request& request, const std::string& digest, const std::string& requestId)
 {
     wire::ledger_begin intent;
--- a/Source/entry/service_call.h
+++ b/Source/entry/service_call.h
@@ -1,6 +1,7 @@
 #pragma once
 #include "entry/caller_errors.h"
 #include "entry/engine_cleanup.h"
+#include <set>
 
 namespace pistachiolatch {
 
@@ -38,6 +39,14 @@
     task_of<void> run(http_exchange& exchange, caller_identity caller);
 
 private:
+    /// How one call to an endpoint ended.
+    struct call_end {
+        call_failure failed = call_failure::None;
+        bool callerGone = false;
+        service_result result;
+    };
+    wire::place_request placeRequest(const service_request& request, std::uint32_t attempt, const std::set<std::string>& exclude, milliseconds patience) const;
+    task_of<call_end> callEndpoint(const service_request& request, const wire::placement& placement, milliseconds timeLeft);
     task_of<service_result> runOnce(service_request request, const service_record& record);
     task_of<service_result> runRepeatable(service_request request, const service_record& record, bool idempotent);
     task_of<service_result> awaitOther(const service_request& request, const std::string& digest, const service_record& record);
--- a/Source/http/admin_server.h
+++ b/Source/http/admin_server.h
@@ -19,7 +19,7 @@
     /// Errors: address in use, in words.
     result<void> listen(const std::string& address) { return m_server.listen(address); }
     std::uint16_t port() const { return m_server.port(); }
-    void stop() { m_server.stopAccepting(); }
+    void stopAccepting() { m_server.stopAccepting(); }
 
 private:
     task_of<void> handle(http_exchange& exchange);
--- a/Source/kernel/clock_source.h
+++ b/Source/kernel/clock_source.h
@@ -32,4 +32,10 @@
     time_point m_now { std::chrono::hours(1) };
 };
 
+/// Wall-clock time since the Unix epoch, for people and for what must outlive a process. Never for leases or timeouts.
+inline milliseconds wallClock()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 } // namespace pistachiolatch
--- a/Source/load/load_runner.cpp
+++ b/Source/load/load_runner.cpp
@@ -13,6 +13,8 @@
     constexpr milliseconds connectTimeout { 1000 };
     constexpr milliseconds answerTimeout { 30000 };
     constexpr unsigned statusOk = 200;
+    /// A caller that leaves does so after this many tokens.
+    constexpr std::uint32_t leaveAfterTokens = 3;
 
     std::string reasonOf(const std::string& body)
     {
@@ -92,21 +94,27 @@
     }
 }
 
-task_of<void> load_runner::sendModel(planned_request request)
+http_call load_runner::modelCall(const traffic_stream& stream, const std::string& prompt) const
 {
-    const auto& stream = m_plan.streams[request.stream];
-    request_outcome outcome;
-    outcome.stream = request.stream;
-    outcome.intended = request.at;
     json::object body;
     body["model"] = stream.target;
-    body["prompt"] = request.prompt;
+    body["prompt"] = prompt;
     body["max_tokens"] = stream.maxTokens;
     body["stream"] = true;
     http_call call;
     call.target = "/v1/completions";
     call.headers = { { "Authorization", "Bearer " + m_target.keys.at(stream.organisation) }, { "Content-Type", "application/json" } };
     call.body = json::serialize(body);
+    return call;
+}
+
+task_of<void> load_runner::sendModel(planned_request request)
+{
+    const auto& stream = m_plan.streams[request.stream];
+    request_outcome outcome;
+    outcome.stream = request.stream;
+    outcome.intended = request.at;
+    auto call = modelCall(stream, request.prompt);
     http_client client(m_context.get_executor());
     auto failed = co_await client.start(nextEntry(), call, connectTimeout, answerTimeout);
     if (failed == call_failure::None)
@@ -117,53 +125,59 @@
         co_return;
     }
     outcome.status = client.status();
-    std::string all;
-    std::string piece;
-    std::string text;
-    sse_parser events;
-    bool last = false;
-    bool ended = false;
-    while (true) {
-        failed = co_await client.readPiece(piece, answerTimeout);
-        if (failed != call_failure::None || piece.empty())
-            break;
-        if (outcome.status != statusOk) {
-            all += piece;
-            continue;
-        }
-        events.feed(piece);
-        while (auto data = events.next()) {
-            if (*data == "[DONE]") {
-                ended = true;
-                continue;
-            }
-            auto event = readEvent(*data);
-            if (event.error)
-                outcome.reason = reasonOf(*data);
-            last = last || event.last;
-            if (event.text.empty())
-                continue;
-            if (outcome.tokens++ == 0)
-                outcome.firstToken = sinceStart();
-            text += event.text;
-        }
-        constexpr std::uint32_t leaveAfter = 3;
-        if (request.leaves && outcome.tokens >= leaveAfter) {
+    received_answer answer;
+    while (co_await readSome(client, answer, outcome)) {
+        if (request.leaves && outcome.tokens >= leaveAfterTokens) {
             outcome.left = true;
             keep(std::move(outcome));
             co_return;
         }
     }
     outcome.finished = sinceStart();
+    judge(answer, client.whole(), request, outcome);
+    keep(std::move(outcome));
+}
+
+task_of<bool> load_runner::readSome(http_client& client, received_answer& answer, request_outcome& outcome)
+{
+    std::string piece;
+    auto failed = co_await client.readPiece(piece, answerTimeout);
+    if (failed != call_failure::None || piece.empty())
+        co_return false;
+    if (outcome.status != statusOk) {
+        answer.error += piece;
+        co_return true;
+    }
+    answer.events.feed(piece);
+    while (auto data = answer.events.next()) {
+        if (*data == "[DONE]") {
+            answer.ended = true;
+            continue;
+        }
+        auto event = readEvent(*data);
+        if (event.error)
+            outcome.reason = reasonOf(*data);
+        answer.last = answer.last || event.last;
+        if (event.text.empty())
+            continue;
+        if (outcome.tokens++ == 0)
+            outcome.firstToken = sinceStart();
+        answer.text += event.text;
+    }
+    co_return true;
+}
+
+void load_runner::judge(const received_answer& answer, bool connectionWhole, const planned_request& request, request_outcome& outcome) const
+{
+    const auto& stream = m_plan.streams[request.stream];
     if (outcome.status != statusOk)
-        outcome.reason = reasonOf(all);
-    outcome.whole = outcome.status == statusOk && ended && last && client.whole();
+        outcome.reason = reasonOf(answer.error);
+    outcome.whole = outcome.status == statusOk && answer.ended && answer.last && connectionWhole;
     if (!outcome.whole && outcome.reason.empty())
         outcome.reason = "cut";
     auto expected = expectedText(request.prompt, stream.maxTokens);
-    outcome.wrong = outcome.whole ? text != expected : expected.compare(0, text.size(), text) != 0;
+    outcome.wrong = outcome.whole ? answer.text != expected : expected.compare(0, answer.text.size(), answer.text) != 0;
     outcome.duplicate = outcome.tokens > expectedTokens(request.prompt, stream.maxTokens);
-    keep(std::move(outcome));
 }
 
 task_of<void> load_runner::sendService(planned_request request)
--- a/Source/load/load_runner.h
+++ b/Source/load/load_runner.h
@@ -25,6 +25,18 @@
     bool stopped() const { return m_stopped; }
 
 private:
+    /// What has come of one streamed answer.
+    struct received_answer {
+        std::string text;
+        std::string error;
+        sse_parser events;
+        bool last = false;
+        bool ended = false;
+    };
+    http_call modelCall(const traffic_stream& stream, const std::string& prompt) const;
+    /// Reads and takes in the next bytes; false at the end of the answer.
+    task_of<bool> readSome(http_client& client, received_answer& answer, request_outcome& outcome);
+    void judge(const received_answer& answer, bool connectionWhole, const planned_request& request, request_outcome& outcome) const;
     task_of<void> sendAll(std::vector<planned_request> requests);
     task_of<void> sendModel(planned_request request);
     task_of<void> sendService(planned_request request);
--- a/Source/scheduler/main.cpp
+++ b/Source/scheduler/main.cpp
@@ -1,9 +1,6 @@
 #include "program/program.h"
 #include "scheduler/scheduler_node.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <thread>
-
 namespace pistachiolatch {
 
 namespace {
@@ -29,43 +26,29 @@
         return reader.finish();
     }
 
-    class scheduler_process {
+    class scheduler_process : public wired_process {
     public:
         scheduler_settings settings;
 
         result<void> start()
         {
-            setLogProcess("pistachiolatch-scheduler", settings.wire.vm);
-            m_wire.emplace(settings.wire, freshIncarnation(), m_metrics);
-            m_loop.emplace(*m_wire, m_clock);
-            m_node = std::make_unique<scheduler_node>(scheduler_node::parts { *m_loop, m_clock, m_metrics, m_threads, settings.wire, settings.pools });
-            m_loop->onMessage([this](const wire::envelope& message) { m_node->onMessage(message); });
-            m_loop->onTick([this] { m_node->tick(); });
-            m_admin = std::make_unique<admin_server>(m_threads, m_metrics, admin_hooks { [this] { return std::string(m_node->ready() ? "" : "no lease from control"); }, {} });
-            m_registry.add("wire", *m_wire, { {}, [this] { return m_wire->open(); }, {} });
-            m_registry.add("control_loop", *m_loop, { { "wire" }, [this] { m_loop->start(); return ok(); }, [this] { m_loop->stop(); } });
-            m_registry.add("traffic", m_threads, { { "control_loop" }, [this] { m_threads.start(); return ok(); }, [this] { m_threads.stop(); } });
-            m_registry.add("admin", *m_admin, { { "traffic" }, [this] { return m_admin->listen(settings.adminListen); }, [this] { m_admin->stop(); } });
-            return m_registry.startAll();
+            addCore("pistachiolatch-scheduler", settings.wire, 1);
+            auto& loop = registry.find<control_loop>(loopService);
+            m_node = std::make_unique<scheduler_node>(scheduler_node::parts { loop, clock, counters, registry.find<traffic_threads>(trafficService), settings.wire, settings.pools });
+            loop.onMessage([this](const wire::envelope& message) { m_node->onMessage(message); });
+            loop.onTick([this] { m_node->tick(); });
+            addAdmin(settings.adminListen, { [this] { return std::string(m_node->ready() ? "" : "no lease from control"); }, {} });
+            return registry.startAll();
         }
 
         void stop()
         {
-            m_loop->post([this] { m_node->leave(); });
-            // ZeroMQ sends in the background; the message that releases the shards gets a moment to leave.
-            std::this_thread::sleep_for(milliseconds(100));
-            m_registry.stopAll();
+            sayGoodbye([this] { m_node->leave(); });
+            registry.stopAll();
         }
 
     private:
-        steady_clock_source m_clock;
-        metrics m_metrics;
-        service_registry m_registry;
-        std::optional<transport> m_wire;
-        std::optional<control_loop> m_loop;
-        traffic_threads m_threads { 1 };
         std::unique_ptr<scheduler_node> m_node;
-        std::unique_ptr<admin_server> m_admin;
     };
 }
 
--- a/Source/session/control_session.cpp
+++ b/Source/session/control_session.cpp
@@ -140,7 +140,7 @@
 void control_session::addEvent(std::string text)
 {
     wire::process_event event;
-    event.set_at_ms(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    event.set_at_ms(wallClock().count());
     event.set_process(m_self.name);
     event.set_text(std::move(text));
     m_events.push_back(std::move(event));
