--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -296,10 +296,15 @@
     event.set_at_ms(wallClock().count());
     event.set_process(process);
     event.set_text(text);
-    m_events.push_back(std::move(event));
+    keepEvent(event);
+}
+
+void control_node::keepEvent(const wire::process_event& event)
+{
+    m_events.push_back(event);
     if (m_events.size() > mostEventsKept)
         m_events.pop_front();
-    logEvent("noted", { { "process", process }, { "text", text } });
+    logEvent("noted", { { "process", event.process() }, { "text", event.text() } });
 }
 
 void control_node::explain(const std::string& requestId, std::function<void(std::optional<std::vector<std::string>>)> answer)
--- a/Source/control/control_node.h
+++ b/Source/control/control_node.h
@@ -110,6 +110,7 @@
     void onLedger(const wire::envelope& message);
     void onCrash(const wire::envelope& message);
     void noteEvent(const std::string& process, const std::string& text);
+    void keepEvent(const wire::process_event& event);
     bool mayGrant() const;
 
     control_loop& m_loop;
--- a/Source/control/control_sessions.cpp
+++ b/Source/control/control_sessions.cpp
@@ -9,7 +9,9 @@
     /// The first schedulers to come wait this long for the others, so that the shards spread.
     constexpr milliseconds gatherSchedulers { 1000 };
     constexpr milliseconds ledgerExpiryInterval { 60000 };
-    constexpr std::int64_t ledgerLifetimeMillis = 24LL * 3600 * 1000;
+    /// Keys are remembered for a day, answers for an hour: answers are what takes the memory.
+    constexpr auto keyLifetime = std::chrono::hours(24);
+    constexpr auto answerLifetime = std::chrono::hours(1);
 }
 
 bool control_node::mayGrant() const
@@ -36,10 +38,8 @@
         m_metrics.count("heartbeat_of_older_incarnation");
         return;
     }
-    for (const auto& event : beat.events()) {
-        m_events.push_back(event);
-        logEvent("noted", { { "process", event.process() }, { "text", event.text() } });
-    }
+    for (const auto& event : beat.events())
+        keepEvent(event);
     fillGrant(*grant, beat.applied_revision(), beat.shard_version(), beat.poison_version(), beat.live_version());
     grant->set_echo_ns(beat.sent_ns());
     grant->set_lease_ms(static_cast<std::uint32_t>(leaseOf(beat.kind()).count()));
@@ -154,7 +154,8 @@
     if (m_state.calls().size() == 0)
         return;
     wire::command command;
-    command.mutable_expire()->set_before_ms(wallClock().count() - ledgerLifetimeMillis);
+    command.mutable_expire()->set_before_ms((wallClock() - keyLifetime).count());
+    command.mutable_expire()->set_answers_before_ms((wallClock() - answerLifetime).count());
     propose(command, [](const apply_outcome*) {});
 }
 } // namespace pistachiolatch
--- a/Source/entry/caller_api.cpp
+++ b/Source/entry/caller_api.cpp
@@ -60,7 +60,7 @@
 {
     using namespace boost::asio::experimental::awaitable_operators;
     auto requestId = nextRequestId();
-    auto ended = co_await (route(exchange, requestId) || exchange.callerGone());
+    auto ended = co_await (guardedRoute(exchange, requestId) || exchange.callerGone());
     constexpr std::size_t callerLeft = 1;
     if (ended.index() != callerLeft)
         co_return;
@@ -70,6 +70,27 @@
     exchange.abortStream();
 }
 
+task_of<void> caller_api::guardedRoute(http_exchange& exchange, const std::string& requestId)
+{
+    std::string fault;
+    try {
+        co_await route(exchange, requestId);
+    } catch (const boost::system::system_error& error) {
+        if (error.code() == boost::asio::error::operation_aborted)
+            throw; // The caller left; unwinding frees what the request held.
+        fault = error.what();
+    } catch (const std::exception& error) {
+        fault = error.what();
+    }
+    if (fault.empty())
+        co_return;
+    // Without an answer the caller would wait on an open connection for ever. The other requests go on.
+    logEvent("request_fault", { { "request", requestId }, { "error", fault } });
+    caller_error internal { reason::Internal, run_state::MayHaveRun, milliseconds(0), "" };
+    co_await sendError(exchange, internal, requestId, m_context.counters);
+    exchange.abortStream();
+}
+
 task_of<void> caller_api::route(http_exchange& exchange, const std::string& requestId)
 {
     caller_identity caller;
--- a/Source/entry/caller_api.h
+++ b/Source/entry/caller_api.h
@@ -18,6 +18,8 @@
     http_refusal refuse(reason why) const;
 
 private:
+    /// Routes a request and turns a fault of this program into an answer.
+    task_of<void> guardedRoute(http_exchange& exchange, const std::string& requestId);
     task_of<void> route(http_exchange& exchange, const std::string& requestId);
     std::optional<caller_error> identify(const http_exchange& exchange, caller_identity& caller) const;
     task_of<void> listModels(http_exchange& exchange, const caller_identity& caller);
--- a/Source/entry/service_call.cpp
+++ b/Source/entry/service_call.cpp
@@ -7,7 +7,7 @@
 namespace {
     constexpr std::string_view servicesPrefix = "/services/";
     constexpr std::uint32_t mostAttempts = 3;
-    constexpr std::size_t largestStoredAnswer = 256UL * 1024;
+    constexpr std::size_t largestStoredAnswer = 32UL * 1024;
     constexpr milliseconds ledgerTimeout { 3000 };
     constexpr milliseconds ledgerPoll { 100 };
     constexpr milliseconds comeBack { 1000 };
--- a/Source/records/control_state.cpp
+++ b/Source/records/control_state.cpp
@@ -30,7 +30,7 @@
         outcome.ledger = m_ledger.finish(command.ledger_finish());
         break;
     case wire::command::kExpire:
-        m_ledger.expire(command.expire().before_ms());
+        m_ledger.expire(command.expire().before_ms(), command.expire().answers_before_ms());
         break;
     case wire::command::kCrash:
         outcome.crashes = markCrash(command.crash());
--- a/Source/records/ledger.cpp
+++ b/Source/records/ledger.cpp
@@ -61,9 +61,15 @@
     return reply;
 }
 
-void ledger::expire(std::int64_t beforeMillis)
+void ledger::expire(std::int64_t beforeMillis, std::int64_t answersBeforeMillis)
 {
     std::erase_if(m_entries, [&](const auto& item) { return item.second.begun_ms() < beforeMillis; });
+    for (auto& [key, entry] : m_entries) {
+        if (entry.begun_ms() >= answersBeforeMillis || entry.state() != wire::LEDGER_DONE)
+            continue;
+        entry.mutable_answer()->clear_body();
+        entry.mutable_answer()->set_truncated(true);
+    }
 }
 
 void ledger::save(wire::control_image& image) const
--- a/Source/records/ledger.h
+++ b/Source/records/ledger.h
@@ -14,8 +14,9 @@
     wire::ledger_reply begin(const wire::ledger_begin& command);
     /// Records the outcome: an answer, "never sent" or "unknown".
     wire::ledger_reply finish(const wire::ledger_finish& command);
-    /// Forgets finished calls begun before that time, in milliseconds since the epoch.
-    void expire(std::int64_t beforeMillis);
+    /// Forgets calls begun before one time and the stored answers of those begun before another, in milliseconds since
+    /// the epoch. A key outlives its answer: a resend that comes late is still never run a second time.
+    void expire(std::int64_t beforeMillis, std::int64_t answersBeforeMillis);
 
     void save(wire::control_image& image) const;
     void load(const wire::control_image& image);
--- a/Tests/Command/CommandSessionTest.cpp
+++ b/Tests/Command/CommandSessionTest.cpp
@@ -81,6 +81,20 @@
     CHECK(compareWithExpected("Command/expected/bad_input.txt", normalise(session, { { where.folder(), "FOLDER" } })) == "");
 }
 
+TEST_CASE("The example settings and traffic are good")
+{
+    fleet where({});
+    auto utilities = std::string(PISTACHIOLATCH_TESTS_FOLDER) + "/../Utilities/";
+    for (const char* program : { "entry", "scheduler", "control" }) {
+        auto output = runToEnd(build + "/pistachiolatch-" + program, { "--settings", utilities + "examples/settings/" + program + ".toml", "--check" }, where.folder() + "/example");
+        INFO(output.err);
+        CHECK(output.code == 0);
+    }
+    CHECK(runToEnd(build + "/pistachiolatch", { "check", utilities + "examples/settings/operator.toml" }, where.folder() + "/example").code == 0);
+    for (const char* traffic : { "dzintarlauks", "fosse-datum", "over-rate" })
+        CHECK(runToEnd(build + "/pistachiolatch-load", { "--traffic", utilities + "traffic/" + traffic + ".toml", "--check" }, where.folder() + "/example").code == 0);
+}
+
 // A second process on the same address must say so and leave with code 2, not run half.
 TEST_CASE("An address in use ends the start with a clear error")
 {
--- a/Tests/Records/ControlStateTest.cpp
+++ b/Tests/Records/ControlStateTest.cpp
@@ -119,6 +119,26 @@
     CHECK(calls.begin(intent("k", "r4")).answer().body() == "booked");
 }
 
+// A resend comes after the stored answer was dropped to save memory. It must still not run a second time.
+TEST_CASE("A key outlives its stored answer", "[promise]")
+{
+    ledger calls;
+    auto begin = intent("k", "r1");
+    begin.set_now_ms(1000);
+    calls.begin(begin);
+    auto finish = outcome("k", "r1");
+    finish.mutable_answer()->set_body("booked");
+    calls.finish(finish);
+    calls.expire(500, 2000);
+    auto late = calls.begin(intent("k", "r2"));
+    CHECK(!late.granted());
+    CHECK(late.state() == wire::LEDGER_DONE);
+    CHECK(late.answer().truncated());
+    CHECK(late.answer().body().empty());
+    calls.expire(2000, 2000);
+    CHECK(calls.size() == 0);
+}
+
 // An entry gives up on its intent because no leader answered, and tells its caller "not run". The intent is
 // committed late, after it was taken back: granting it then would leave the key running for ever.
 TEST_CASE("An intent that was taken back is not granted late", "[promise]")
