--- a/Tests/Consensus/raft_simulation.cpp
+++ b/Tests/Consensus/raft_simulation.cpp
@@ -133,7 +133,7 @@
             auto found = std::find_if(m_nodes.begin(), m_nodes.end(), [&](const auto& node) { return node.id.vm() == id.vm(); });
             return found->cut;
         };
-        if (cut(one.message.from()) || cut(one.message.to()))
+        if (cut(one.message.from()) || cut(one.message.to()) || m_cutLinks.count({ one.message.from().vm(), one.message.to().vm() }))
             continue;
         for (auto& node : m_nodes) {
             if (node.id.vm() != one.message.to().vm())
@@ -172,7 +172,7 @@
 void raft_simulation::randomFault()
 {
     auto& victim = m_nodes[pick(nodeCount)];
-    switch (pick(4)) {
+    switch (pick(6)) {
     case 0:
         // A crash: a replica with a disk keeps what was synced; one without is wiped by it.
         if (!victim.diskless)
@@ -186,9 +186,19 @@
     case 2:
         victim.cut = true;
         break;
+    case 3:
+    case 4: {
+        // A link between two VMs, in one direction or both: a replica that does not hear the leader but reaches the others.
+        const auto& other = m_nodes[pick(nodeCount)];
+        m_cutLinks.insert({ other.id.vm(), victim.id.vm() });
+        if (pick(2) == 0)
+            m_cutLinks.insert({ victim.id.vm(), other.id.vm() });
+        break;
+    }
     default:
         for (auto& node : m_nodes)
             node.cut = false;
+        m_cutLinks.clear();
         break;
     }
 }
@@ -236,6 +246,7 @@
     m_faults = false;
     for (auto& node : m_nodes)
         node.cut = false;
+    m_cutLinks.clear();
     constexpr int healSteps = 1500;
     run(healSteps);
     // What was proposed last still travels; nothing new comes behind it.
--- a/Tests/Consensus/raft_simulation.h
+++ b/Tests/Consensus/raft_simulation.h
@@ -67,6 +67,8 @@
     std::map<std::pair<std::uint64_t, std::uint64_t>, std::string> m_proposed;
     std::uint64_t m_lastCommand = 0;
     std::size_t m_wipes = 0;
+    /// Directions between two VMs that lose everything.
+    std::set<std::pair<std::string, std::string>> m_cutLinks;
     bool m_faults = true;
     bool m_proposing = true;
     std::string m_problem;
--- a/Tests/Promises/WholeAnswersTest.cpp
+++ b/Tests/Promises/WholeAnswersTest.cpp
@@ -48,7 +48,7 @@
 {
     fleet where({});
     where.start();
-    where.fault("decode-1", R"({"skip_token":true})");
+    where.fault("decode-1", R"({"lose_token":true})");
     for (int i = 0; i < 6; ++i) {
         auto unique = prompt + " hole " + std::to_string(i);
         auto answer = where.complete(1, unique, 30);
--- a/Tests/StandIn/stand_in_engine.cpp
+++ b/Tests/StandIn/stand_in_engine.cpp
@@ -318,8 +318,8 @@
             crash();
         if (!open || breaks)
             break;
-        constexpr std::uint32_t skippedIndex = 4;
-        if (m_skipToken && index == skippedIndex)
+        constexpr std::uint32_t lostIndex = 4;
+        if (m_loseToken && index == lostIndex)
             continue;
         json::object token;
         token["tag"] = m_crossAnswers ? std::string("another/1/request/0") : tag;
@@ -437,7 +437,7 @@
     m_duplicateTokens = flag(body, "duplicate_tokens");
     m_crossAnswers = flag(body, "cross_answers");
     m_ignoreCalls = flag(body, "ignore_calls");
-    m_skipToken = flag(body, "skip_token");
+    m_loseToken = flag(body, "lose_token");
     m_leaving = flag(body, "leaving");
     m_loseCancels = static_cast<std::uint32_t>(number(body, "lose_cancels"));
     m_breakAfterTokens = static_cast<std::uint32_t>(number(body, "break_after_tokens"));
--- a/Tests/StandIn/stand_in_engine.h
+++ b/Tests/StandIn/stand_in_engine.h
@@ -119,7 +119,7 @@
     bool m_stallTransfers = false;
     bool m_duplicateTokens = false;
     bool m_crossAnswers = false;
-    bool m_skipToken = false;
+    bool m_loseToken = false;
     bool m_ignoreCalls = false;
     std::uint32_t m_loseCancels = 0;
     std::uint32_t m_breakAfterTokens = 0;
