Limits: Learn a bucket's capacity without building a bucket

Cause, found by reading the whole change again: each model request and service call built a token bucket only to learn how much one grant can hold; control_node had a method that nothing called; one test wrote the same check of whole answers three times.

Change: token_bucket::capacityOf() is public and serves both; hasLeader() is gone; checkWholeAnswers() makes the same assertions in the three tests. Behaviour stays.

Ruled out here: the wire fields resume_from (written, never read), wrong_owner and warming (neither) are dead too, but removing them touches the generated code; left.

--- a/Source/control/control_node.h
+++ b/Source/control/control_node.h
@@ -74,7 +74,6 @@
     void explain(const std::string& requestId, std::function<void(std::optional<std::vector<std::string>>)> answer);
     /// Asks each scheduler for its pools; lines gathered so far come back at the timeout.
     void schedulerLines(std::function<void(std::vector<std::string>)> answer);
-    bool hasLeader() const { return m_host.core().leader().has_value(); }
 
 private:
     using proposal_handler = std::function<void(const apply_outcome* outcome)>;
--- a/Source/entry/limit_client.cpp
+++ b/Source/entry/limit_client.cpp
@@ -23,7 +23,7 @@
         answer({ false, reason::NoLimit, milliseconds(0) });
         return;
     }
-    if (tokens > token_bucket(limit->rate, limit->burst, m_loop.now()).capacity()) {
+    if (tokens > token_bucket::capacityOf(limit->rate, limit->burst)) {
         answer({ false, reason::RequestExceedsBurst, milliseconds(0) });
         return;
     }
--- a/Source/limits/token_bucket.cpp
+++ b/Source/limits/token_bucket.cpp
@@ -6,12 +6,10 @@
 
 namespace pistachiolatch {
 
-namespace {
-    std::uint64_t capacityOf(std::uint64_t rate, std::uint64_t burst)
-    {
-        auto reserve = rate * static_cast<std::uint64_t>(limitGrantLifetime.count()) / 1000;
-        return burst > reserve ? burst - reserve : 1;
-    }
+std::uint64_t token_bucket::capacityOf(std::uint64_t rate, std::uint64_t burst)
+{
+    auto reserve = rate * static_cast<std::uint64_t>(limitGrantLifetime.count()) / 1000;
+    return burst > reserve ? burst - reserve : 1;
 }
 
 token_bucket::token_bucket(std::uint64_t rate, std::uint64_t burst, time_point fillFrom)
--- a/Source/limits/token_bucket.h
+++ b/Source/limits/token_bucket.h
@@ -21,6 +21,8 @@
     /// The most that one grant can hold: burst less the rate over a grant's lifetime. A grant may be used its
     /// lifetime after it left the bucket, so without the reserve a window could see the burst and that much more.
     std::uint64_t capacity() const { return m_capacity; }
+    /// The capacity that a bucket of that rate and burst has. Thread safety: any thread.
+    static std::uint64_t capacityOf(std::uint64_t rate, std::uint64_t burst);
 
 private:
     void refill(time_point now);
--- a/Tests/Promises/WholeAnswersTest.cpp
+++ b/Tests/Promises/WholeAnswersTest.cpp
@@ -13,6 +13,17 @@
 {
     return where.stat("decode-1", "batch") > 0 ? "decode-1" : "decode-2";
 }
+
+/// Asks for several completions, each with a prompt of its own, and checks that each answer is whole and its prompt's.
+void checkWholeAnswers(fleet& where, const std::string& label, int count, std::uint32_t maxTokens)
+{
+    for (int i = 0; i < count; ++i) {
+        auto unique = prompt + label + std::to_string(i);
+        auto answer = where.complete(1, unique, maxTokens);
+        CHECK(answer.status == 200);
+        CHECK(answer.body.find(expectedText(unique, maxTokens)) != std::string::npos);
+    }
+}
 }
 
 // The caller sees one whole answer. Its decode endpoint dies in the middle of the stream; the entry has part of the
@@ -49,12 +60,7 @@
     fleet where({});
     where.start();
     where.fault("decode-1", R"({"lose_token":true})");
-    for (int i = 0; i < 6; ++i) {
-        auto unique = prompt + " hole " + std::to_string(i);
-        auto answer = where.complete(1, unique, 30);
-        CHECK(answer.status == 200);
-        CHECK(answer.body.find(expectedText(unique, 30)) != std::string::npos);
-    }
+    checkWholeAnswers(where, " hole ", 6, 30);
     CHECK(where.metric(where.entryAdmin(1), "pistachiolatch_events_total{event=\"token_gap\"}") != "");
 }
 
@@ -65,11 +71,7 @@
     fleet where({});
     where.start();
     where.fault("decode-1", R"({"cross_answers":true})");
-    for (int i = 0; i < 6; ++i) {
-        auto answer = where.complete(1, prompt + std::to_string(i), 30);
-        CHECK(answer.status == 200);
-        CHECK(answer.body.find(expectedText(prompt + std::to_string(i), 30)) != std::string::npos);
-    }
+    checkWholeAnswers(where, "", 6, 30);
     CHECK(where.metric(where.entryAdmin(1), "pistachiolatch_retries_total{reason=\"answer_crossed\"}") != "");
 }
 
@@ -96,12 +98,7 @@
     fleet where({});
     where.start();
     where.fault("decode-1", R"({"stall_transfers":true})");
-    for (int i = 0; i < 4; ++i) {
-        auto unique = prompt + " stall " + std::to_string(i);
-        auto answer = where.complete(1, unique, 20);
-        CHECK(answer.status == 200);
-        CHECK(answer.body.find(expectedText(unique, 20)) != std::string::npos);
-    }
+    checkWholeAnswers(where, " stall ", 4, 20);
     CHECK(where.metric(where.entryAdmin(1), "pistachiolatch_retries_total{reason=\"transfer_stalled\"}") != "");
     CHECK(eventually([&] { return where.statSum("held") == 0; }));
 }
