--- a/Source/consensus/file_log_store.cpp
+++ b/Source/consensus/file_log_store.cpp
@@ -135,7 +135,7 @@
         ::close(m_lock);
 }
 
-result<stored_replica> file_log_store::open(const std::string& folder)
+result<stored_replica> file_log_store::open(const std::string& folder, std::optional<std::uint64_t> identityIfFresh)
 {
     m_folder = folder;
     m_lock = ::open(path(lockFile).c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
@@ -154,7 +154,7 @@
         // The identity is synced before anything else, so no vote can be given under an identity that a crash forgets.
         if (::access(path(logFile).c_str(), F_OK) == 0)
             return failure { fmt::format("{}: a log without an incarnation file; restore the file or empty the folder", folder) };
-        replica.incarnation = freshIncarnation();
+        replica.incarnation = identityIfFresh.value_or(freshIncarnation());
         BOOST_OUTCOME_TRYV(writeWhole(incarnationFile, std::to_string(replica.incarnation)));
     }
     BOOST_OUTCOME_TRY(auto hardState, readWhole(hardStateFile, present));
--- a/Source/consensus/file_log_store.h
+++ b/Source/consensus/file_log_store.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "consensus/memory_log_store.h"
+#include <optional>
 #include <string>
 
 namespace pistachiolatch {
@@ -25,8 +26,9 @@
 
     /// Opens the folder, which must exist, and reads what it holds. A log cut short at its end is repaired; damage
     /// before the end is refused, since dropping what follows would forget acknowledged entries.
+    /// A folder without an identity gets a fresh one, or the one that is given.
     /// Errors: folder missing or in use, damaged file, disk errors; each names the file.
-    result<stored_replica> open(const std::string& folder);
+    result<stored_replica> open(const std::string& folder, std::optional<std::uint64_t> identityIfFresh = std::nullopt);
     /// Writes and syncs what the ready asks for. Errors: disk errors.
     result<void> persist(const raft_ready& ready);
     /// Replaces the snapshot, then the log by the entries behind it.
--- a/Source/consensus/raft_core.cpp
+++ b/Source/consensus/raft_core.cpp
@@ -28,15 +28,20 @@
 
 void raft_core::bootstrap()
 {
-    m_hardState.set_term(1);
-    saveHardState();
     wire::replica_set first;
     *first.add_voters() = m_self;
+    found(first);
+}
+
+void raft_core::found(const wire::replica_set& founders)
+{
+    m_hardState.set_term(1);
+    saveHardState();
     wire::log_entry entry;
     entry.set_index(1);
     entry.set_term(1);
     entry.set_kind(wire::ENTRY_MEMBERSHIP);
-    entry.set_data(first.SerializeAsString());
+    entry.set_data(founders.SerializeAsString());
     m_ready.append.push_back(entry);
     m_log.append(std::move(entry));
     refreshMembers();
--- a/Source/consensus/raft_core.h
+++ b/Source/consensus/raft_core.h
@@ -27,6 +27,9 @@
     milliseconds electionMost { 900 };
     /// A joining replica that is silent for this long is forgotten by the leader.
     milliseconds joinerSilence { 3000 };
+    /// A voter that is silent for this long gives its place to a replica on another VM that is caught up and waits.
+    /// Longer than a restart takes, so that a VM that comes back with its disk stays a voter.
+    milliseconds voterSilence { 2000 };
     milliseconds snapshotRetry { 1000 };
     std::size_t mostEntriesPerMessage = 256;
     std::size_t mostBytesPerMessage = 1024UL * 1024;
@@ -77,6 +80,10 @@
 
     /// Makes this replica the only voter of a new log. Precondition: the log is empty.
     void bootstrap();
+    /// Makes these replicas, of which this one is one, the voters of a new log. Each of them must be given the same
+    /// set and none may found twice: all then hold the same first entry, so that exactly one log comes of it,
+    /// whichever of them start and in whatever order. Precondition: the log is empty.
+    void found(const wire::replica_set& founders);
     /// Lets time pass: heartbeats, elections, membership steps.
     void tick(time_point now);
     /// Takes in a message from another replica.
@@ -108,6 +115,11 @@
     /// Whether this replica is leader and no other can have been elected yet. Symptom without it: an isolated
     /// leader goes on granting leases while a new leader already counts them as run out.
     bool leaseValid(time_point now) const;
+    /// When this leader was last known to be the only one: the time at which the newest round that a quorum answered
+    /// was sent. What was acknowledged by anyone before then is in its log. Nothing unless it leads.
+    std::optional<time_point> confirmedAt(time_point now) const;
+    /// When tick() has something to do next.
+    time_point nextDue() const { return m_role == raft_role::Leader ? m_heartbeatDue : m_electionDue; }
     /// Whether this leader has committed an entry of its own term, and so knows all that was ever acknowledged.
     bool hasCommittedInTerm() const;
 
@@ -152,6 +164,7 @@
     void commitTo(std::uint64_t index);
     void appendOwn(wire::entry_kind kind, std::string data);
     void stepMembership(time_point now);
+    bool replaceVoter(wire::replica_set& changed, const follower_progress& joiner, time_point now) const;
     bool membershipChangePending() const;
     void refreshMembers();
     void refreshProgress();
--- a/Source/consensus/raft_leader.cpp
+++ b/Source/consensus/raft_leader.cpp
@@ -142,6 +142,20 @@
     return rounds[quorum() - 1];
 }
 
+std::optional<time_point> raft_core::confirmedAt(time_point now) const
+{
+    if (!hasCommittedInTerm())
+        return std::nullopt;
+    if (isVoter() && quorum() == 1)
+        return now;
+    auto round = quorumRound();
+    for (const auto& sent : m_rounds) {
+        if (sent.round == round)
+            return sent.sentAt;
+    }
+    return std::nullopt;
+}
+
 bool raft_core::leaseValid(time_point now) const
 {
     if (m_role != raft_role::Leader)
@@ -229,11 +243,28 @@
             voters->erase(earlier);
         else if (voters->size() < mostVoters)
             *changed.add_voters() = progress.id;
-        else
+        else if (!replaceVoter(changed, progress, now))
             continue;
         appendOwn(wire::ENTRY_MEMBERSHIP, changed.SerializeAsString());
         return;
     }
 }
 
+bool raft_core::replaceVoter(wire::replica_set& changed, const follower_progress& joiner, time_point now) const
+{
+    // A VM that is gone for good is succeeded by one with another address. While its place stays taken, the log
+    // bears one loss less than it should. The place is freed first and filled by the next change.
+    if (now - joiner.lastHeard > m_settings.heartbeat * 4)
+        return false;
+    auto* voters = changed.mutable_voters();
+    auto silent = std::find_if(voters->begin(), voters->end(), [&](const auto& voter) {
+        auto found = m_progress.find(keyOf(voter));
+        return found != m_progress.end() && now - found->second.lastHeard > m_settings.voterSilence;
+    });
+    if (silent == voters->end())
+        return false;
+    voters->erase(silent);
+    return true;
+}
+
 } // namespace pistachiolatch
--- /dev/null
+++ b/Source/coordination/control_link.h
@@ -0,0 +1,73 @@
+#pragma once
+#include "coordination/endpoint_listener.h"
+#include "coordination/entry_coordinator.h"
+#include "peering/peering.h"
+#include "routing/routing.h"
+#include <memory>
+
+namespace pistachiolatch {
+
+struct link_settings {
+    /// Peer addresses of control processes, as far as known at the start.
+    std::vector<std::string> controls;
+    /// How long an entry may act on what it knows without word from a leader. It bounds the time for which an entry
+    /// that is cut off goes on with a withdrawn key.
+    milliseconds lease { 4000 };
+};
+
+/// An entry's link to the leader: keeps the configuration and the endpoints current, and knows until when they may be
+/// acted on. Any control process that answers tells who leads and which others there are, so that stale addresses at
+/// the start do no harm.
+/// Thread safety: everything is called on the thread that runs the context.
+class control_link {
+public:
+    control_link(boost::asio::io_context& context, peer_network& network, const clock_source& clock, metrics& counters,
+        link_settings settings, configuration_decoder decode, endpoint_listener& endpoints);
+
+    void start();
+    void stop();
+    /// Adds addresses at which control processes may be found.
+    void learnControls(const std::vector<std::string>& addresses);
+    /// Takes in an update that nobody asked for. Returns whether the message was one.
+    bool onMessage(const wire::envelope& message);
+    /// The configuration, or null while there is none.
+    const std::shared_ptr<const route_table>& table() const { return m_table; }
+    /// Whether the configuration may be acted on now.
+    bool isCurrent() const { return m_table && m_clock.now() < m_validUntil; }
+    /// The leader that last answered; empty when none does.
+    const std::string& leader() const { return m_leader; }
+    /// Entries in the fleet, this one among them; at least 1.
+    unsigned entries() const { return m_entries; }
+    /// Tells the leader that this entry leaves, so that its shares go to the others.
+    void sayGoodbye();
+
+private:
+    void syncNow();
+    void scheduleSync(milliseconds delay);
+    void onReply(const wire::envelope* reply, const std::string& asked, time_point sentAt);
+    void takeUpdate(const wire::entry_update& update);
+    void takeDocument(const wire::document& document);
+    void noteLeader(const std::string& leader);
+    std::string nextControl();
+
+    peer_network& m_network;
+    const clock_source& m_clock;
+    metrics& m_metrics;
+    link_settings m_settings;
+    configuration_decoder m_decode;
+    endpoint_listener& m_endpoints;
+    boost::asio::steady_timer m_timer;
+    std::set<std::string> m_controls;
+    std::string m_leader;
+    std::string m_hint;
+    std::string m_lastAsked;
+    std::shared_ptr<const route_table> m_table;
+    time_point m_validUntil {};
+    std::uint64_t m_round = 0;
+    std::uint64_t m_directorySource = 0;
+    std::uint64_t m_directoryVersion = 0;
+    unsigned m_entries = 1;
+    bool m_leaving = false;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/coordination/entry_coordinator.cpp
@@ -0,0 +1,283 @@
+#include "coordination/entry_coordinator.h"
+
+namespace pistachiolatch {
+
+namespace {
+    constexpr milliseconds expiryInterval { 500 };
+    /// How often questions that wait for tokens are looked at. Short beside the time that callers are content with.
+    constexpr milliseconds limitInterval { 20 };
+    /// How long the leader may take to confirm that an endpoint leaves. Endpoints try the next VM after a second.
+    constexpr milliseconds confirmTimeout { 700 };
+}
+
+entry_coordinator::entry_coordinator(boost::asio::io_context& context, peer_network& network, document_replica& replica, const clock_source& clock,
+    metrics& counters, coordinator_settings settings, configuration_decoder decode)
+    : m_context(context)
+    , m_network(network)
+    , m_replica(replica)
+    , m_clock(clock)
+    , m_metrics(counters)
+    , m_settings(settings)
+    , m_decode(std::move(decode))
+    , m_directory(freshIncarnation(), settings.directory)
+    , m_timer(context)
+    , m_limitTimer(context)
+{
+}
+
+void entry_coordinator::start()
+{
+    m_timer.expires_after(expiryInterval);
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        onTimer();
+        start();
+    });
+}
+
+void entry_coordinator::stop()
+{
+    m_timer.cancel();
+    m_limitTimer.cancel();
+}
+
+void entry_coordinator::onTimer()
+{
+    auto now = m_clock.now();
+    std::erase_if(m_entries, [&](const auto& item) { return now - item.second.heardAt > m_settings.entryLease; });
+    if (m_directory.expire(now))
+        pushChanges();
+}
+
+bool entry_coordinator::onMessage(const wire::envelope& message, const peer_network::peer& from)
+{
+    switch (message.body_case()) {
+    case wire::envelope::kEntrySync:
+        onSync(message, from);
+        return true;
+    case wire::envelope::kReportEndpoint:
+        onReport(message, from);
+        return true;
+    case wire::envelope::kLimit:
+        onLimitRequest(message, from);
+        return true;
+    default:
+        return false;
+    }
+}
+
+void entry_coordinator::onPeerLost(const peer_network::peer& lost)
+{
+    m_entries.erase(lost.get());
+    std::erase_if(m_waiting, [&](const auto& item) { return item.second.peer == lost; });
+}
+
+void entry_coordinator::onSync(const wire::envelope& message, const peer_network::peer& from)
+{
+    const auto& sync = message.entry_sync();
+    wire::envelope reply;
+    auto& update = *reply.mutable_entry_update();
+    update.set_round(sync.round());
+    update.set_leader_address(m_replica.leaderAddress());
+    for (const auto& address : m_replica.peers())
+        update.add_controls(address);
+    auto age = m_replica.confirmedAge();
+    if (m_replica.leads() && age) {
+        auto& session = m_entries[from.get()];
+        session.peer = from;
+        session.heardAt = m_clock.now();
+        session.documentVersion = sync.document_version();
+        session.directorySource = sync.directory_source();
+        session.directoryVersion = sync.directory_version();
+        session.load.clear();
+        for (const auto& one : sync.load())
+            session.load[one.id()] = one;
+        if (sync.leaving())
+            m_entries.erase(from.get());
+        update.set_leads(true);
+        update.set_confirmed_age_ms(static_cast<std::uint32_t>(age->count()));
+        if (!sync.leaving()) {
+            fillUpdate(update, session);
+            fillLoad(update, session);
+        }
+    }
+    peer_network::reply(from, message, std::move(reply));
+}
+
+void entry_coordinator::fillUpdate(wire::entry_update& update, entry_session& session)
+{
+    const auto& document = m_replica.document();
+    if (document.version() > session.documentVersion) {
+        *update.mutable_document() = document;
+        session.documentVersion = document.version();
+    }
+    bool known = session.directorySource == m_directory.source();
+    for (auto& row : m_directory.changesSince(known ? session.directoryVersion : 0))
+        *update.add_endpoints() = std::move(row);
+    update.set_directory_source(m_directory.source());
+    update.set_directory_version(m_directory.version());
+    session.directorySource = m_directory.source();
+    session.directoryVersion = m_directory.version();
+    update.set_entries(static_cast<std::uint32_t>(m_entries.size()));
+}
+
+void entry_coordinator::fillLoad(wire::entry_update& update, const entry_session& session) const
+{
+    std::map<std::string, wire::endpoint_load> sums;
+    for (const auto& [peer, other] : m_entries) {
+        if (&other == &session)
+            continue;
+        for (const auto& [id, load] : other.load) {
+            auto& sum = sums[id];
+            sum.set_requests(sum.requests() + load.requests());
+            sum.set_tokens(sum.tokens() + load.tokens());
+        }
+    }
+    for (auto& [id, sum] : sums) {
+        sum.set_id(id);
+        *update.add_load() = sum;
+    }
+}
+
+void entry_coordinator::pushChanges()
+{
+    if (!m_replica.leads())
+        return;
+    for (auto& [peer, session] : m_entries) {
+        bool current = session.documentVersion >= m_replica.document().version() && session.directorySource == m_directory.source()
+            && session.directoryVersion == m_directory.version();
+        if (current)
+            continue;
+        wire::envelope message;
+        fillUpdate(*message.mutable_entry_update(), session);
+        session.peer->send(message);
+    }
+}
+
+void entry_coordinator::onDocumentChanged()
+{
+    configureLimits();
+    pushChanges();
+}
+
+void entry_coordinator::onLeadershipChanged(bool leads)
+{
+    m_entries.clear();
+    m_waiting.clear();
+    m_limits.reset();
+    m_limited.clear();
+    if (!leads)
+        return;
+    // The buckets start empty: what the former owner let through may have used them up just now.
+    m_limits.emplace(m_clock.now());
+    configureLimits();
+}
+
+void entry_coordinator::configureLimits()
+{
+    if (!m_limits || m_replica.document().version() == 0)
+        return;
+    auto decoded = m_decode(m_replica.document().body());
+    if (!decoded) {
+        logEvent("document_unreadable", { { "version", m_replica.document().version() }, { "error", decoded.error().message } });
+        return;
+    }
+    std::set<std::string> limited;
+    for (const auto& one : decoded.value().organisations) {
+        if (one.rate == 0)
+            continue;
+        m_limits->configure(one.name, one.rate, one.burst + m_settings.extraBurst, m_clock.now());
+        limited.insert(one.name);
+    }
+    for (const auto& name : m_limited) {
+        if (!limited.count(name))
+            m_limits->remove(name);
+    }
+    m_limited = std::move(limited);
+    answerLimits();
+}
+
+void entry_coordinator::onLimitRequest(const wire::envelope& message, const peer_network::peer& from)
+{
+    const auto& asked = message.limit();
+    if (!m_limits || !m_replica.leads()) {
+        wire::envelope reply;
+        reply.mutable_limit_reply()->set_wrong_owner(true);
+        peer_network::reply(from, message, std::move(reply));
+        return;
+    }
+    auto ticket = ++m_lastTicket;
+    m_waiting[ticket] = { from, message };
+    m_limits->ask({ asked.organisation(), asked.need(), asked.ahead(), milliseconds(asked.patience_ms()), ticket }, m_clock.now());
+    answerLimits();
+}
+
+void entry_coordinator::answerLimits()
+{
+    if (!m_limits)
+        return;
+    for (const auto& verdict : m_limits->step(m_clock.now())) {
+        auto found = m_waiting.find(verdict.ticket);
+        if (found == m_waiting.end())
+            continue;
+        wire::envelope reply;
+        auto& answer = *reply.mutable_limit_reply();
+        answer.set_organisation(verdict.organisation);
+        answer.set_granted(verdict.granted);
+        answer.set_retry_after_ms(static_cast<std::uint32_t>(verdict.retryAfter.count()));
+        peer_network::reply(found->second.peer, found->second.call, std::move(reply));
+        m_waiting.erase(found);
+    }
+    if (!m_limits->hasWaiting() || m_limitTimerArmed)
+        return;
+    m_limitTimerArmed = true;
+    m_limitTimer.expires_after(limitInterval);
+    m_limitTimer.async_wait([this](boost::system::error_code error) {
+        m_limitTimerArmed = false;
+        if (!error)
+            answerLimits();
+    });
+}
+
+void entry_coordinator::report(const wire::endpoint_report& report, std::function<void(bool)> handler)
+{
+    if (m_directory.take(report, m_clock.now()))
+        pushChanges();
+    bool leaves = report.state() != wire::ENDPOINT_SERVING;
+    auto leader = m_replica.leaderAddress();
+    bool leadsHere = m_replica.leads();
+    for (const auto& address : m_replica.peers()) {
+        if (leaves && address == leader)
+            continue;
+        wire::envelope message;
+        *message.mutable_report_endpoint()->mutable_report() = report;
+        m_network.send(address, std::move(message));
+    }
+    if (!leaves || leadsHere) {
+        handler(true);
+        return;
+    }
+    if (leader.empty()) {
+        handler(false);
+        return;
+    }
+    wire::envelope message;
+    *message.mutable_report_endpoint()->mutable_report() = report;
+    m_network.call(leader, std::move(message), confirmTimeout, [handler = std::move(handler)](const wire::envelope* reply) {
+        handler(reply && reply->has_report_endpoint_reply() && reply->report_endpoint_reply().taken());
+    });
+}
+
+void entry_coordinator::onReport(const wire::envelope& message, const peer_network::peer& from)
+{
+    if (m_directory.take(message.report_endpoint().report(), m_clock.now()))
+        pushChanges();
+    if (message.call() == 0)
+        return;
+    wire::envelope reply;
+    reply.mutable_report_endpoint_reply()->set_taken(m_replica.leads());
+    peer_network::reply(from, message, std::move(reply));
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/coordination/entry_coordinator.h
@@ -0,0 +1,85 @@
+#pragma once
+#include "limits/limits.h"
+#include "membership/membership.h"
+#include "replication/replication.h"
+#include "routing/routing.h"
+#include <functional>
+#include <optional>
+
+namespace pistachiolatch {
+
+struct coordinator_settings {
+    directory_settings directory;
+    /// An entry that is silent for longer than its lease lasts can't act any more, and is forgotten.
+    milliseconds entryLease { 4000 };
+    /// Tokens that each organisation may have beyond its burst at once. The platform of a deployment may tolerate some.
+    std::uint64_t extraBurst = 0;
+};
+
+/// Reads a document's body into the configuration it holds.
+using configuration_decoder = std::function<result<configuration>(const std::string& body)>;
+
+/// The part of control that entries and endpoints deal with. Every control process keeps the whole directory of
+/// endpoints, since any of them may lead next; only the leader speaks to entries and owns the limits.
+/// Thread safety: everything is called on the thread that runs the context.
+class entry_coordinator {
+public:
+    entry_coordinator(boost::asio::io_context& context, peer_network& network, document_replica& replica, const clock_source& clock,
+        metrics& counters, coordinator_settings settings, configuration_decoder decode);
+
+    void start();
+    void stop();
+    /// Takes in what a peer sent, if it is for this part. Returns whether it was.
+    bool onMessage(const wire::envelope& message, const peer_network::peer& from);
+    void onPeerLost(const peer_network::peer& lost);
+    void onDocumentChanged();
+    void onLeadershipChanged(bool leads);
+    /// Takes in a report that an endpoint sent here. That an endpoint leaves is confirmed once the leader knows it and
+    /// has told the entries: an endpoint takes the confirmation as word that no new work will come.
+    void report(const wire::endpoint_report& report, std::function<void(bool taken)> handler);
+    const endpoint_directory& directory() const { return m_directory; }
+    std::size_t entries() const { return m_entries.size(); }
+
+private:
+    struct entry_session {
+        peer_network::peer peer;
+        std::uint64_t documentVersion = 0;
+        std::uint64_t directorySource = 0;
+        std::uint64_t directoryVersion = 0;
+        time_point heardAt;
+        std::map<std::string, wire::endpoint_load> load;
+    };
+    struct waiting_answer {
+        peer_network::peer peer;
+        wire::envelope call;
+    };
+
+    void onSync(const wire::envelope& message, const peer_network::peer& from);
+    void onReport(const wire::envelope& message, const peer_network::peer& from);
+    void onLimitRequest(const wire::envelope& message, const peer_network::peer& from);
+    void fillUpdate(wire::entry_update& update, entry_session& session);
+    void fillLoad(wire::entry_update& update, const entry_session& session) const;
+    void pushChanges();
+    void answerLimits();
+    void configureLimits();
+    void onTimer();
+
+    boost::asio::io_context& m_context;
+    peer_network& m_network;
+    document_replica& m_replica;
+    const clock_source& m_clock;
+    metrics& m_metrics;
+    coordinator_settings m_settings;
+    configuration_decoder m_decode;
+    endpoint_directory m_directory;
+    std::map<peer_connection*, entry_session> m_entries;
+    std::optional<limit_owner> m_limits;
+    std::set<std::string> m_limited;
+    std::map<std::uint64_t, waiting_answer> m_waiting;
+    std::uint64_t m_lastTicket = 0;
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_limitTimer;
+    bool m_limitTimerArmed = false;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/forwarding/forward_call.h
@@ -0,0 +1,121 @@
+#pragma once
+#include "coordination/coordination.h"
+#include "forwarding/answer_head_writer.h"
+#include "forwarding/caller_channel.h"
+#include "forwarding/connection_pool.h"
+#include "forwarding/endpoint_roster.h"
+#include "forwarding/event_splitter.h"
+#include "forwarding/repeat_policy.h"
+#include "forwarding/shared_retry_budget.h"
+#include <boost/asio/steady_timer.hpp>
+
+namespace pistachiolatch {
+
+/// What all calls of an entry share. The references outlive every call.
+struct forwarding_context {
+    boost::asio::io_context& context;
+    const clock_source& clock;
+    metrics& counters;
+    const control_link& link;
+    token_account& tokens;
+    endpoint_roster& roster;
+    connection_pool& pool;
+    shared_retry_budget& budget;
+    std::mt19937_64& random;
+    /// Whether the entry is shutting down; answers then close their connections.
+    const bool& draining;
+};
+
+/// One call from admission to its end. Answers its caller exactly once, or breaks the connection where a stream can't
+/// be finished, so that nobody takes a part for the whole.
+/// Each co_await stands in a statement of its own: GCC 12 destroys temporaries of a condition that awaits twice.
+/// Used on the context's thread.
+template <call_dialect Dialect>
+class forward_call {
+public:
+    forward_call(forwarding_context& shared, std::shared_ptr<caller_channel> caller, caller_request request);
+    ~forward_call();
+    forward_call(const forward_call&) = delete;
+    forward_call& operator=(const forward_call&) = delete;
+
+    /// Serves the call. Returns whether the connection can carry another.
+    task_of<bool> run();
+
+private:
+    struct prefill_result {
+        std::string endpointAddress;
+        std::string dataCentre;
+        std::string handle;
+        time_point at;
+    };
+
+    std::optional<call_refusal> admit();
+    task_of<token_verdict> takeTokens();
+    task_of<void> runPlain();
+    task_of<void> runModel();
+    task_of<std::optional<picked_endpoint>> awaitDecodeEndpoint(endpoint_query query);
+    task_of<attempt_end> serveModelAt(const picked_endpoint& decode);
+    task_of<void> ensurePrefill(const std::string& nearTo);
+    task_of<std::optional<std::string>> prefillAt(const picked_endpoint& endpoint);
+    task_of<attempt_end> sendTo(const picked_endpoint& endpoint, attempt_orders orders);
+    task_of<attempt_end> receive(const picked_endpoint& endpoint);
+    task_of<attempt_end> passStream(const picked_endpoint& endpoint, const answer_head& answer);
+    task_of<attempt_end> passWhole(const picked_endpoint& endpoint, const answer_head& answer);
+    task_of<call_failure> readOwnHead(answer_head& answer);
+    task_of<std::shared_ptr<endpoint_connection>> open(const picked_endpoint& endpoint, bool mayBeRepeated);
+    bool tryAgainAfter(attempt_end end, const std::string& endpointId);
+    task_of<void> conclude(reason whyNotServed);
+    task_of<void> refuse(call_refusal refusal);
+    void releasePrefill();
+
+    void startDeadline();
+    void armAttempt(milliseconds patience);
+    void disarmAttempt();
+    void cutCurrent();
+    void finishConnection(const std::string& endpointId, const answer_head& answer);
+    void logEnd();
+
+    bool ended() const { return m_callerGone || m_deadlinePassed; }
+    bool idempotent() const { return m_route->kind == call_kind::Idempotent || resumable(); }
+    bool resumable() const { return m_route->kind == call_kind::Stream && m_route->resumable; }
+    milliseconds timeLeft() const { return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(m_endsAt - m_shared.clock.now())); }
+    milliseconds age() const { return std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_receivedAt); }
+    attempt_orders ordersFor(const picked_endpoint& endpoint) const;
+
+    forwarding_context& m_shared;
+    std::shared_ptr<caller_channel> m_caller;
+    caller_request m_request;
+    call_head m_head;
+    time_point m_receivedAt;
+    time_point m_endsAt;
+    std::shared_ptr<const route_table> m_table;
+    const route_config* m_route = nullptr;
+    const organisation_config* m_organisation = nullptr;
+    const service_config* m_service = nullptr;
+    std::uint64_t m_tokens = 0;
+    std::shared_ptr<endpoint_connection> m_current;
+    boost::asio::steady_timer m_deadlineTimer;
+    boost::asio::steady_timer m_attemptTimer;
+    std::uint64_t m_attempt = 0;
+    bool m_attemptExpired = false;
+    bool m_callerGone = false;
+    bool m_deadlinePassed = false;
+    bool m_answerBegun = false;
+    bool m_keepAlive = true;
+    unsigned m_sends = 0;
+    unsigned m_mayHaveRunAt = 0;
+    std::set<std::string> m_tried;
+    std::string m_endpoints;
+    std::optional<prefill_result> m_prefill;
+    bool m_firstPrefillDone = false;
+    event_splitter m_events;
+    unsigned m_status = 0;
+    std::string m_outcome;
+    milliseconds m_firstPiece { -1 };
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace pistachiolatch
+
+#include "forwarding/forward_call_model.h"
+#include "forwarding/forward_call_steps.h"
--- /dev/null
+++ b/Source/forwarding/forward_call_steps.h
@@ -0,0 +1,428 @@
+#pragma once
+// The steps that all calls share and those of calls to plain services. Included by forward_call.h alone.
+#include "forwarding/forward_call.h"
+#include <boost/asio.hpp>
+
+namespace pistachiolatch {
+
+namespace forwarding_detail {
+    constexpr auto asTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+    /// Connecting inside a region takes milliseconds. A dropped opening packet is sent again only after a second, which
+    /// is too long for callers who are content with a tenth of that.
+    constexpr milliseconds connectTimeout { 250 };
+    /// A silent endpoint is given up for a call that may be repeated after this many times the route's target.
+    constexpr int patienceInTargets = 4;
+    /// Answers that are kept whole before they are passed on; callers may send no more either.
+    constexpr std::size_t mostAnswerBytes = 16UL * 1024 * 1024;
+    /// Answers to earlier requests that may stand before the one that is due.
+    constexpr int mostStrayAnswers = 2;
+    /// How long a call may wait for its organisation's tokens, as a share of the time in which its answer is as good
+    /// as it gets.
+    constexpr int tokenPatienceShare = 3;
+    /// When callers are told to come back: with no endpoint or configuration, things change within a second or so.
+    constexpr milliseconds comeBackSoon { 700 };
+    /// The least that a caller over its rate is told to wait.
+    constexpr milliseconds leastRateWait { 200 };
+    /// When a call's tokens are not stated, it counts the organisation's figure for plain calls.
+    inline std::uint64_t tokensOf(const organisation_config& organisation, const call_head& head)
+    {
+        if (!organisation.countsTokens)
+            return 1;
+        return head.tokens ? head.tokens->prompt + head.tokens->output : organisation.plainTokens;
+    }
+}
+
+template <call_dialect Dialect>
+forward_call<Dialect>::forward_call(forwarding_context& shared, std::shared_ptr<caller_channel> caller, caller_request request)
+    : m_shared(shared)
+    , m_caller(std::move(caller))
+    , m_request(std::move(request))
+    , m_head(Dialect::decodeCall(m_request))
+    , m_receivedAt(shared.clock.now())
+    , m_endsAt(m_receivedAt + m_head.deadline.value_or(milliseconds(std::chrono::hours(1))))
+    , m_table(shared.link.table())
+    , m_deadlineTimer(shared.context)
+    , m_attemptTimer(shared.context)
+{
+    m_keepAlive = m_request.keep_alive();
+}
+
+template <call_dialect Dialect>
+forward_call<Dialect>::~forward_call()
+{
+    *m_alive = false;
+    m_caller->endWatch();
+    m_deadlineTimer.cancel();
+    m_attemptTimer.cancel();
+}
+
+template <call_dialect Dialect>
+task_of<bool> forward_call<Dialect>::run()
+{
+    auto refused = admit();
+    if (refused) {
+        co_await refuse(*refused);
+        co_return m_keepAlive;
+    }
+    startDeadline();
+    auto alive = m_alive;
+    m_caller->watch([this, alive] {
+        if (!*alive)
+            return;
+        m_callerGone = true;
+        cutCurrent();
+    });
+    auto verdict = co_await takeTokens();
+    if (!verdict.granted && !ended()) {
+        auto why = verdict.overRate ? reason::OverRate : reason::LimitUnreachable;
+        call_refusal refusal { why, httpStatus(why), std::max(verdict.retryAfter, forwarding_detail::leastRateWait) };
+        co_await refuse(refusal);
+    } else if (!ended()) {
+        auto& service = chooseService(*m_route, std::uniform_real_distribution<double>()(m_shared.random));
+        m_service = m_table->service(service);
+        bool isModelCall = m_service->engine && m_route->kind == call_kind::Stream;
+        if (isModelCall)
+            co_await runModel();
+        else
+            co_await runPlain();
+    } else {
+        co_await conclude(reason::DeadlinePassed);
+    }
+    releasePrefill();
+    logEnd();
+    if (!m_keepAlive || m_callerGone)
+        co_return false;
+    co_return !m_caller->isClosed();
+}
+
+template <call_dialect Dialect>
+std::optional<call_refusal> forward_call<Dialect>::admit()
+{
+    auto refusal = [](reason why, std::optional<milliseconds> retryAfter = std::nullopt) { return call_refusal { why, httpStatus(why), retryAfter }; };
+    // An entry out of touch must not act on what it once knew: a key may have been withdrawn meanwhile.
+    if (!m_shared.link.isCurrent())
+        return refusal(reason::NoConfig, forwarding_detail::comeBackSoon);
+    std::string_view host(m_request[boost::beast::http::field::host].data(), m_request[boost::beast::http::field::host].size());
+    std::string_view target(m_request.target().data(), m_request.target().size());
+    m_route = m_table->find(host, target);
+    if (!m_route)
+        return refusal(reason::NotFound);
+    if (m_table->needsKeys() && !m_route->keyless) {
+        if (m_head.key.empty())
+            return refusal(reason::MissingKey);
+        m_organisation = m_table->organisationOf(m_head.key);
+        if (!m_organisation)
+            return refusal(reason::UnknownKey);
+    }
+    m_endsAt = std::min(m_endsAt, m_receivedAt + m_route->timeout);
+    m_tokens = m_head.tokens ? m_head.tokens->prompt + m_head.tokens->output : 0;
+    return std::nullopt;
+}
+
+template <call_dialect Dialect>
+task_of<token_verdict> forward_call<Dialect>::takeTokens()
+{
+    if (!m_organisation || m_organisation->rate == 0)
+        co_return token_verdict { true, false, milliseconds(0) };
+    auto patience = std::min(m_route->latencyTarget / forwarding_detail::tokenPatienceShare, timeLeft());
+    pending_reply<token_verdict> reply(m_shared.context.get_executor());
+    m_shared.tokens.take(*m_organisation, forwarding_detail::tokensOf(*m_organisation, m_head), patience, reply.completer());
+    auto verdict = co_await reply.wait(timeLeft());
+    co_return verdict.value_or(token_verdict {});
+}
+
+template <call_dialect Dialect>
+void forward_call<Dialect>::startDeadline()
+{
+    m_deadlineTimer.expires_after(timeLeft());
+    m_deadlineTimer.async_wait([this, alive = m_alive](boost::system::error_code error) {
+        if (error || !*alive)
+            return;
+        m_deadlinePassed = true;
+        cutCurrent();
+    });
+}
+
+template <call_dialect Dialect>
+void forward_call<Dialect>::armAttempt(milliseconds patience)
+{
+    m_attemptExpired = false;
+    auto attempt = ++m_attempt;
+    m_attemptTimer.expires_after(patience);
+    m_attemptTimer.async_wait([this, attempt, alive = m_alive](boost::system::error_code error) {
+        if (error || !*alive || attempt != m_attempt)
+            return;
+        m_attemptExpired = true;
+        cutCurrent();
+    });
+}
+
+template <call_dialect Dialect>
+void forward_call<Dialect>::disarmAttempt()
+{
+    ++m_attempt;
+    m_attemptTimer.cancel();
+}
+
+template <call_dialect Dialect>
+void forward_call<Dialect>::cutCurrent()
+{
+    // Closing the connection is how an endpoint learns that nobody waits for its work any more.
+    if (m_current)
+        m_current->close();
+}
+
+template <call_dialect Dialect>
+attempt_orders forward_call<Dialect>::ordersFor(const picked_endpoint& endpoint) const
+{
+    attempt_orders orders;
+    orders.endpointId = endpoint.id;
+    orders.timeLeft = timeLeft();
+    orders.organisation = m_organisation ? m_organisation->name : std::string();
+    orders.resumeAfter = m_events.lastId().empty() ? m_head.resumeAfter : m_events.lastId();
+    return orders;
+}
+
+template <call_dialect Dialect>
+task_of<std::shared_ptr<endpoint_connection>> forward_call<Dialect>::open(const picked_endpoint& endpoint, bool mayBeRepeated)
+{
+    if (auto kept = m_shared.pool.take(endpoint.id, mayBeRepeated)) {
+        m_current = kept;
+        co_return kept;
+    }
+    auto fresh = std::make_shared<endpoint_connection>(m_shared.context.get_executor());
+    m_current = fresh;
+    armAttempt(forwarding_detail::connectTimeout);
+    bool connected = co_await fresh->connect(endpoint.address);
+    disarmAttempt();
+    if (connected && !ended())
+        co_return fresh;
+    fresh->close();
+    m_current.reset();
+    if (!ended())
+        m_shared.roster.judge(endpoint.id, endpoint_verdict::Lost);
+    co_return nullptr;
+}
+
+template <call_dialect Dialect>
+task_of<void> forward_call<Dialect>::runPlain()
+{
+    reason why = reason::NoEndpoint;
+    while (!ended()) {
+        endpoint_query query;
+        query.service = m_service->name;
+        query.exclude = m_tried;
+        auto endpoint = m_shared.roster.pick(query);
+        if (!endpoint)
+            break;
+        endpoint_booking booking(m_shared.roster, endpoint->id, 0);
+        auto orders = ordersFor(*endpoint);
+        auto end = co_await sendTo(*endpoint, std::move(orders));
+        if (end == attempt_end::Answered)
+            co_return;
+        why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed : reason::EndpointFailed;
+        if (ended() || !tryAgainAfter(end, endpoint->id))
+            break;
+    }
+    co_await conclude(why);
+}
+
+template <call_dialect Dialect>
+bool forward_call<Dialect>::tryAgainAfter(attempt_end end, const std::string& endpointId)
+{
+    m_tried.insert(endpointId);
+    auto step = afterFailedSend({ end, m_route->kind, m_route->resumable, m_mayHaveRunAt, m_route->mostEndpoints, timeLeft() });
+    // A send that never left is no burden on any endpoint, so it needs no budget.
+    bool allowed = step == next_step::SendAgain && (end == attempt_end::NotSent || m_shared.budget.tryAgain(m_service->name, m_shared.link.entries(), m_shared.clock.now()));
+    auto why = end == attempt_end::NotSent ? reason::ConnectFailed : end == attempt_end::RefusedUnrun ? reason::EndpointRefused : reason::EndpointFailed;
+    if (allowed)
+        m_shared.counters.countRetry(why);
+    logEvent("attempt_failed", { { "request", m_head.id }, { "endpoint", endpointId }, { "why", reasonName(why) }, { "stalled", end == attempt_end::Stalled ? 1 : 0 },
+                                   { "may_have_run_at", m_mayHaveRunAt }, { "again", allowed ? 1 : 0 }, { "age_ms", age().count() } });
+    return allowed;
+}
+
+template <call_dialect Dialect>
+task_of<attempt_end> forward_call<Dialect>::sendTo(const picked_endpoint& endpoint, attempt_orders orders)
+{
+    auto connection = co_await open(endpoint, idempotent());
+    if (!connection)
+        co_return ended() ? attempt_end::Stalled : attempt_end::NotSent;
+    if (m_sends++ == 0)
+        m_shared.budget.onFirst(m_service->name, m_shared.clock.now());
+    ++m_mayHaveRunAt;
+    m_endpoints += (m_endpoints.empty() ? "" : ",") + endpoint.id;
+    orders.timeLeft = timeLeft();
+    connection->beginSend(Dialect::encodeAttempt(m_request, orders));
+    bool mayGoElsewhere = idempotent() && m_mayHaveRunAt < m_route->mostEndpoints;
+    if (mayGoElsewhere)
+        armAttempt(std::max(m_route->latencyTarget * forwarding_detail::patienceInTargets, milliseconds(300)));
+    auto end = co_await receive(endpoint);
+    bool expired = m_attemptExpired;
+    disarmAttempt();
+    if (end != attempt_end::Answered && m_current) {
+        if (!m_current->reusable())
+            m_current->close();
+        m_current.reset();
+    }
+    if (end == attempt_end::RefusedUnrun)
+        --m_mayHaveRunAt;
+    if (ended())
+        co_return end == attempt_end::RefusedUnrun ? end : attempt_end::Stalled;
+    if (end == attempt_end::MayHaveRun && expired)
+        co_return attempt_end::Stalled;
+    co_return end;
+}
+
+template <call_dialect Dialect>
+task_of<call_failure> forward_call<Dialect>::readOwnHead(answer_head& answer)
+{
+    bool bodyless = m_request.method() == boost::beast::http::verb::head;
+    for (int stray = 0;; ++stray) {
+        auto failed = co_await m_current->readHead(bodyless);
+        if (failed != call_failure::None)
+            co_return failed;
+        answer = Dialect::decodeAnswer(m_current->fields());
+        if (answer.requestId.empty() || answer.requestId == m_head.id)
+            co_return call_failure::None;
+        // A late answer to an earlier request of this connection; the one that is due follows it.
+        m_shared.counters.count("stray_answer");
+        std::string dropped;
+        if (stray == forwarding_detail::mostStrayAnswers || !answer.sealed)
+            co_return call_failure::Broken;
+        failed = co_await m_current->readRest(dropped, forwarding_detail::mostAnswerBytes);
+        if (failed != call_failure::None)
+            co_return failed;
+    }
+}
+
+template <call_dialect Dialect>
+task_of<attempt_end> forward_call<Dialect>::receive(const picked_endpoint& endpoint)
+{
+    answer_head answer;
+    auto failed = co_await readOwnHead(answer);
+    if (failed != call_failure::None) {
+        if (!ended())
+            m_shared.roster.judge(endpoint.id, endpoint_verdict::Lost);
+        co_return attempt_end::MayHaveRun;
+    }
+    auto status = m_current->status();
+    if (answer.load)
+        m_shared.roster.noteLoad(endpoint.id, *answer.load);
+    constexpr unsigned misdirected = 421;
+    if (answer.refusedUnrun || status == misdirected) {
+        std::string dropped;
+        failed = co_await m_current->readRest(dropped, forwarding_detail::mostAnswerBytes);
+        if (failed == call_failure::None)
+            finishConnection(endpoint.id, answer);
+        // Another endpoint has the address by now; until its announcement comes, this one is as good as lost.
+        m_shared.roster.judge(endpoint.id, status == misdirected ? endpoint_verdict::Lost : endpoint_verdict::Refused);
+        co_return attempt_end::RefusedUnrun;
+    }
+    bool success = status >= 200 && status < 300;
+    bool trusted = answer.sealed && !answer.encoded && answer.requestId == m_head.id;
+    // These statuses tell the caller that its call has not run; without the endpoint's word for it that would be a guess.
+    constexpr std::array promises { 408U, 429U, 503U };
+    bool unprovenPromise = std::find(promises.begin(), promises.end(), status) != promises.end();
+    if ((success && !trusted) || unprovenPromise || answer.encoded) {
+        m_shared.roster.judge(endpoint.id, endpoint_verdict::Failed);
+        co_return attempt_end::MayHaveRun;
+    }
+    bool serverError = status >= 500;
+    bool mayGoElsewhere = idempotent() && m_mayHaveRunAt < m_route->mostEndpoints && !m_answerBegun;
+    if (serverError)
+        m_shared.roster.judge(endpoint.id, endpoint_verdict::Failed);
+    if (serverError && (mayGoElsewhere || m_answerBegun))
+        co_return attempt_end::MayHaveRun;
+    if (m_answerBegun && !success)
+        co_return attempt_end::MayHaveRun;
+    if (success && m_route->kind == call_kind::Stream)
+        co_return co_await passStream(endpoint, answer);
+    co_return co_await passWhole(endpoint, answer);
+}
+
+template <call_dialect Dialect>
+task_of<attempt_end> forward_call<Dialect>::passWhole(const picked_endpoint& endpoint, const answer_head& answer)
+{
+    std::string body;
+    auto status = m_current->status();
+    auto failed = co_await m_current->readRest(body, forwarding_detail::mostAnswerBytes);
+    if (failed != call_failure::None) {
+        if (!ended())
+            m_shared.roster.judge(endpoint.id, endpoint_verdict::Failed);
+        co_return attempt_end::MayHaveRun;
+    }
+    if (status < 500)
+        m_shared.roster.judge(endpoint.id, endpoint_verdict::Good);
+    m_keepAlive = m_keepAlive && !m_shared.draining;
+    auto bytes = encodeAnswerHead(status, m_current->reasonPhrase(), m_current->fields(), { body.size(), !m_keepAlive });
+    finishConnection(endpoint.id, answer);
+    m_answerBegun = true;
+    m_status = status;
+    m_outcome = "answered";
+    bytes += body;
+    bool written = co_await m_caller->write(std::move(bytes));
+    m_callerGone = m_callerGone || !written;
+    co_return attempt_end::Answered;
+}
+
+template <call_dialect Dialect>
+void forward_call<Dialect>::finishConnection(const std::string& endpointId, const answer_head& answer)
+{
+    auto connection = std::exchange(m_current, nullptr);
+    if (connection->reusable())
+        m_shared.pool.put(endpointId, std::move(connection), answer.keepAlive);
+    else
+        connection->close();
+}
+
+template <call_dialect Dialect>
+task_of<void> forward_call<Dialect>::conclude(reason whyNotServed)
+{
+    if (m_callerGone) {
+        m_outcome = reasonName(reason::CallerGone);
+        co_return;
+    }
+    if (m_answerBegun) {
+        // A part of the answer is out. Only a broken connection tells the caller that it is not the whole.
+        m_outcome = m_deadlinePassed ? "cut_at_deadline" : "cut_midway";
+        m_keepAlive = false;
+        m_caller->close();
+        co_return;
+    }
+    if (m_mayHaveRunAt > 0) {
+        auto why = m_deadlinePassed ? reason::DeadlinePassed : reason::EndpointFailed;
+        call_refusal refusal { why, httpStatus(why), std::nullopt };
+        co_await refuse(refusal);
+        co_return;
+    }
+    auto why = m_deadlinePassed ? reason::DeadlineUnreachable : whyNotServed;
+    call_refusal refusal { why, httpStatus(why), forwarding_detail::comeBackSoon };
+    co_await refuse(refusal);
+}
+
+template <call_dialect Dialect>
+task_of<void> forward_call<Dialect>::refuse(call_refusal refusal)
+{
+    m_keepAlive = m_keepAlive && !m_shared.draining;
+    m_shared.counters.countRefusal(refusal.why);
+    m_status = refusal.status;
+    m_outcome = reasonName(refusal.why);
+    m_answerBegun = true;
+    auto bytes = Dialect::encodeRefusal(m_head, refusal, !m_keepAlive);
+    bool written = co_await m_caller->write(std::move(bytes));
+    m_callerGone = m_callerGone || !written;
+    if (!m_route)
+        logEnd();
+}
+
+template <call_dialect Dialect>
+void forward_call<Dialect>::logEnd()
+{
+    m_shared.counters.observe("call_seconds", age());
+    logEvent("call_ended", { { "request", m_head.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() },
+                               { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "endpoints", m_endpoints }, { "sends", m_sends },
+                               { "tokens", m_tokens }, { "first_ms", m_firstPiece.count() }, { "ms", age().count() } });
+}
+
+} // namespace pistachiolatch
--- a/Source/kernel/clock_source.h
+++ b/Source/kernel/clock_source.h
@@ -1,5 +1,6 @@
 #pragma once
 #include <chrono>
+#include <ctime>
 
 namespace pistachiolatch {
 
@@ -21,6 +22,18 @@
     time_point now() const override { return std::chrono::steady_clock::now(); }
 };
 
+/// The time since the VM started, which goes on while the VM is suspended. The machine's steady clock stands still
+/// meanwhile; a lease counted by it would outlive its end by as long as the VM slept.
+class boottime_clock_source final : public clock_source {
+public:
+    time_point now() const override
+    {
+        timespec time {};
+        ::clock_gettime(CLOCK_BOOTTIME, &time);
+        return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+    }
+};
+
 /// A clock that stands still until it is told to move. Not thread-safe: for tests on one thread.
 class manual_clock_source final : public clock_source {
 public:
--- a/Source/kernel/reason.cpp
+++ b/Source/kernel/reason.cpp
@@ -36,6 +36,7 @@
         reason_row { reason::NoEndpoint, "no_endpoint", 503, "No endpoint serves this now; come back after Retry-After." },
         reason_row { reason::NoCapacity, "no_capacity", 503, "The pool is full; come back after Retry-After." },
         reason_row { reason::DeadlineUnreachable, "deadline_unreachable", 503, "The pool can't start this in time; come back after Retry-After." },
+        reason_row { reason::DeadlinePassed, "deadline_passed", 504, "No answer came in time; the request may have run." },
         reason_row { reason::PoisonRequest, "poison_request", 422, "Endpoints crashed on this request; don't send it again unchanged." },
         reason_row { reason::ShuttingDown, "shutting_down", 503, "This VM is shutting down; send the request again." },
         reason_row { reason::TooManyConnections, "too_many_connections", 503, "This VM has too many connections; come back after Retry-After." },
--- a/Source/kernel/reason.h
+++ b/Source/kernel/reason.h
@@ -30,6 +30,7 @@
     NoEndpoint,
     NoCapacity,
     DeadlineUnreachable,
+    DeadlinePassed,
     PoisonRequest,
     ShuttingDown,
     TooManyConnections,
--- a/Source/kernel/settings_reader.cpp
+++ b/Source/kernel/settings_reader.cpp
@@ -103,6 +103,19 @@
     return std::chrono::milliseconds(integer(key, fallback.count(), 1, oneDay));
 }
 
+double settings_reader::number(const std::string& key, double fallback, double least, double most)
+{
+    auto node = m_impl->look(key);
+    if (!node)
+        return fallback;
+    auto value = node.value<double>();
+    if (!value || *value < least || *value > most) {
+        m_impl->add(node.node(), key, fmt::format("must be a number from {} to {}", least, most));
+        return fallback;
+    }
+    return *value;
+}
+
 bool settings_reader::flag(const std::string& key, bool fallback)
 {
     auto node = m_impl->look(key);
--- a/Source/kernel/settings_reader.h
+++ b/Source/kernel/settings_reader.h
@@ -30,6 +30,8 @@
     std::int64_t integer(const std::string& key, std::int64_t fallback, std::int64_t least, std::int64_t most);
     /// A duration; the key ends in "_ms" and holds milliseconds.
     std::chrono::milliseconds millis(const std::string& key, std::chrono::milliseconds fallback);
+    /// A number between the bounds, both included.
+    double number(const std::string& key, double fallback, double least, double most);
     bool flag(const std::string& key, bool fallback);
     /// A list of strings; may be left out.
     std::vector<std::string> texts(const std::string& key);
--- a/Source/limits/limit_owner.h
+++ b/Source/limits/limit_owner.h
@@ -49,6 +49,8 @@
     /// The verdicts that are due.
     std::vector<limit_verdict> step(time_point now);
     std::size_t size() const { return m_accounts.size(); }
+    /// Whether a question waits for tokens, so that step() must be called again soon.
+    bool hasWaiting() const { return !m_withWaiting.empty(); }
 
 private:
     struct waiting_ask {
--- /dev/null
+++ b/Source/membership/endpoint_directory.cpp
@@ -0,0 +1,121 @@
+#include "membership/endpoint_directory.h"
+
+namespace pistachiolatch {
+
+namespace {
+    bool isGone(const wire::endpoint_report& report)
+    {
+        return report.state() == wire::ENDPOINT_GONE;
+    }
+
+    /// Whether two reports differ in what a reader acts on. The sequence is no part of that.
+    bool sameForReaders(const wire::endpoint_report& left, const wire::endpoint_report& right)
+    {
+        return left.born_ms() == right.born_ms() && left.service() == right.service() && left.address() == right.address()
+            && left.data_centre() == right.data_centre() && left.slots() == right.slots() && left.state() == right.state()
+            && left.stage() == right.stage() && (left.cold_ms() > 0) == (right.cold_ms() > 0);
+    }
+}
+
+endpoint_directory::endpoint_directory(std::uint64_t source, directory_settings settings)
+    : m_source(source)
+    , m_settings(settings)
+{
+}
+
+bool endpoint_directory::isOlder(const wire::endpoint_report& report, const wire::endpoint_report& known) const
+{
+    if (report.born_ms() != known.born_ms())
+        return report.born_ms() < known.born_ms();
+    // Within one run nothing follows the end; before it, the sequence orders the reports.
+    if (isGone(known))
+        return true;
+    return !isGone(report) && report.sequence() <= known.sequence();
+}
+
+bool endpoint_directory::addressTaken(const wire::endpoint_report& report)
+{
+    for (auto& [id, other] : m_endpoints) {
+        auto& held = *other.row.mutable_report();
+        if (id == report.id() || held.address() != report.address() || isGone(held))
+            continue;
+        // A report of an earlier run, held up on the way while another endpoint took the address over.
+        if (held.born_ms() > report.born_ms())
+            return true;
+        held.set_state(wire::ENDPOINT_GONE);
+        markChanged(other);
+    }
+    return false;
+}
+
+bool endpoint_directory::take(const wire::endpoint_report& report, time_point now)
+{
+    auto found = m_endpoints.find(report.id());
+    if (isGone(report)) {
+        if (found == m_endpoints.end()) {
+            known_endpoint gone;
+            *gone.row.mutable_report() = report;
+            gone.heardAt = now;
+            markChanged(m_endpoints.emplace(report.id(), std::move(gone)).first->second);
+            return true;
+        }
+        auto& held = *found->second.row.mutable_report();
+        // A farewell may not say which run it ends; it then ends the one that is known.
+        bool otherRun = report.born_ms() != 0 && report.born_ms() < held.born_ms();
+        if (otherRun || isGone(held))
+            return false;
+        if (report.born_ms() > held.born_ms())
+            held.set_born_ms(report.born_ms());
+        held.set_state(wire::ENDPOINT_GONE);
+        found->second.heardAt = now;
+        markChanged(found->second);
+        return true;
+    }
+    if (found != m_endpoints.end() && isOlder(report, found->second.row.report()))
+        return false;
+    auto before = m_version;
+    if (addressTaken(report))
+        return m_version != before;
+    auto& one = found == m_endpoints.end() ? m_endpoints[report.id()] : found->second;
+    bool changed = found == m_endpoints.end() || one.row.silent() || !sameForReaders(report, one.row.report());
+    *one.row.mutable_report() = report;
+    one.row.set_silent(false);
+    one.heardAt = now;
+    if (changed)
+        markChanged(one);
+    return m_version != before;
+}
+
+bool endpoint_directory::expire(time_point now)
+{
+    auto before = m_version;
+    for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
+        auto& one = it->second;
+        auto silence = now - one.heardAt;
+        if (isGone(one.row.report())) {
+            it = silence > m_settings.goneKept ? m_endpoints.erase(it) : std::next(it);
+            continue;
+        }
+        if (silence > m_settings.goneAfter) {
+            one.row.mutable_report()->set_state(wire::ENDPOINT_GONE);
+            markChanged(one);
+        } else if (silence > m_settings.silentAfter && !one.row.silent()) {
+            one.row.set_silent(true);
+            markChanged(one);
+        }
+        ++it;
+    }
+    return m_version != before;
+}
+
+std::vector<wire::endpoint_row> endpoint_directory::changesSince(std::uint64_t version) const
+{
+    std::vector<wire::endpoint_row> rows;
+    for (const auto& [id, one] : m_endpoints) {
+        if (one.changedAt > version)
+            rows.push_back(one.row);
+    }
+    return rows;
+}
+
+} // namespace pistachiolatch
--- a/Source/program/program_main.cpp
+++ b/Source/program/program_main.cpp
@@ -1,6 +1,9 @@
 #include "program/program_main.h"
 
+#include <algorithm>
 #include <atomic>
+#include <cstdlib>
+#include <string_view>
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
@@ -20,7 +23,14 @@
     int waitForEnd(const program_body& body, const sigset_t& signals)
     {
         int signal = 0;
-        sigwait(&signals, &signal);
+        while (true) {
+            sigwait(&signals, &signal);
+            if (signal != SIGHUP)
+                break;
+            logEvent("reloading", {});
+            if (body.reload)
+                body.reload();
+        }
         logEvent("stopping", { { "signal", signal } });
         body.stop();
         logEvent("stopped", {});
@@ -34,6 +44,19 @@
     ::kill(::getpid(), SIGTERM);
 }
 
+std::vector<char*> withSettingsFrom(const char* variable, int argc, char** argv)
+{
+    static char option[] = "--settings";
+    std::vector<char*> arguments(argv, argv + argc);
+    char* path = std::getenv(variable);
+    bool named = std::any_of(arguments.begin(), arguments.end(), [](const char* one) { return std::string_view(one) == option; });
+    if (path && !named) {
+        arguments.push_back(option);
+        arguments.push_back(path);
+    }
+    return arguments;
+}
+
 int runProgram(int argc, char** argv, const char* version, program_body body)
 {
     CLI::App app(body.summary, body.name);
@@ -70,6 +93,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
--- a/Source/program/program_main.h
+++ b/Source/program/program_main.h
@@ -29,8 +29,14 @@
     /// Finishes the work in hand and stops all services.
     std::function<void()> stop;
     std::vector<program_flag> flags;
+    /// Reads the settings again at SIGHUP. May be empty: the signal then changes nothing.
+    std::function<void()> reload;
 };
 
+/// The settings file that a variable of the environment names, as arguments for runProgram(): added when the command
+/// line names none. Precondition: argv lives as long as the process.
+std::vector<char*> withSettingsFrom(const char* variable, int argc, char** argv);
+
 /// Parses --help, --version, --check and --settings FILE, then runs until SIGTERM or SIGINT, which stop it
 /// gracefully. Returns the exit code.
 int runProgram(int argc, char** argv, const char* version, program_body body);
--- a/Source/records/control_state.cpp
+++ b/Source/records/control_state.cpp
@@ -35,6 +35,8 @@
     case wire::command::kCrash:
         outcome.crashes = markCrash(command.crash());
         break;
+    // A fleet that keeps one document has a state of its own; its commands don't reach this one.
+    case wire::command::kDocument:
     case wire::command::BODY_NOT_SET:
         break;
     }
--- /dev/null
+++ b/Source/replication/document_replica.cpp
@@ -0,0 +1,352 @@
+#include "replication/document_replica.h"
+
+#include <cstdlib>
+
+namespace pistachiolatch {
+
+namespace {
+    constexpr milliseconds joinInterval { 300 };
+    /// How long a submission or a read may take at another replica. Callers try the next VM after a second.
+    constexpr milliseconds forwardTimeout { 800 };
+    /// The log is cut when it holds this much behind the snapshot: a small share of the disk, and little to read at a start.
+    constexpr std::uint64_t mostLogBytes = 4UL * 1024 * 1024;
+    constexpr std::uint64_t mostLogEntries = 400;
+}
+
+document_replica::document_replica(boost::asio::io_context& context, peer_network& network, const clock_source& clock, metrics& counters,
+    replica_start start, file_log_store store, replica_events events)
+    : m_network(network)
+    , m_clock(clock)
+    , m_metrics(counters)
+    , m_events(std::move(events))
+    , m_self(start.self)
+    , m_host(raft_core(start.self, raft_settings {}, freshIncarnation(), start.restored, clock.now()), std::move(store), effects())
+    , m_timer(context)
+{
+    load(start.restored.snapshot);
+    if (start.founders.voters_size() > 0) {
+        m_host.core().found(start.founders);
+        logEvent("log_founded", { { "voters", start.founders.voters_size() } });
+    }
+}
+
+void document_replica::start()
+{
+    settle();
+}
+
+void document_replica::stop()
+{
+    m_failed = true;
+    m_timer.cancel();
+}
+
+raft_effects document_replica::effects()
+{
+    raft_effects effects;
+    effects.send = [this](const wire::raft_message& message) {
+        wire::envelope envelope;
+        *envelope.mutable_raft() = message;
+        m_network.send(message.to().address(), std::move(envelope));
+    };
+    effects.apply = [this](const wire::log_entry& entry) { apply(entry); };
+    effects.restore = [this](const wire::raft_snapshot& snapshot) {
+        load(snapshot);
+        logEvent("snapshot_installed", { { "index", snapshot.index() }, { "version", m_document.version() } });
+        m_events.documentChanged();
+    };
+    effects.read = [this](std::uint64_t id, bool done) {
+        auto found = m_reads.find(id);
+        if (found == m_reads.end())
+            return;
+        auto handler = std::move(found->second);
+        m_reads.erase(found);
+        handler(done ? &m_document : nullptr);
+    };
+    return effects;
+}
+
+void document_replica::load(const wire::raft_snapshot& snapshot)
+{
+    if (snapshot.index() == 0)
+        return;
+    // The snapshot's checksum was right, so content that can't be decoded is a broken invariant.
+    if (!m_document.ParseFromString(snapshot.state()))
+        std::abort();
+    m_applied = snapshot.index();
+}
+
+void document_replica::apply(const wire::log_entry& entry)
+{
+    m_applied = entry.index();
+    m_bytesSinceSnapshot += entry.data().size();
+    if (entry.kind() == wire::ENTRY_MEMBERSHIP) {
+        wire::replica_set members;
+        members.ParseFromString(entry.data());
+        logEvent("membership_committed", { { "index", entry.index() }, { "term", entry.term() }, { "voters", members.voters_size() } });
+    }
+    if (entry.kind() == wire::ENTRY_COMMAND) {
+        wire::command command;
+        // Only this program writes commands: one that can't be read is a broken invariant.
+        if (!command.ParseFromString(entry.data()))
+            std::abort();
+        take(std::move(*command.mutable_document()));
+    }
+    auto found = m_pending.find(entry.index());
+    if (found == m_pending.end())
+        return;
+    auto pending = std::move(found->second);
+    m_pending.erase(found);
+    // Another leader's entry stands where the document was put: it is lost, though a copy may come back from a replica.
+    bool lost = pending.term != entry.term();
+    pending.handler({ lost, m_document.version() });
+}
+
+void document_replica::take(wire::document document)
+{
+    if (document.version() <= m_document.version())
+        return;
+    logEvent("document_committed", { { "version", document.version() }, { "before", m_document.version() }, { "bytes", document.body().size() }, { "index", m_applied } });
+    m_document = std::move(document);
+    m_events.documentChanged();
+}
+
+bool document_replica::leads() const
+{
+    return m_host.core().hasCommittedInTerm() && m_host.core().leaseValid(m_clock.now());
+}
+
+std::string document_replica::leaderAddress() const
+{
+    const auto& leader = m_host.core().leader();
+    return leader ? leader->address() : std::string();
+}
+
+std::optional<milliseconds> document_replica::confirmedAge() const
+{
+    auto now = m_clock.now();
+    auto at = m_host.core().confirmedAt(now);
+    if (!at)
+        return std::nullopt;
+    return std::chrono::ceil<milliseconds>(now - *at);
+}
+
+void document_replica::learnPeers(const std::vector<std::string>& addresses)
+{
+    for (const auto& address : addresses) {
+        if (address != m_self.address())
+            m_peers.insert(address);
+    }
+}
+
+std::vector<std::string> document_replica::peers() const
+{
+    auto all = m_peers;
+    for (const auto& voter : m_host.core().members().voters()) {
+        if (voter.address() != m_self.address())
+            all.insert(voter.address());
+    }
+    return { all.begin(), all.end() };
+}
+
+bool document_replica::onMessage(const wire::envelope& message, const peer_network::peer& from)
+{
+    switch (message.body_case()) {
+    case wire::envelope::kRaft:
+        if (m_failed)
+            return true;
+        m_host.core().step(message.raft(), m_clock.now());
+        settle();
+        return true;
+    case wire::envelope::kJoin:
+        learnPeers({ message.join().replica().address() });
+        if (m_failed)
+            return true;
+        m_host.core().join(message.join().replica(), m_clock.now());
+        settle();
+        return true;
+    case wire::envelope::kDocumentSubmit:
+        propose(message.document_submit().document(), [from, message](document_outcome outcome) {
+            wire::envelope reply;
+            reply.mutable_document_submit_reply()->set_unavailable(outcome.unavailable);
+            reply.mutable_document_submit_reply()->set_held_version(outcome.heldVersion);
+            peer_network::reply(from, message, std::move(reply));
+        });
+        return true;
+    case wire::envelope::kDocumentRead:
+        readHere([from, message](const wire::document* newest) {
+            wire::envelope reply;
+            reply.mutable_document_read_reply()->set_unavailable(!newest);
+            if (newest)
+                *reply.mutable_document_read_reply()->mutable_document() = *newest;
+            peer_network::reply(from, message, std::move(reply));
+        });
+        return true;
+    default:
+        return false;
+    }
+}
+
+void document_replica::submit(wire::document document, submit_handler handler)
+{
+    auto leader = leaderAddress();
+    if (leads() || leader.empty() || leader == m_self.address()) {
+        propose(document, std::move(handler));
+        return;
+    }
+    wire::envelope message;
+    *message.mutable_document_submit()->mutable_document() = std::move(document);
+    m_network.call(leader, std::move(message), forwardTimeout, [handler = std::move(handler)](const wire::envelope* reply) {
+        if (!reply || !reply->has_document_submit_reply())
+            handler({ true, 0 });
+        else
+            handler({ reply->document_submit_reply().unavailable(), reply->document_submit_reply().held_version() });
+    });
+}
+
+void document_replica::propose(const wire::document& document, submit_handler handler)
+{
+    if (m_failed || !leads()) {
+        handler({ true, 0 });
+        return;
+    }
+    // A committed document of that version or a higher one stays: there is nothing to add to the log.
+    if (document.version() <= m_document.version()) {
+        handler({ false, m_document.version() });
+        return;
+    }
+    wire::command command;
+    *command.mutable_document() = document;
+    auto position = m_host.core().propose(command.SerializeAsString());
+    if (!position) {
+        handler({ true, 0 });
+        return;
+    }
+    m_pending[position->index] = { position->term, document.version(), std::move(handler) };
+    settle();
+}
+
+void document_replica::read(read_handler handler)
+{
+    auto leader = leaderAddress();
+    if (m_host.core().hasCommittedInTerm() || leader.empty() || leader == m_self.address()) {
+        readHere(std::move(handler));
+        return;
+    }
+    wire::envelope message;
+    message.mutable_document_read();
+    m_network.call(leader, std::move(message), forwardTimeout, [handler = std::move(handler)](const wire::envelope* reply) {
+        if (!reply || !reply->has_document_read_reply() || reply->document_read_reply().unavailable())
+            handler(nullptr);
+        else
+            handler(&reply->document_read_reply().document());
+    });
+}
+
+void document_replica::readHere(read_handler handler)
+{
+    if (m_failed) {
+        handler(nullptr);
+        return;
+    }
+    m_reads[++m_lastRead] = std::move(handler);
+    m_host.core().read(m_lastRead);
+    settle();
+}
+
+void document_replica::settle()
+{
+    if (m_failed)
+        return;
+    auto drained = m_host.drain();
+    if (!drained) {
+        fail(drained.error().message);
+        return;
+    }
+    followLeadership();
+    compactIfLong();
+    armTimer();
+}
+
+void document_replica::fail(const std::string& why)
+{
+    m_failed = true;
+    logEvent("storage_failed", { { "error", why } });
+    m_timer.cancel();
+    failPending();
+    m_events.storageFailed(why);
+}
+
+void document_replica::armTimer()
+{
+    auto due = std::min(m_host.core().nextDue(), m_host.core().wantsToJoin() ? m_nextJoin : time_point::max());
+    auto now = m_clock.now();
+    // A timer that is armed for an earlier time looks again then; arming it anew at each message would cost more.
+    if (m_armedFor != time_point {} && m_armedFor <= due)
+        return;
+    m_armedFor = due;
+    m_timer.expires_after(std::max(due - now, duration(milliseconds(1))));
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            onTimer();
+    });
+}
+
+void document_replica::onTimer()
+{
+    if (m_failed)
+        return;
+    m_armedFor = {};
+    m_host.core().tick(m_clock.now());
+    sendJoin();
+    settle();
+}
+
+void document_replica::sendJoin()
+{
+    if (!m_host.core().wantsToJoin() || m_clock.now() < m_nextJoin)
+        return;
+    m_nextJoin = m_clock.now() + joinInterval;
+    for (const auto& address : peers()) {
+        wire::envelope message;
+        *message.mutable_join()->mutable_replica() = m_self;
+        m_network.send(address, std::move(message));
+    }
+}
+
+void document_replica::followLeadership()
+{
+    // This replica leads once it knows all that was ever acknowledged, not as soon as it is elected.
+    bool leads = m_host.core().hasCommittedInTerm();
+    if (leads == m_leads)
+        return;
+    m_leads = leads;
+    m_metrics.count(leads ? "leadership_gained" : "leadership_lost");
+    logEvent(leads ? "leadership_gained" : "leadership_lost", { { "term", m_host.core().term() }, { "version", m_document.version() } });
+    if (!leads)
+        failPending();
+    m_events.leadershipChanged(leads);
+}
+
+void document_replica::failPending()
+{
+    auto pending = std::exchange(m_pending, {});
+    for (auto& [index, one] : pending)
+        one.handler({ true, 0 });
+    auto reads = std::exchange(m_reads, {});
+    for (auto& [id, handler] : reads)
+        handler(nullptr);
+}
+
+void document_replica::compactIfLong()
+{
+    bool long_ = m_bytesSinceSnapshot > mostLogBytes || m_applied > m_host.core().log().baseIndex() + mostLogEntries;
+    if (!long_)
+        return;
+    m_bytesSinceSnapshot = 0;
+    auto compacted = m_host.compact(m_applied, m_document.SerializeAsString());
+    if (!compacted)
+        fail(compacted.error().message);
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/replication/document_replica.h
@@ -0,0 +1,109 @@
+#pragma once
+#include "consensus/consensus.h"
+#include "peering/peering.h"
+#include "replication/replica_identity.h"
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace pistachiolatch {
+
+/// What became of a submitted document.
+struct document_outcome {
+    /// Whether nothing is known: no leader, no quorum, or the leader was lost meanwhile. The document may yet be accepted.
+    bool unavailable = false;
+    /// The version in force afterwards; at least the submitted one.
+    std::uint64_t heldVersion = 0;
+};
+
+/// What the process does with a replica's events.
+struct replica_events {
+    /// A newer document was committed.
+    std::function<void()> documentChanged;
+    /// This replica became the leader, or stopped being it.
+    std::function<void(bool leads)> leadershipChanged;
+    /// The disk failed; the replica can no longer keep what it acknowledges and takes no further part.
+    std::function<void(const std::string& why)> storageFailed;
+};
+
+/// One replica of the log that holds the configuration document. Of two documents the one with the higher version
+/// wins; an equal or lower version changes nothing, so that a document sent again is acknowledged again.
+/// Thread safety: everything is called on the thread that runs the context.
+class document_replica {
+public:
+    using submit_handler = std::function<void(document_outcome)>;
+    /// Gets null when the newest document can't be told for certain.
+    using read_handler = std::function<void(const wire::document* newest)>;
+
+    /// Preconditions: the references outlive the replica; the store was opened by openReplica().
+    document_replica(boost::asio::io_context& context, peer_network& network, const clock_source& clock, metrics& counters,
+        replica_start start, file_log_store store, replica_events events);
+
+    void start();
+    void stop();
+    /// Takes in what a peer sent, if it is for the log. Returns whether it was.
+    bool onMessage(const wire::envelope& message, const peer_network::peer& from);
+    /// Adds addresses at which replicas may be found.
+    void learnPeers(const std::vector<std::string>& addresses);
+
+    /// Submits a document that was checked; goes through the leader, wherever it is.
+    void submit(wire::document document, submit_handler handler);
+    /// Reads the newest document through a quorum; goes through the leader, wherever it is.
+    void read(read_handler handler);
+
+    /// The newest committed document that this replica knows.
+    const wire::document& document() const { return m_document; }
+    /// Whether this replica leads and no other can.
+    bool leads() const;
+    /// The address of the leader, as far as known.
+    std::string leaderAddress() const;
+    /// How long ago this leader was last known to be the only one; nothing when it can't tell.
+    std::optional<milliseconds> confirmedAge() const;
+    /// The other replicas that are known, voters or not.
+    std::vector<std::string> peers() const;
+    std::uint64_t term() const { return m_host.core().term(); }
+
+private:
+    raft_effects effects();
+    void settle();
+    void armTimer();
+    void onTimer();
+    void sendJoin();
+    void apply(const wire::log_entry& entry);
+    void load(const wire::raft_snapshot& snapshot);
+    void take(wire::document document);
+    void compactIfLong();
+    void followLeadership();
+    void failPending();
+    void propose(const wire::document& document, submit_handler handler);
+    void readHere(read_handler handler);
+    void fail(const std::string& why);
+
+    struct pending_submit {
+        std::uint64_t term;
+        std::uint64_t version;
+        submit_handler handler;
+    };
+
+    peer_network& m_network;
+    const clock_source& m_clock;
+    metrics& m_metrics;
+    replica_events m_events;
+    wire::replica_id m_self;
+    raft_host<file_log_store> m_host;
+    boost::asio::steady_timer m_timer;
+    time_point m_armedFor {};
+    time_point m_nextJoin {};
+    std::set<std::string> m_peers;
+    wire::document m_document;
+    std::uint64_t m_applied = 0;
+    std::uint64_t m_bytesSinceSnapshot = 0;
+    bool m_leads = false;
+    bool m_failed = false;
+    std::map<std::uint64_t, pending_submit> m_pending;
+    std::map<std::uint64_t, read_handler> m_reads;
+    std::uint64_t m_lastRead = 0;
+};
+
+} // namespace pistachiolatch
