--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -187,7 +187,7 @@
     for (const auto& one : decoded.value().organisations) {
         if (one.rate == 0)
             continue;
-        m_limits->configure(one.name, one.rate, one.burst + m_settings.extraBurst, m_clock.now());
+        m_limits->configure(one.name, one.rate, one.burst + m_settings.tolerance.extraBurst(one.rate, one.burst), m_clock.now());
         limited.insert(one.name);
     }
     for (const auto& name : m_limited) {
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -8,12 +8,28 @@
 
 namespace pistachiolatch {
 
+/// What a deployment tolerates beyond an organisation's rate and burst in any window. Half of it goes to the bucket, so
+/// that a single request larger than a small organisation's burst is served and chance bursts within the tolerance are
+/// not refused; the other half stays for what entries let through while the limits have no owner.
+struct limit_tolerance {
+    /// Share of what rate and burst allow in a window.
+    double overshoot = 0;
+    std::uint64_t slackTokens = 0;
+    milliseconds window { 0 };
+
+    /// The tokens that an organisation may have beyond its burst at once.
+    std::uint64_t extraBurst(std::uint64_t rate, std::uint64_t burst) const
+    {
+        auto allowed = static_cast<double>(rate) * std::chrono::duration<double>(window).count() + static_cast<double>(burst);
+        return static_cast<std::uint64_t>((overshoot * allowed + static_cast<double>(slackTokens)) / 2);
+    }
+};
+
 struct coordinator_settings {
     directory_settings directory;
     /// An entry that is silent for longer than its lease lasts can't act any more, and is forgotten.
     milliseconds entryLease { 4000 };
-    /// Tokens that each organisation may have beyond its burst at once. The platform of a deployment may tolerate some.
-    std::uint64_t extraBurst = 0;
+    limit_tolerance tolerance;
 };
 
 /// Reads a document's body into the configuration it holds.
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -44,6 +44,8 @@
     task_of<void> serve(caller_handle caller);
     task_of<std::optional<caller_request>> readRequest(caller_handle caller);
     task_of<void> refuseUnreadable(const caller_handle& caller, boost::system::error_code error);
+    /// Whether so much of the time for shutting down has passed that a call taken now might be cut off by its end.
+    bool endsSoon() const { return m_shared.draining && m_shared.clock.now() - m_drainingSince > m_settings.acceptWhileDraining; }
     void sweep();
     void scheduleSweep();
     caller_limits limits() const;
@@ -130,9 +132,13 @@
         caller->inCall = true;
         ++m_active;
         bool goesOn = false;
+        bool tooLate = endsSoon();
         {
             forward_call<Dialect> call(m_shared, caller->channel, std::move(*request));
-            goesOn = co_await call.run();
+            if (tooLate)
+                co_await call.refuseAtShutdown();
+            else
+                goesOn = co_await call.run();
         }
         --m_active;
         caller->inCall = false;
@@ -217,7 +223,7 @@
 {
     auto now = m_shared.clock.now();
     auto bounds = limits();
-    bool stopsAccepting = m_shared.draining && now - m_drainingSince > m_settings.acceptWhileDraining;
+    bool stopsAccepting = endsSoon();
     if (stopsAccepting && m_acceptor.is_open()) {
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -40,6 +40,8 @@
 
     /// Serves the call. Returns whether the connection can carry another.
     task_of<bool> run();
+    /// Refuses the call because the entry ends before its answer might. The caller's next attempt reaches another entry.
+    task_of<void> refuseAtShutdown();
 
 private:
     struct prefill_result {
--- a/Source/forwarding/forward_call_steps.h
+++ b/Source/forwarding/forward_call_steps.h
@@ -90,9 +90,17 @@
     }
     releasePrefill();
     logEnd();
-    if (!m_keepAlive || m_callerGone)
-        co_return false;
-    co_return !m_caller->isClosed();
+    // A stream that began before the shutdown promised to keep the connection; the next request on it would come to a
+    // process that may end before its answer does.
+    bool goesOn = m_keepAlive && !m_callerGone && !m_shared.draining && !m_caller->isClosed();
+    co_return goesOn;
+}
+
+template <call_dialect Dialect>
+task_of<void> forward_call<Dialect>::refuseAtShutdown()
+{
+    call_refusal refusal { reason::ShuttingDown, httpStatus(reason::ShuttingDown), milliseconds(0) };
+    co_await refuse(refusal);
 }
 
 template <call_dialect Dialect>
