Scheduling: Place model calls with one view, by the memory they will hold

Now the leader projects each engine's memory at every coming end of a call and queues what doesn't fit yet; entries choose by themselves while no leader answers.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -9,6 +9,8 @@
     constexpr milliseconds syncTimeout { 300 };
     /// Pause between two questions while no leader is known; an election takes about a second.
     constexpr milliseconds searchPause { 80 };
+    /// A plan that takes longer than it was to wait is done without: an entry can place a call by itself, only less well.
+    constexpr milliseconds planTimeout { 60 };
 }
 
 control_link::control_link(boost::asio::io_context& context, peer_network& network, const clock_source& clock, metrics& counters,
@@ -78,6 +80,7 @@
     sync.set_directory_source(m_directorySource);
     sync.set_directory_version(m_directoryVersion);
     m_endpoints.fillLoad(*sync.mutable_load());
+    m_endpoints.fillCalls(*sync.mutable_calls());
     auto sentAt = m_clock.now();
     m_network.call(address, std::move(message), syncTimeout, [this, address, sentAt](const wire::envelope* reply) { onReply(reply, address, sentAt); });
 }
@@ -159,6 +162,33 @@
     m_table = std::make_shared<route_table>(std::move(decoded.value()));
 }
 
+void control_link::plan(wire::engine_plan_request ask, std::function<void(std::optional<wire::engine_plan_reply>)> handler)
+{
+    if (m_leader.empty()) {
+        handler(std::nullopt);
+        return;
+    }
+    wire::envelope message;
+    auto patience = milliseconds(ask.patience_ms());
+    *message.mutable_engine_plan_request() = std::move(ask);
+    m_network.call(m_leader, std::move(message), patience + planTimeout, [handler = std::move(handler)](const wire::envelope* reply) {
+        bool planned = reply && reply->has_engine_plan_reply() && !reply->engine_plan_reply().unavailable();
+        handler(planned ? std::optional(reply->engine_plan_reply()) : std::nullopt);
+    });
+}
+
+void control_link::release(std::uint64_t callId, std::uint64_t generated, milliseconds generating)
+{
+    if (m_leader.empty())
+        return;
+    wire::envelope message;
+    auto& release = *message.mutable_engine_release();
+    release.set_call_id(callId);
+    release.set_generated(generated);
+    release.set_generating_ms(static_cast<std::uint32_t>(generating.count()));
+    m_network.send(m_leader, std::move(message));
+}
+
 void control_link::sayGoodbye()
 {
     if (m_leader.empty())
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -4,6 +4,7 @@
 #include "peering/peering.h"
 #include "routing/routing.h"
 #include <memory>
+#include <optional>
 
 namespace pistachiolatch {
 
@@ -38,6 +39,10 @@
     const std::string& leader() const { return m_leader; }
     /// Entries in the fleet, this one among them; at least 1.
     unsigned entries() const { return m_entries; }
+    /// Asks the leader where a model call should go. The handler gets null when no leader answers in time.
+    void plan(wire::engine_plan_request ask, std::function<void(std::optional<wire::engine_plan_reply>)> handler);
+    /// Tells the leader that a call which it placed has ended, after it had generated so many tokens in that time.
+    void release(std::uint64_t callId, std::uint64_t generated, milliseconds generating);
     /// Tells the leader that this entry leaves, so that its shares go to the others.
     void sayGoodbye();
 
--- a/Source/coordination/endpoint_listener.h
+++ b/Source/coordination/endpoint_listener.h
@@ -15,6 +15,8 @@
     virtual void onLoad(const google::protobuf::RepeatedPtrField<wire::endpoint_load>& others) = 0;
     /// What this entry has at the endpoints, for the others.
     virtual void fillLoad(google::protobuf::RepeatedPtrField<wire::endpoint_load>& own) const = 0;
+    /// The model calls that this entry has running.
+    virtual void fillCalls(google::protobuf::RepeatedPtrField<wire::running_call>& calls) const = 0;
 };
 
 } // namespace pistachiolatch
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -6,6 +6,12 @@
     constexpr milliseconds expiryInterval { 500 };
     /// How often questions that wait for tokens are looked at. Short beside the time that callers are content with.
     constexpr milliseconds limitInterval { 20 };
+    /// How often calls that wait for memory are looked at, beside whenever a call ends.
+    constexpr milliseconds planInterval { 30 };
+    /// When a call that found all engines full is told to come back: after about as long as a call takes to end, and
+    /// later the more are waiting.
+    constexpr milliseconds retryAfterFull { 1200 };
+    constexpr milliseconds retryAfterEach { 60 };
     /// How long the leader may take to confirm that an endpoint leaves. Endpoints try the next VM after a second.
     constexpr milliseconds confirmTimeout { 700 };
 }
@@ -20,6 +26,8 @@
     , m_settings(settings)
     , m_decode(std::move(decode))
     , m_directory(freshIncarnation(), settings.directory)
+    , m_planner(freshIncarnation())
+    , m_planTimer(context)
     , m_timer(context)
     , m_limitTimer(context)
 {
@@ -40,12 +48,19 @@
 {
     m_timer.cancel();
     m_limitTimer.cancel();
+    m_planTimer.cancel();
 }
 
 void entry_coordinator::onTimer()
 {
     auto now = m_clock.now();
-    std::erase_if(m_entries, [&](const auto& item) { return now - item.second.heardAt > m_settings.entryLease; });
+    std::vector<peer_connection*> silent;
+    for (const auto& [entry, session] : m_entries) {
+        if (now - session.heardAt > m_settings.entryLease)
+            silent.push_back(entry);
+    }
+    for (auto* entry : silent)
+        forgetEntry(entry);
     if (m_directory.expire(now))
         pushChanges();
 }
@@ -59,6 +74,12 @@
     case wire::envelope::kReportEndpoint:
         onReport(message, from);
         return true;
+    case wire::envelope::kEnginePlanRequest:
+        onPlanRequest(message, from);
+        return true;
+    case wire::envelope::kEngineRelease:
+        onRelease(message, from);
+        return true;
     case wire::envelope::kLimit:
         onLimitRequest(message, from);
         return true;
@@ -69,8 +90,9 @@
 
 void entry_coordinator::onPeerLost(const peer_network::peer& lost)
 {
-    m_entries.erase(lost.get());
+    forgetEntry(lost.get());
     std::erase_if(m_waiting, [&](const auto& item) { return item.second.peer == lost; });
+    std::erase_if(m_waitingPlans, [&](const auto& one) { return one.peer == lost; });
 }
 
 void entry_coordinator::onSync(const wire::envelope& message, const peer_network::peer& from)
@@ -85,6 +107,8 @@
     auto age = m_replica.confirmedAge();
     if (m_replica.leads() && age) {
         auto& session = m_entries[from.get()];
+        if (session.name.empty())
+            session.name = std::to_string(++m_lastEntry);
         session.peer = from;
         session.heardAt = m_clock.now();
         session.documentVersion = sync.document_version();
@@ -93,8 +117,9 @@
         session.load.clear();
         for (const auto& one : sync.load())
             session.load[one.id()] = one;
+        m_planner.takeCalls(session.name, { sync.calls().begin(), sync.calls().end() }, m_clock.now());
         if (sync.leaving())
-            m_entries.erase(from.get());
+            forgetEntry(from.get());
         update.set_leads(true);
         update.set_confirmed_age_ms(static_cast<std::uint32_t>(age->count()));
         if (!sync.leaving()) {
@@ -165,6 +190,9 @@
 {
     m_entries.clear();
     m_waiting.clear();
+    m_waitingPlans.clear();
+    m_planner = engine_planner(freshIncarnation());
+    m_planned = 0;
     m_limits.reset();
     m_limited.clear();
     if (!leads)
@@ -174,6 +202,103 @@
     configureLimits();
 }
 
+void entry_coordinator::forgetEntry(peer_connection* entry)
+{
+    auto found = m_entries.find(entry);
+    if (found == m_entries.end())
+        return;
+    m_planner.forgetEntry(found->second.name);
+    m_entries.erase(found);
+}
+
+void entry_coordinator::refreshPlanner()
+{
+    if (m_planned == m_directory.version())
+        return;
+    for (const auto& row : m_directory.changesSince(m_planned))
+        m_planner.takeEndpoint(row);
+    m_planned = m_directory.version();
+}
+
+void entry_coordinator::onPlanRequest(const wire::envelope& message, const peer_network::peer& from)
+{
+    if (!m_entries.count(from.get()) || !m_replica.leads()) {
+        wire::envelope reply;
+        reply.mutable_engine_plan_reply()->set_unavailable(true);
+        peer_network::reply(from, message, std::move(reply));
+        return;
+    }
+    m_waitingPlans.push_back({ from, message, m_clock.now() + milliseconds(message.engine_plan_request().patience_ms()) });
+    answerPlans();
+}
+
+engine_plan entry_coordinator::planFor(const waiting_plan& waiting)
+{
+    auto session = m_entries.find(waiting.peer.get());
+    if (session == m_entries.end())
+        return { true, "", "" };
+    const auto& asked = waiting.call.engine_plan_request();
+    engine_ask ask;
+    ask.callId = asked.call_id();
+    ask.service = asked.service();
+    ask.dataCentre = asked.data_centre();
+    ask.promptTokens = asked.prompt_tokens();
+    ask.outputTokens = asked.output_tokens();
+    ask.memoryTokens = asked.memory_tokens();
+    ask.avoid = { asked.avoid().begin(), asked.avoid().end() };
+    return m_planner.place(session->second.name, ask, m_clock.now());
+}
+
+void entry_coordinator::answerPlans()
+{
+    refreshPlanner();
+    auto now = m_clock.now();
+    // Services whose engines are full; calls behind the first one that waits must not overtake it, or a large prompt
+    // would wait for ever behind small ones.
+    std::set<std::string> blocked;
+    for (auto it = m_waitingPlans.begin(); it != m_waitingPlans.end();) {
+        const auto& service = it->call.engine_plan_request().service();
+        auto plan = blocked.count(service) ? engine_plan { true, "", "" } : planFor(*it);
+        if (plan.full && now < it->giveUpAt) {
+            blocked.insert(service);
+            ++it;
+            continue;
+        }
+        wire::envelope reply;
+        auto& answer = *reply.mutable_engine_plan_reply();
+        answer.set_full(plan.full);
+        answer.set_decode(plan.decode);
+        answer.set_prefill(plan.prefill);
+        if (plan.full) {
+            m_metrics.count("engines_full");
+            // Memory frees as calls end, one after the other; who is told later comes back later.
+            answer.set_retry_after_ms(static_cast<std::uint32_t>((retryAfterFull + retryAfterEach * static_cast<int>(m_waitingPlans.size())).count()));
+        }
+        peer_network::reply(it->peer, it->call, std::move(reply));
+        it = m_waitingPlans.erase(it);
+    }
+    if (m_waitingPlans.empty() || m_planTimerArmed)
+        return;
+    m_planTimerArmed = true;
+    m_planTimer.expires_after(planInterval);
+    m_planTimer.async_wait([this](boost::system::error_code error) {
+        m_planTimerArmed = false;
+        if (!error)
+            answerPlans();
+    });
+}
+
+void entry_coordinator::onRelease(const wire::envelope& message, const peer_network::peer& from)
+{
+    auto session = m_entries.find(from.get());
+    if (session == m_entries.end())
+        return;
+    const auto& release = message.engine_release();
+    m_planner.release(session->second.name, release.call_id(), release.generated(), milliseconds(release.generating_ms()));
+    if (!m_waitingPlans.empty())
+        answerPlans();
+}
+
 void entry_coordinator::configureLimits()
 {
     if (!m_limits || m_replica.document().version() == 0)
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -3,6 +3,8 @@
 #include "membership/membership.h"
 #include "replication/replication.h"
 #include "routing/routing.h"
+#include "scheduling/engine_planner.h"
+#include <deque>
 #include <functional>
 #include <optional>
 
@@ -58,6 +60,8 @@
 
 private:
     struct entry_session {
+        /// Names the session towards the planner.
+        std::string name;
         peer_network::peer peer;
         std::uint64_t documentVersion = 0;
         std::uint64_t directorySource = 0;
@@ -65,6 +69,11 @@
         time_point heardAt;
         std::map<std::string, wire::endpoint_load> load;
     };
+    struct waiting_plan {
+        peer_network::peer peer;
+        wire::envelope call;
+        time_point giveUpAt;
+    };
     struct waiting_answer {
         peer_network::peer peer;
         wire::envelope call;
@@ -72,6 +81,12 @@
 
     void onSync(const wire::envelope& message, const peer_network::peer& from);
     void onReport(const wire::envelope& message, const peer_network::peer& from);
+    void onPlanRequest(const wire::envelope& message, const peer_network::peer& from);
+    void onRelease(const wire::envelope& message, const peer_network::peer& from);
+    engine_plan planFor(const waiting_plan& waiting);
+    void answerPlans();
+    void forgetEntry(peer_connection* entry);
+    void refreshPlanner();
     void onLimitRequest(const wire::envelope& message, const peer_network::peer& from);
     void fillUpdate(wire::entry_update& update, entry_session& session);
     void fillLoad(wire::entry_update& update, const entry_session& session) const;
@@ -89,6 +104,14 @@
     configuration_decoder m_decode;
     endpoint_directory m_directory;
     std::map<peer_connection*, entry_session> m_entries;
+    engine_planner m_planner;
+    /// The directory's version that the planner has.
+    std::uint64_t m_planned = 0;
+    std::uint64_t m_lastEntry = 0;
+    /// Calls that wait for memory, in the order they came.
+    std::deque<waiting_plan> m_waitingPlans;
+    boost::asio::steady_timer m_planTimer;
+    bool m_planTimerArmed = false;
     std::optional<limit_owner> m_limits;
     std::set<std::string> m_limited;
     std::map<std::uint64_t, waiting_answer> m_waiting;
--- a/Source/forwarding/call_types.h
+++ b/Source/forwarding/call_types.h
@@ -26,6 +26,8 @@
     /// The caller's key; empty when it sent none.
     std::string key;
     std::optional<token_usage> tokens;
+    /// The caller's guess at the tokens of the answer; right in the middle, often far off.
+    std::optional<std::uint64_t> expectedOutput;
     /// The id of the last event that the caller already has of a stream.
     std::string resumeAfter;
 };
--- a/Source/forwarding/endpoint_roster.cpp
+++ b/Source/forwarding/endpoint_roster.cpp
@@ -16,6 +16,8 @@
     /// A failing call costs as much as a wait behind this many full endpoints, so that an endpoint that fails a part
     /// of its calls gets work only when the others are full.
     constexpr double failureCost = 4;
+    /// Share of failures from which an endpoint is not planned for while others serve.
+    constexpr double avoidedFailures = 0.3;
     /// Load from which another data centre is looked at; bytes between data centres cost more than a short wait.
     constexpr double remoteFrom = 0.7;
     constexpr double remoteCost = 0.15;
@@ -117,6 +119,28 @@
     }
 }
 
+void endpoint_roster::fillCalls(google::protobuf::RepeatedPtrField<wire::running_call>& calls) const
+{
+    for (const auto& [id, call] : m_calls)
+        *calls.Add() = call;
+}
+
+void endpoint_roster::beginCall(std::uint64_t id, const std::string& endpoint, std::uint64_t promptTokens, std::uint64_t outputTokens)
+{
+    auto& call = m_calls[id];
+    call.set_id(id);
+    call.set_endpoint(endpoint);
+    call.set_prompt_tokens(promptTokens);
+    call.set_output_tokens(outputTokens);
+}
+
+void endpoint_roster::noteGenerated(std::uint64_t id, std::uint64_t tokens)
+{
+    auto found = m_calls.find(id);
+    if (found != m_calls.end())
+        found->second.set_generated(tokens);
+}
+
 bool endpoint_roster::hasAny(const std::string& service, wire::endpoint_stage stage) const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
@@ -198,6 +222,26 @@
     return picked_endpoint { best->report.id(), best->report.address(), best->report.data_centre() };
 }
 
+std::optional<picked_endpoint> endpoint_roster::find(const std::string& id) const
+{
+    auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || found->second.report.state() != wire::ENDPOINT_SERVING)
+        return std::nullopt;
+    const auto& report = found->second.report;
+    return picked_endpoint { report.id(), report.address(), report.data_centre() };
+}
+
+std::vector<std::string> endpoint_roster::avoided(const std::string& service) const
+{
+    auto now = m_clock.now();
+    std::vector<std::string> ids;
+    for (const auto& [id, one] : m_endpoints) {
+        if (one.report.service() == service && (avoided(one, now) || one.failures > avoidedFailures))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 void endpoint_roster::begin(const std::string& id, std::uint64_t tokens)
 {
     auto found = m_endpoints.find(id);
--- a/Source/forwarding/endpoint_roster.h
+++ b/Source/forwarding/endpoint_roster.h
@@ -53,9 +53,21 @@
     void onEndpoints(const google::protobuf::RepeatedPtrField<wire::endpoint_row>& rows, bool everything) override;
     void onLoad(const google::protobuf::RepeatedPtrField<wire::endpoint_load>& others) override;
     void fillLoad(google::protobuf::RepeatedPtrField<wire::endpoint_load>& own) const override;
+    void fillCalls(google::protobuf::RepeatedPtrField<wire::running_call>& calls) const override;
+
+    /// Notes a model call that runs, under an id from nextCallId(), and how far it has come.
+    void beginCall(std::uint64_t id, const std::string& endpoint, std::uint64_t promptTokens, std::uint64_t outputTokens);
+    std::uint64_t nextCallId() { return ++m_lastCall; }
+    void noteGenerated(std::uint64_t id, std::uint64_t tokens);
+    void endCall(std::uint64_t id) { m_calls.erase(id); }
 
     /// The endpoint for a call, or nothing when none can take it.
     std::optional<picked_endpoint> pick(const endpoint_query& query);
+    /// The endpoint of that id, if it may be used; nothing when it is unknown or has left.
+    std::optional<picked_endpoint> find(const std::string& id) const;
+    /// Endpoints of the service that fail or can't be reached just now.
+    std::vector<std::string> avoided(const std::string& service) const;
+    const std::string& dataCentre() const { return m_dataCentre; }
     /// Whether the service has an endpoint of that stage that serves, full or not.
     bool hasAny(const std::string& service, wire::endpoint_stage stage) const;
     /// Books a call on an endpoint, and takes the booking back. Unknown endpoints are ignored: they may have left meanwhile.
@@ -91,6 +103,8 @@
     std::string m_dataCentre;
     std::mt19937_64 m_random;
     std::map<std::string, known_endpoint> m_endpoints;
+    std::uint64_t m_lastCall = 0;
+    std::map<std::uint64_t, wire::running_call> m_calls;
 };
 
 /// Books a call on an endpoint for as long as it lives.
--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -16,7 +16,7 @@
     boost::asio::io_context& context;
     const clock_source& clock;
     metrics& counters;
-    const control_link& link;
+    control_link& link;
     token_account& tokens;
     endpoint_roster& roster;
     connection_pool& pool;
@@ -51,13 +51,26 @@
         time_point at;
     };
 
+    /// The endpoints of one try at a model call.
+    struct model_places {
+        picked_endpoint decode;
+        std::optional<picked_endpoint> prefill;
+        /// Whether the leader chose; it then knows better than this entry whether a prefill endpoint is worth its queue.
+        bool planned = false;
+    };
+
     std::optional<call_refusal> admit();
     task_of<token_verdict> takeTokens();
     task_of<void> runPlain();
     task_of<void> runModel();
-    task_of<std::optional<picked_endpoint>> awaitDecodeEndpoint(endpoint_query query);
-    task_of<attempt_end> serveModelAt(const picked_endpoint& decode);
-    task_of<void> ensurePrefill(const std::string& nearTo);
+    task_of<std::optional<model_places>> awaitPlaces();
+    task_of<std::optional<wire::engine_plan_reply>> planByLeader();
+    endpoint_query decodeQuery() const;
+    std::uint64_t expectedOutput() const;
+    void noteEvents(std::string_view piece);
+    task_of<attempt_end> serveModelAt(const model_places& places);
+    task_of<void> ensurePrefill(const model_places& places);
+    std::optional<picked_endpoint> pickPrefill(const model_places& places, const std::set<std::string>& tried);
     task_of<std::optional<std::string>> prefillAt(const picked_endpoint& endpoint);
     task_of<attempt_end> sendTo(const picked_endpoint& endpoint, attempt_orders orders);
     task_of<attempt_end> receive(const picked_endpoint& endpoint);
@@ -114,6 +127,12 @@
     unsigned m_status = 0;
     std::string m_outcome;
     milliseconds m_firstPiece { -1 };
+    /// The call's name towards the planner, the events passed on, and when the endpoint at hand sent its first.
+    std::uint64_t m_callId = 0;
+    std::uint64_t m_eventsPassed = 0;
+    std::uint64_t m_eventsHere = 0;
+    time_point m_generatingSince {};
+    milliseconds m_retryAfter { 0 };
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Source/forwarding/forward_call_model.h
+++ b/Source/forwarding/forward_call_model.h
@@ -17,8 +17,13 @@
     constexpr unsigned mostPrefills = 2;
     /// How often a call looks for a free decode endpoint while all are full.
     constexpr milliseconds capacityPause { 40 };
-    /// How long it looks, in times of the route's target. What can't start by then is told when to come back.
-    constexpr int capacityPatienceInTargets = 2;
+    /// How long a call may wait for memory, as a share of the route's target. What starts later is late anyway and
+    /// would take the place of one that is not; it is told when to come back instead.
+    constexpr int capacityPatienceTenths = 7;
+    /// The same while the entry chooses by itself.
+    constexpr int alonePatienceTenths = 5;
+    /// The share of the allowed output that answers use where nobody guesses; measured 0.54 on long answers.
+    constexpr double usualOutputShare = 0.6;
     /// Pauses between events that are borne at a stream that can go on elsewhere.
     constexpr int gapsBorne = 3;
     constexpr milliseconds leastGapBorne { 700 };
@@ -28,22 +33,26 @@
 task_of<void> forward_call<Dialect>::runModel()
 {
     reason why = reason::NoCapacity;
+    m_callId = m_shared.roster.nextCallId();
     while (!ended()) {
-        endpoint_query query;
-        query.service = m_service->name;
-        query.stage = m_shared.roster.hasAny(query.service, wire::STAGE_DECODE) ? wire::STAGE_DECODE : wire::STAGE_ANY;
-        query.tokens = m_tokens;
-        query.memoryTokens = m_service->engine->memoryTokens;
-        query.exclude = m_tried;
-        auto decode = co_await awaitDecodeEndpoint(query);
-        if (!decode)
+        auto places = co_await awaitPlaces();
+        if (!places)
             break;
-        endpoint_booking booking(m_shared.roster, decode->id, m_tokens);
-        auto end = co_await serveModelAt(*decode);
+        attempt_end end = attempt_end::NotSent;
+        m_eventsHere = 0;
+        m_generatingSince = {};
+        m_shared.roster.beginCall(m_callId, places->decode.id, m_head.tokens ? m_head.tokens->prompt : 0, expectedOutput());
+        {
+            endpoint_booking booking(m_shared.roster, places->decode.id, m_tokens);
+            end = co_await serveModelAt(*places);
+        }
+        m_shared.roster.endCall(m_callId);
+        auto generating = m_generatingSince == time_point {} ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_generatingSince);
+        m_shared.link.release(m_callId, m_eventsHere * m_service->engine->tokensPerEvent, generating);
         if (end == attempt_end::Answered)
             co_return;
         why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed : reason::EndpointFailed;
-        if (ended() || !tryAgainAfter(end, decode->id))
+        if (ended() || !tryAgainAfter(end, places->decode.id))
             break;
         m_events.dropRest();
     }
@@ -51,16 +60,75 @@
 }
 
 template <call_dialect Dialect>
-task_of<std::optional<picked_endpoint>> forward_call<Dialect>::awaitDecodeEndpoint(endpoint_query query)
+endpoint_query forward_call<Dialect>::decodeQuery() const
+{
+    endpoint_query query;
+    query.service = m_service->name;
+    query.stage = m_shared.roster.hasAny(query.service, wire::STAGE_DECODE) ? wire::STAGE_DECODE : wire::STAGE_ANY;
+    query.tokens = m_tokens;
+    query.memoryTokens = m_service->engine->memoryTokens;
+    query.exclude = m_tried;
+    return query;
+}
+
+template <call_dialect Dialect>
+std::uint64_t forward_call<Dialect>::expectedOutput() const
+{
+    if (!m_head.tokens)
+        return 0;
+    // The most that is allowed is seldom used; where the caller guesses, its guess is right in the middle.
+    auto usual = static_cast<std::uint64_t>(static_cast<double>(m_head.tokens->output) * forwarding_detail::usualOutputShare);
+    return std::min(m_head.expectedOutput.value_or(usual), m_head.tokens->output);
+}
+
+template <call_dialect Dialect>
+task_of<std::optional<wire::engine_plan_reply>> forward_call<Dialect>::planByLeader()
+{
+    wire::engine_plan_request ask;
+    auto answerBy = m_receivedAt + m_route->latencyTarget * forwarding_detail::capacityPatienceTenths / 10;
+    auto patience = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(answerBy - m_shared.clock.now()));
+    ask.set_patience_ms(static_cast<std::uint32_t>(patience.count()));
+    ask.set_call_id(m_callId);
+    ask.set_service(m_service->name);
+    ask.set_data_centre(m_shared.roster.dataCentre());
+    ask.set_prompt_tokens(m_head.tokens ? m_head.tokens->prompt : 0);
+    ask.set_output_tokens(expectedOutput());
+    ask.set_memory_tokens(m_service->engine->memoryTokens);
+    for (const auto& id : m_shared.roster.avoided(m_service->name))
+        ask.add_avoid(id);
+    for (const auto& id : m_tried)
+        ask.add_avoid(id);
+    pending_reply<std::optional<wire::engine_plan_reply>> reply(m_shared.context.get_executor());
+    m_shared.link.plan(std::move(ask), reply.completer());
+    auto answer = co_await reply.wait(timeLeft());
+    if (!answer)
+        co_return std::nullopt;
+    co_return *answer;
+}
+
+template <call_dialect Dialect>
+task_of<std::optional<typename forward_call<Dialect>::model_places>> forward_call<Dialect>::awaitPlaces()
 {
-    auto giveUpAt = m_receivedAt + std::min(m_route->latencyTarget * forwarding_detail::capacityPatienceInTargets, m_route->timeout);
+    auto plan = co_await planByLeader();
+    if (plan && plan->full()) {
+        m_retryAfter = milliseconds(plan->retry_after_ms());
+        co_return std::nullopt;
+    }
+    if (plan) {
+        auto decode = m_shared.roster.find(plan->decode());
+        if (decode)
+            co_return model_places { *decode, m_shared.roster.find(plan->prefill()), true };
+    }
+    // Without a leader, or with one that knows an endpoint which this entry doesn't yet, the entry chooses itself.
+    auto giveUpAt = m_shared.clock.now() + m_route->latencyTarget * forwarding_detail::alonePatienceTenths / 10;
     while (!ended()) {
-        if (auto picked = m_shared.roster.pick(query))
-            co_return picked;
+        auto decode = m_shared.roster.pick(decodeQuery());
+        if (decode)
+            co_return model_places { *decode, std::nullopt, false };
         if (m_shared.clock.now() >= giveUpAt)
             break;
         // What was tried may serve by now: a full endpoint's queue drains while this call waits.
-        query.exclude.clear();
+        m_tried.clear();
         boost::asio::steady_timer pause(m_shared.context, forwarding_detail::capacityPause);
         co_await pause.async_wait(forwarding_detail::asTuple);
     }
@@ -68,17 +136,17 @@
 }
 
 template <call_dialect Dialect>
-task_of<attempt_end> forward_call<Dialect>::serveModelAt(const picked_endpoint& decode)
+task_of<attempt_end> forward_call<Dialect>::serveModelAt(const model_places& places)
 {
-    co_await ensurePrefill(decode.dataCentre);
+    co_await ensurePrefill(places);
     if (ended())
         co_return attempt_end::NotSent;
-    auto orders = ordersFor(decode);
+    auto orders = ordersFor(places.decode);
     if (m_prefill) {
         orders.kvAddress = m_prefill->endpointAddress;
         orders.kvHandle = m_prefill->handle;
     }
-    auto end = co_await sendTo(decode, std::move(orders));
+    auto end = co_await sendTo(places.decode, std::move(orders));
     // A handle serves once. Only where the decode endpoint vouches that nothing ran, or was never reached, is it still there.
     if (end != attempt_end::NotSent && end != attempt_end::RefusedUnrun)
         m_prefill.reset();
@@ -86,7 +154,21 @@
 }
 
 template <call_dialect Dialect>
-task_of<void> forward_call<Dialect>::ensurePrefill(const std::string& nearTo)
+std::optional<picked_endpoint> forward_call<Dialect>::pickPrefill(const model_places& places, const std::set<std::string>& tried)
+{
+    if (places.planned && tried.empty())
+        return places.prefill;
+    endpoint_query query;
+    query.service = m_service->name;
+    query.stage = wire::STAGE_PREFILL;
+    query.fullAt = forwarding_detail::prefillFullAt;
+    query.exclude = tried;
+    query.nearTo = places.decode.dataCentre;
+    return m_shared.roster.pick(query);
+}
+
+template <call_dialect Dialect>
+task_of<void> forward_call<Dialect>::ensurePrefill(const model_places& places)
 {
     auto lifetime = m_service->engine->handleLifetime * forwarding_detail::handleTenths / 10;
     if (m_prefill && m_shared.clock.now() - m_prefill->at < lifetime)
@@ -94,13 +176,7 @@
     releasePrefill();
     std::set<std::string> tried;
     for (unsigned i = 0; i < forwarding_detail::mostPrefills && !ended(); ++i) {
-        endpoint_query query;
-        query.service = m_service->name;
-        query.stage = wire::STAGE_PREFILL;
-        query.fullAt = forwarding_detail::prefillFullAt;
-        query.exclude = tried;
-        query.nearTo = nearTo;
-        auto endpoint = m_shared.roster.pick(query);
+        auto endpoint = pickPrefill(places, tried);
         if (!endpoint)
             co_return;
         // The first prompt that is read is part of the call; each further one is a repeat.
@@ -175,6 +251,22 @@
     boost::asio::co_spawn(m_shared.context, release(connection, std::move(*unused)), boost::asio::detached);
 }
 
+template <call_dialect Dialect>
+void forward_call<Dialect>::noteEvents(std::string_view piece)
+{
+    constexpr std::string_view eventEnd = "\n\n";
+    std::uint64_t count = 0;
+    for (auto at = piece.find(eventEnd); at != std::string_view::npos; at = piece.find(eventEnd, at + eventEnd.size()))
+        ++count;
+    if (count == 0)
+        return;
+    if (m_generatingSince == time_point {})
+        m_generatingSince = m_shared.clock.now();
+    m_eventsHere += count;
+    m_eventsPassed += count;
+    m_shared.roster.noteGenerated(m_callId, m_eventsPassed * m_service->engine->tokensPerEvent);
+}
+
 template <call_dialect Dialect>
 task_of<attempt_end> forward_call<Dialect>::passStream(const picked_endpoint& endpoint, const answer_head& answer)
 {
@@ -215,6 +307,7 @@
         std::string out = piece.empty() ? std::string() : encodeChunk(piece);
         if (last)
             out += encodeChunk({});
+        noteEvents(piece);
         if (!piece.empty() && m_firstPiece < milliseconds(0)) {
             m_firstPiece = age();
             m_shared.counters.observe("first_event_seconds", m_firstPiece);
--- a/Source/forwarding/forward_call_steps.h
+++ b/Source/forwarding/forward_call_steps.h
@@ -405,7 +405,7 @@
         co_return;
     }
     auto why = m_deadlinePassed ? reason::DeadlineUnreachable : whyNotServed;
-    call_refusal refusal { why, httpStatus(why), forwarding_detail::comeBackSoon };
+    call_refusal refusal { why, httpStatus(why), std::max(m_retryAfter, forwarding_detail::comeBackSoon) };
     co_await refuse(refusal);
 }
 
--- a/Source/routing/configuration.h
+++ b/Source/routing/configuration.h
@@ -47,6 +47,8 @@
 struct engine_config {
     unsigned slots = 0;
     std::uint64_t memoryTokens = 0;
+    /// Tokens that one event of a stream stands for.
+    unsigned tokensPerEvent = 1;
     /// How long a prefill's result is kept for a decode endpoint to fetch it.
     milliseconds handleLifetime { 0 };
 };
--- /dev/null
+++ b/Source/scheduling/engine_planner.h
@@ -0,0 +1,98 @@
+#pragma once
+#include "kernel/kernel.h"
+#include "scheduling/memory_projection.h"
+#include "wire/generated/pistachiolatch.pb.h"
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pistachiolatch {
+
+/// A model call that needs endpoints.
+struct engine_ask {
+    /// Names the call within its entry.
+    std::uint64_t callId = 0;
+    std::string service;
+    /// Where the asking entry is.
+    std::string dataCentre;
+    std::uint64_t promptTokens = 0;
+    /// Tokens that the answer is expected to have.
+    std::uint64_t outputTokens = 0;
+    /// Memory of each endpoint of the service, in tokens.
+    std::uint64_t memoryTokens = 0;
+    /// Endpoints that the entry could not use just now.
+    std::set<std::string> avoid;
+};
+
+/// Where a model call goes. Without a prefill endpoint the decode endpoint reads the prompt itself.
+struct engine_plan {
+    bool full = false;
+    std::string decode;
+    std::string prefill;
+};
+
+/// Places model calls with one view of all endpoints. Load pattern: bursts at twice the usual rate fill the engines'
+/// memory. Entries that each choose by figures half a second old then overfill some engines while others have room; an
+/// engine that overflows puts a running request back and reads its whole prompt again, which costs as much as a new
+/// one and stops its stream. Here each call counts from the moment it is placed, by what it will hold as it grows.
+/// An entry's own list of its calls replaces what was noted for it, so that a lost message is mended by the next one.
+/// Pure; not thread-safe.
+class engine_planner {
+public:
+    explicit engine_planner(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    /// Takes in what the directory knows of an endpoint.
+    void takeEndpoint(const wire::endpoint_row& row);
+    /// Chooses endpoints and books them for the entry.
+    engine_plan place(const std::string& entry, const engine_ask& ask, time_point now);
+    /// All calls that an entry has running, as of when it sent the list.
+    void takeCalls(const std::string& entry, const std::vector<wire::running_call>& calls, time_point now);
+    /// A call ended after it had generated so much in that time.
+    void release(const std::string& entry, std::uint64_t callId, std::uint64_t generated, milliseconds generating);
+    void forgetEntry(const std::string& entry);
+    /// The most tokens that the calls placed on an endpoint will hold.
+    std::uint64_t projectedTokens(const std::string& endpoint, time_point now) const;
+    /// Prompt tokens placed in the last seconds, a second.
+    double promptRate(const std::string& service, time_point now) const;
+
+private:
+    struct engine {
+        wire::endpoint_row row;
+        /// When the prompts that were sent here are expected to be read.
+        time_point promptsReadAt {};
+    };
+    struct placed_call {
+        std::string endpoint;
+        std::uint64_t prompt;
+        std::uint64_t output;
+        std::uint64_t generated;
+        /// When the figures were true.
+        time_point at;
+    };
+    struct prompt_demand {
+        double tokens = 0;
+        time_point at {};
+    };
+    using users_by_endpoint = std::map<std::string, std::vector<memory_user>>;
+
+    memory_user userOf(const placed_call& call, time_point now) const;
+    users_by_endpoint usersNow(time_point now) const;
+    bool serves(const engine& one, const engine_ask& ask, wire::endpoint_stage stage) const;
+    const engine* pickDecode(const engine_ask& ask, time_point now);
+    engine* pickPrefill(const engine_ask& ask, const std::string& nearTo, time_point now);
+    void noteDemand(const engine_ask& ask, time_point now);
+
+    std::mt19937_64 m_random;
+    std::map<std::string, engine> m_engines;
+    std::map<std::string, std::map<std::uint64_t, placed_call>> m_calls;
+    std::map<std::string, prompt_demand> m_demand;
+    /// Tokens that a call generates in a millisecond, learnt from calls that ended.
+    double m_tokensPerMs = 1.5;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/scheduling/memory_projection.cpp
@@ -0,0 +1,24 @@
+#include "scheduling/memory_projection.h"
+
+#include <algorithm>
+
+namespace pistachiolatch {
+
+std::uint64_t peakMemory(std::vector<memory_user> users)
+{
+    // Memory only falls when a call ends, so it is highest just before one does.
+    std::sort(users.begin(), users.end(), [](const memory_user& left, const memory_user& right) { return left.remaining < right.remaining; });
+    std::uint64_t held = 0;
+    for (const auto& user : users)
+        held += user.held;
+    std::uint64_t peak = 0;
+    auto alive = users.size();
+    for (const auto& user : users) {
+        peak = std::max(peak, held + alive * user.remaining);
+        held -= user.held;
+        --alive;
+    }
+    return peak;
+}
+
+} // namespace pistachiolatch
--- a/Source/scheduling/scheduling.h
+++ b/Source/scheduling/scheduling.h
@@ -1,4 +1,5 @@
 #pragma once
 /// Which endpoint runs what, and when: pools, reservations, queues, policies.
 /// This is the library's one public header.
+#include "scheduling/engine_planner.h"
 #include "scheduling/pool.h"
