Replication: Hand a wish to join on to the leader

Ruled out: the membership change itself (never proposed), the connection to the wiped VM (it was regained).

--- a/Source/replication/document_replica.cpp
+++ b/Source/replication/document_replica.cpp
@@ -162,8 +162,7 @@
         learnPeers({ message.join().replica().address() });
         if (m_failed)
             return true;
-        m_host.core().join(message.join().replica(), m_clock.now());
-        settle();
+        onJoin(message.join().replica());
         return true;
     case wire::envelope::kDocumentSubmit:
         propose(message.document_submit().document(), [from, message](document_outcome outcome) {
@@ -187,6 +186,21 @@
     }
 }
 
+void document_replica::onJoin(const wire::replica_id& replica)
+{
+    // A replica that lost its disk knows only the addresses it was started with, and the leader may be elsewhere.
+    // Without the hand-over it would stay outside for good, and the next lost disk would take the quorum with it.
+    auto leader = leaderAddress();
+    if (m_host.core().role() != raft_role::Leader && !leader.empty() && leader != m_self.address() && leader != replica.address()) {
+        wire::envelope message;
+        *message.mutable_join()->mutable_replica() = replica;
+        m_network.send(leader, std::move(message));
+        return;
+    }
+    m_host.core().join(replica, m_clock.now());
+    settle();
+}
+
 void document_replica::submit(wire::document document, submit_handler handler)
 {
     auto leader = leaderAddress();
--- a/Source/replication/document_replica.h
+++ b/Source/replication/document_replica.h
@@ -63,9 +63,13 @@
     /// The other replicas that are known, voters or not.
     std::vector<std::string> peers() const;
     std::uint64_t term() const { return m_host.core().term(); }
+    bool isVoter() const { return m_host.core().isVoter(); }
+    /// Voters of the log, as far as this replica knows.
+    std::size_t voters() const { return static_cast<std::size_t>(m_host.core().members().voters_size()); }
 
 private:
     raft_effects effects();
+    void onJoin(const wire::replica_id& replica);
     void settle();
     void armTimer();
     void onTimer();
