--- a/Tests/Platform/stand_in_runner.cpp
+++ b/Tests/Platform/stand_in_runner.cpp
@@ -21,6 +21,7 @@
 stand_in_runner::stand_in_runner(std::string id, const std::string& address, std::string service, std::string stage)
     : m_id(std::move(id))
     , m_address(address)
+    , m_announced(address)
     , m_service(std::move(service))
     , m_stage(std::move(stage))
     , m_server(
@@ -39,7 +40,7 @@
 
 std::string stand_in_runner::report(const std::string& state)
 {
-    boost::json::object body { { "service", m_service }, { "address", m_address }, { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", state },
+    boost::json::object body { { "service", m_service }, { "address", m_announced }, { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", state },
         { "coldRemainingMs", 0 }, { "born", bornMs }, { "sequence", ++m_sequence } };
     if (!m_stage.empty())
         body["stage"] = m_stage;
--- a/Tests/Platform/stand_in_runner.h
+++ b/Tests/Platform/stand_in_runner.h
@@ -29,6 +29,8 @@
     stand_in_runner(std::string id, const std::string& address, std::string service, std::string stage);
     ~stand_in_runner();
 
+    /// Names another address in its reports, such as that of a proxy before it.
+    void announceAt(const std::string& address) { m_announced = address; }
     void setMode(runner_mode mode) { m_mode = mode; }
     /// How long a plain call, and each event of a stream, takes.
     void setPace(milliseconds pace) { m_pace = pace; }
@@ -49,6 +51,7 @@
 
     std::string m_id;
     std::string m_address;
+    std::string m_announced;
     std::string m_service;
     std::string m_stage;
     std::atomic<runner_mode> m_mode { runner_mode::Good };
