--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -27,11 +27,28 @@
     }
 }
 
+loopback_net::loopback_net()
+    : m_acceptor(m_context)
+{
+    for (int i = 0; i < nets; ++i) {
+        m_prefix = fmt::format("127.{}", firstNet + (::getpid() + i) % nets);
+        boost::system::error_code error;
+        m_acceptor.open(boost::asio::ip::tcp::v4(), error);
+        m_acceptor.bind(parseAddress(m_prefix + ".0.1:7499"), error);
+        if (!error)
+            m_acceptor.listen(1, error);
+        if (!error)
+            return;
+        m_acceptor.close(error);
+    }
+    throw std::runtime_error("every loopback net of the tests is in use");
+}
+
 platform_fleet::platform_fleet(int controls, int entries)
     : m_controlCount(controls)
     , m_entryCount(entries)
-    , m_net(fmt::format("127.{}", firstNet + ::getpid() % nets))
-    , m_folder(fmt::format("{}/platform-fleet-{}", std::filesystem::temp_directory_path().string(), ::getpid()))
+    , m_net(m_reserved.prefix())
+    , m_folder(fmt::format("{}/platform-fleet-{}", std::filesystem::temp_directory_path().string(), m_net))
 {
     std::filesystem::remove_all(m_folder);
     std::filesystem::create_directories(m_folder);
--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -7,6 +7,20 @@
 
 namespace pistachiolatch::test {
 
+/// A range of loopback addresses that no other test holds at the same time. Two tests whose process ids led to the same
+/// range took each other's ports; the range is reserved by a listening socket for as long as this lives.
+class loopback_net {
+public:
+    loopback_net();
+    /// The first two numbers of its addresses.
+    const std::string& prefix() const { return m_prefix; }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::string m_prefix;
+};
+
 /// The programs that run on the users' platform, as real processes on loopback addresses of their own, with settings
 /// filled into the templates that are deployed.
 class platform_fleet {
@@ -48,6 +62,7 @@
 
     int m_controlCount;
     int m_entryCount;
+    loopback_net m_reserved;
     std::string m_net;
     std::string m_folder;
     std::map<int, child_process> m_controls;
