--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -7,6 +7,9 @@
     constexpr milliseconds syncInterval { 500 };
     /// An answer that takes longer means a leader that is down or cut off; the others are asked meanwhile.
     constexpr milliseconds syncTimeout { 300 };
+    /// The same for a leader that left another question unanswered. Callers are content with a tenth of a second; a live
+    /// leader answers within a few milliseconds.
+    constexpr milliseconds suspectTimeout { 120 };
     /// Pause between two questions while no leader is known; an election takes about a second.
     constexpr milliseconds searchPause { 80 };
     /// A plan that takes longer than it was to wait is done without: an entry can place a call by itself, only less well.
@@ -28,7 +31,16 @@
 
 void control_link::start()
 {
-    syncNow();
+    syncNow(syncTimeout);
+}
+
+void control_link::suspectLeader()
+{
+    if (m_suspecting || m_leader.empty() || m_leaving)
+        return;
+    m_suspecting = true;
+    m_timer.cancel();
+    syncNow(suspectTimeout);
 }
 
 void control_link::stop()
@@ -61,11 +73,11 @@
     m_timer.expires_after(delay);
     m_timer.async_wait([this](boost::system::error_code error) {
         if (!error)
-            syncNow();
+            syncNow(syncTimeout);
     });
 }
 
-void control_link::syncNow()
+void control_link::syncNow(milliseconds timeout)
 {
     auto address = nextControl();
     if (address.empty()) {
@@ -82,13 +94,14 @@
     m_endpoints.fillLoad(*sync.mutable_load());
     m_endpoints.fillCalls(*sync.mutable_calls());
     auto sentAt = m_clock.now();
-    m_network.call(address, std::move(message), syncTimeout, [this, address, sentAt](const wire::envelope* reply) { onReply(reply, address, sentAt); });
+    m_network.call(address, std::move(message), timeout, [this, address, sentAt](const wire::envelope* reply) { onReply(reply, address, sentAt); });
 }
 
 void control_link::onReply(const wire::envelope* reply, const std::string& asked, time_point sentAt)
 {
     if (m_leaving)
         return;
+    m_suspecting = false;
     if (!reply || !reply->has_entry_update()) {
         if (asked == m_leader)
             noteLeader({});
@@ -121,6 +134,7 @@
     logEvent(leader.empty() ? "control_lost" : "control_found", { { "leader", leader.empty() ? m_leader : leader }, { "known", m_controls.size() } });
     m_metrics.count(leader.empty() ? "control_lost" : "control_found");
     m_leader = leader;
+    failPlans();
 }
 
 bool control_link::onMessage(const wire::envelope& message)
@@ -171,12 +185,27 @@
     wire::envelope message;
     auto patience = milliseconds(ask.patience_ms());
     *message.mutable_engine_plan_request() = std::move(ask);
-    m_network.call(m_leader, std::move(message), patience + planTimeout, [handler = std::move(handler)](const wire::envelope* reply) {
+    auto id = ++m_lastPlan;
+    m_plans[id] = std::move(handler);
+    m_network.call(m_leader, std::move(message), patience + planTimeout, [this, id](const wire::envelope* reply) {
+        auto found = m_plans.find(id);
+        if (found == m_plans.end())
+            return;
+        auto asked = std::move(found->second);
+        m_plans.erase(found);
         bool planned = reply && reply->has_engine_plan_reply() && !reply->engine_plan_reply().unavailable();
-        handler(planned ? std::optional(reply->engine_plan_reply()) : std::nullopt);
+        asked(planned ? std::optional(reply->engine_plan_reply()) : std::nullopt);
     });
 }
 
+void control_link::failPlans()
+{
+    // A question that waits for memory at a leader that is gone would wait to its end for nothing.
+    auto plans = std::exchange(m_plans, {});
+    for (auto& [id, handler] : plans)
+        handler(std::nullopt);
+}
+
 void control_link::release(std::uint64_t callId, std::uint64_t generated, milliseconds generating)
 {
     if (m_leader.empty())
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -41,6 +41,9 @@
     unsigned entries() const { return m_entries; }
     /// Asks the leader where a model call should go. The handler gets null when no leader answers in time.
     void plan(wire::engine_plan_request ask, std::function<void(std::optional<wire::engine_plan_reply>)> handler);
+    /// Takes note that the leader did not answer a question in time: it is asked for a sign of life at once, and given up
+    /// sooner than at the next sync.
+    void suspectLeader();
     /// Tells the leader that a call which it placed has ended, after it had generated so many tokens in that time.
     void release(std::uint64_t callId, std::uint64_t generated, milliseconds generating);
     /// Tells the leader that an endpoint could not be reached.
@@ -49,7 +52,8 @@
     void sayGoodbye();
 
 private:
-    void syncNow();
+    void syncNow(milliseconds timeout);
+    void failPlans();
     void scheduleSync(milliseconds delay);
     void onReply(const wire::envelope* reply, const std::string& asked, time_point sentAt);
     void takeUpdate(const wire::entry_update& update);
@@ -75,6 +79,9 @@
     std::uint64_t m_directoryVersion = 0;
     unsigned m_entries = 1;
     bool m_leaving = false;
+    bool m_suspecting = false;
+    std::uint64_t m_lastPlan = 0;
+    std::map<std::uint64_t, std::function<void(std::optional<wire::engine_plan_reply>)>> m_plans;
 };
 
 } // namespace pistachiolatch
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -6,6 +6,11 @@
     constexpr milliseconds expiryInterval { 500 };
     /// How often questions that wait for tokens are looked at. Short beside the time that callers are content with.
     constexpr milliseconds limitInterval { 20 };
+    /// How long a new leader listens before it places calls. Until every entry has told what it has running, engines look
+    /// empty and would be overfilled; entries place by themselves meanwhile.
+    constexpr milliseconds learnCalls { 400 };
+    /// An election takes about half a second; one in which votes are split, twice that.
+    constexpr milliseconds electionLasts { 1500 };
     /// How often calls that wait for memory are looked at, beside whenever a call ends.
     constexpr milliseconds planInterval { 30 };
     /// When a call that found all engines full is told to come back: after about as long as a call takes to end, and
@@ -201,6 +206,7 @@
     m_limited.clear();
     if (!leads)
         return;
+    m_planFrom = m_clock.now() + learnCalls;
     m_limits.emplace(m_clock.now());
     configureLimits();
 }
@@ -225,7 +231,7 @@
 
 void entry_coordinator::onPlanRequest(const wire::envelope& message, const peer_network::peer& from)
 {
-    if (!m_entries.count(from.get()) || !m_replica.leads()) {
+    if (!m_entries.count(from.get()) || !m_replica.leads() || m_clock.now() < m_planFrom) {
         wire::envelope reply;
         reply.mutable_engine_plan_reply()->set_unavailable(true);
         peer_network::reply(from, message, std::move(reply));
@@ -384,7 +390,14 @@
         *message.mutable_report_endpoint()->mutable_report() = report;
         m_network.send(address, std::move(message));
     }
-    if (!leaves || leadsHere) {
+    // A process cut off from the leader for long would take an endpoint's reports without anybody learning of them, and
+    // the endpoint would count as silent. Unconfirmed, it turns to another process. An election is no reason: the next
+    // leader hears what is reported meanwhile.
+    auto now = m_clock.now();
+    if (!leader.empty())
+        m_leaderKnownAt = now;
+    bool cutOff = leader.empty() && m_leaderKnownAt != time_point {} && now - m_leaderKnownAt > electionLasts;
+    if (leadsHere || (!leaves && !cutOff)) {
         handler(true);
         return;
     }
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -111,6 +111,10 @@
     endpoint_directory m_directory;
     std::map<peer_connection*, entry_session> m_entries;
     engine_planner m_planner;
+    /// From when on this leader places calls.
+    time_point m_planFrom {};
+    /// When a leader was last known here.
+    time_point m_leaderKnownAt {};
     /// The directory's version that the planner has.
     std::uint64_t m_planned = 0;
     std::uint64_t m_lastEntry = 0;
--- a/Source/coordination/token_account.cpp
+++ b/Source/coordination/token_account.cpp
@@ -6,14 +6,17 @@
 
 namespace {
     /// How long the owner may be silent before the question counts as lost; a round trip takes a few milliseconds.
-    constexpr milliseconds ownerTimeout { 100 };
+    constexpr milliseconds ownerTimeout { 40 };
+    /// How long a silent owner is left alone. Callers who each waited for it would all be late; the link finds out
+    /// meanwhile whether it lives.
+    constexpr milliseconds silencePause { 200 };
     /// Pause before the next question while no owner is known.
     constexpr milliseconds retryPause { 60 };
     /// What callers are told while the limits have no owner; an election takes about a second.
     constexpr milliseconds retryAfterWithoutOwner { 600 };
 }
 
-token_account::token_account(boost::asio::io_context& context, peer_network& network, const clock_source& clock, const control_link& link, token_settings settings)
+token_account::token_account(boost::asio::io_context& context, peer_network& network, const clock_source& clock, control_link& link, token_settings settings)
     : m_context(context)
     , m_network(network)
     , m_clock(clock)
@@ -34,7 +37,7 @@
 
 void token_account::ask(std::shared_ptr<question> one)
 {
-    if (m_link.leader().empty()) {
+    if (m_link.leader().empty() || m_clock.now() < m_silentUntil) {
         withoutOwner(one);
         return;
     }
@@ -45,6 +48,10 @@
     request.set_need(one->tokens);
     request.set_patience_ms(static_cast<std::uint32_t>(left.count()));
     m_network.call(m_link.leader(), std::move(message), left + ownerTimeout, [this, one](const wire::envelope* reply) {
+        if (!reply) {
+            m_silentUntil = m_clock.now() + silencePause;
+            m_link.suspectLeader();
+        }
         if (!reply || !reply->has_limit_reply() || reply->limit_reply().wrong_owner()) {
             withoutOwner(one);
             return;
--- a/Source/coordination/token_account.h
+++ b/Source/coordination/token_account.h
@@ -23,7 +23,7 @@
 public:
     using handler = std::function<void(token_verdict)>;
 
-    token_account(boost::asio::io_context& context, peer_network& network, const clock_source& clock, const control_link& link, token_settings settings);
+    token_account(boost::asio::io_context& context, peer_network& network, const clock_source& clock, control_link& link, token_settings settings);
 
     /// Takes tokens out of an organisation's limit, waiting for them at most as long as the patience.
     void take(const organisation_config& organisation, std::uint64_t tokens, milliseconds patience, handler done);
@@ -43,8 +43,10 @@
     boost::asio::io_context& m_context;
     peer_network& m_network;
     const clock_source& m_clock;
-    const control_link& m_link;
+    control_link& m_link;
     token_settings m_settings;
+    /// Until when the owner is not asked, since it left a question unanswered.
+    time_point m_silentUntil {};
     std::map<std::string, token_bucket> m_allowances;
 };
 
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -187,7 +187,8 @@
     bool isFaultOfMessage = error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message;
     if (!isFaultOfMessage || caller->channel->isClosed())
         co_return;
-    auto why = error == http::error::header_limit ? reason::HeaderTooLarge : error == http::error::body_limit ? reason::BodyTooLarge : reason::BadRequest;
+    auto why = error == http::error::header_limit ? reason::HeaderTooLarge : error == http::error::body_limit ? reason::BodyTooLarge
+                                                                                                              : reason::BadRequest;
     m_shared.counters.countRefusal(why);
     logEvent("request_unreadable", { { "why", reasonName(why) }, { "error", error.message() } });
     auto bytes = Dialect::encodeRefusal({}, { why, httpStatus(why), std::nullopt }, true);
--- a/Source/forwarding/endpoint_roster.cpp
+++ b/Source/forwarding/endpoint_roster.cpp
@@ -78,8 +78,7 @@
     auto& one = m_endpoints[report.id()];
     bool restarted = one.report.born_ms() != report.born_ms();
     if (restarted || one.report.state() != report.state() || one.report.stage() != report.stage() || one.silent != row.silent()) {
-        logEvent("endpoint_known", { { "endpoint", report.id() }, { "born", report.born_ms() }, { "address", report.address() }, { "service", report.service() },
-                                       { "leaving", report.state() == wire::ENDPOINT_LEAVING ? 1 : 0 }, { "stage", static_cast<int>(report.stage()) }, { "silent", row.silent() ? 1 : 0 } });
+        logEvent("endpoint_known", { { "endpoint", report.id() }, { "born", report.born_ms() }, { "address", report.address() }, { "service", report.service() }, { "leaving", report.state() == wire::ENDPOINT_LEAVING ? 1 : 0 }, { "stage", static_cast<int>(report.stage()) }, { "silent", row.silent() ? 1 : 0 } });
     }
     // A restart clears what was held against the endpoint: it is another process.
     if (restarted) {
--- a/Source/forwarding/forward_call_model.h
+++ b/Source/forwarding/forward_call_model.h
@@ -51,7 +51,8 @@
         m_shared.link.release(m_callId, m_eventsHere * m_service->engine->tokensPerEvent, generating);
         if (end == attempt_end::Answered)
             co_return;
-        why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed : reason::EndpointFailed;
+        why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed
+                                                                                                  : reason::EndpointFailed;
         if (ended() || !tryAgainAfter(end, places->decode.id))
             break;
         m_events.dropRest();
@@ -227,7 +228,8 @@
     std::optional<std::string> handle;
     if (status == 200)
         handle = Dialect::decodePrefill(body);
-    auto verdict = handle ? endpoint_verdict::Good : answer.refusedUnrun ? endpoint_verdict::Refused : endpoint_verdict::Failed;
+    auto verdict = handle ? endpoint_verdict::Good : answer.refusedUnrun ? endpoint_verdict::Refused
+                                                                         : endpoint_verdict::Failed;
     m_shared.roster.judge(endpoint.id, verdict);
     co_return handle;
 }
--- a/Source/forwarding/forward_call_steps.h
+++ b/Source/forwarding/forward_call_steps.h
@@ -230,7 +230,8 @@
         auto end = co_await sendTo(*endpoint, std::move(orders));
         if (end == attempt_end::Answered)
             co_return;
-        why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed : reason::EndpointFailed;
+        why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed
+                                                                                                  : reason::EndpointFailed;
         if (ended() || !tryAgainAfter(end, endpoint->id))
             break;
     }
@@ -244,11 +245,11 @@
     auto step = afterFailedSend({ end, m_route->kind, m_route->resumable, m_mayHaveRunAt, m_route->mostEndpoints, timeLeft() });
     // A send that never left is no burden on any endpoint, so it needs no budget.
     bool allowed = step == next_step::SendAgain && (end == attempt_end::NotSent || m_shared.budget.tryAgain(m_service->name, m_shared.link.entries(), m_shared.clock.now()));
-    auto why = end == attempt_end::NotSent ? reason::ConnectFailed : end == attempt_end::RefusedUnrun ? reason::EndpointRefused : reason::EndpointFailed;
+    auto why = end == attempt_end::NotSent ? reason::ConnectFailed : end == attempt_end::RefusedUnrun ? reason::EndpointRefused
+                                                                                                      : reason::EndpointFailed;
     if (allowed)
         m_shared.counters.countRetry(why);
-    logEvent("attempt_failed", { { "request", m_head.id }, { "endpoint", endpointId }, { "why", reasonName(why) }, { "stalled", end == attempt_end::Stalled ? 1 : 0 },
-                                   { "may_have_run_at", m_mayHaveRunAt }, { "again", allowed ? 1 : 0 }, { "age_ms", age().count() } });
+    logEvent("attempt_failed", { { "request", m_head.id }, { "endpoint", endpointId }, { "why", reasonName(why) }, { "stalled", end == attempt_end::Stalled ? 1 : 0 }, { "may_have_run_at", m_mayHaveRunAt }, { "again", allowed ? 1 : 0 }, { "age_ms", age().count() } });
     return allowed;
 }
 
@@ -455,9 +456,7 @@
 void forward_call<Dialect>::logEnd()
 {
     m_shared.counters.observe("call_seconds", age());
-    logEvent("call_ended", { { "request", m_head.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() },
-                               { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "endpoints", m_endpoints }, { "sends", m_sends },
-                               { "tokens", m_tokens }, { "first_ms", m_firstPiece.count() }, { "ms", age().count() } });
+    logEvent("call_ended", { { "request", m_head.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "endpoints", m_endpoints }, { "sends", m_sends }, { "tokens", m_tokens }, { "first_ms", m_firstPiece.count() }, { "ms", age().count() } });
 }
 
 } // namespace pistachiolatch
--- a/Source/program/program_main.cpp
+++ b/Source/program/program_main.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cstdlib>
-#include <string_view>
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <pthread.h>
+#include <string_view>
 #include <unistd.h>
 
 namespace pistachiolatch {
--- a/Tests/Kernel/LogSinkTest.cpp
+++ b/Tests/Kernel/LogSinkTest.cpp
@@ -1,7 +1,7 @@
 #include "kernel/kernel.h"
 #include <array>
-#include <poll.h>
 #include <catch2/catch.hpp>
+#include <poll.h>
 #include <unistd.h>
 
 using namespace pistachiolatch;
--- a/Tests/Platform/PlatformSessionTest.cpp
+++ b/Tests/Platform/PlatformSessionTest.cpp
@@ -1,6 +1,6 @@
 #include "Platform/platform_fleet.h"
-#include "Support/golden.h"
 #include "platform_names.h"
+#include "Support/golden.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
@@ -142,6 +142,9 @@
     for (int n = 1; n <= 3; ++n)
         where.control(n).signal(SIGSTOP);
     auto stoppedAt = std::chrono::steady_clock::now();
+    // Until the lease ends calls go on, on the entry's own allowance of tokens.
+    CHECK(where.call(where.entryAddress(1), "GET", "/read/x", headers).status == 200);
+    CHECK(std::chrono::steady_clock::now() - stoppedAt < std::chrono::milliseconds(1000));
     REQUIRE(eventually([&] { return where.call(where.entryAddress(1), "GET", "/read/x", headers).status == 503; }));
     CHECK(std::chrono::steady_clock::now() - stoppedAt < std::chrono::milliseconds(4600));
     CHECK_FALSE(where.entryReady(1));
@@ -151,6 +154,25 @@
     CHECK(where.call(where.entryAddress(1), "GET", "/read/x", headers).status == 200);
 }
 
+// Callers see: engines that serve are not used, and calls are refused.
+// Order: a control process is cut off from the others; endpoints go on reporting to it; the leader hears nothing of them
+// and counts them as silent.
+// Why: a process that has known no leader for longer than an election does not confirm reports, so endpoints turn to another.
+TEST_CASE("A control process that is cut off confirms no reports")
+{
+    platform_fleet where;
+    where.start();
+    stand_in_runner app("app-1", where.runnerAddress(1), "app", "");
+    REQUIRE(where.submit(exampleConfiguration(7)) == 200);
+    REQUIRE(where.report(app, "ready", 3).status == 200);
+    where.control(1).signal(SIGSTOP);
+    where.control(2).signal(SIGSTOP);
+    CHECK(eventually([&] { return where.report(app, "ready", 3).status == 503; }, std::chrono::seconds(8)));
+    where.control(1).signal(SIGCONT);
+    where.control(2).signal(SIGCONT);
+    CHECK(eventually([&] { return where.report(app, "ready", 3).status == 200; }, std::chrono::seconds(8)));
+}
+
 // Operators see: a change that was acknowledged is missing when they read it back.
 // Order: a change is acknowledged; every process is killed at once; they start again and the change is read.
 // Why: a change is acknowledged only once a majority has it synced.
--- a/Tests/Replication/DocumentReplicaTest.cpp
+++ b/Tests/Replication/DocumentReplicaTest.cpp
@@ -34,8 +34,8 @@
         m_network = std::make_unique<peer_network>(m_context, m_clock, m_metrics);
         m_network->onMessage([this](const wire::envelope& message, const peer_network::peer& from) { m_replica->onMessage(message, from); });
         replica_events events;
-        events.documentChanged = [] { };
-        events.leadershipChanged = [](bool) { };
+        events.documentChanged = [] {};
+        events.leadershipChanged = [](bool) {};
         events.storageFailed = [](const std::string& why) { FAIL(why); };
         m_replica = std::make_unique<document_replica>(m_context, *m_network, m_clock, m_metrics, std::move(opened.value()), std::move(store), std::move(events));
         m_replica->learnPeers(m_founders);
--- a/Tests/Soak/soak_main.cpp
+++ b/Tests/Soak/soak_main.cpp
@@ -255,14 +255,16 @@
             bool served = eventually([&] {
                 http_headers headers { { "Host", "h.example" }, { platform_names::requestId, "last" }, { platform_names::authorization, "Token key-1" } };
                 return m_fleet.call(m_fleet.entryAddress(1), "GET", "/read/x", headers, {}, milliseconds(2000)).status == 200;
-            }, std::chrono::seconds(12));
+            },
+                std::chrono::seconds(12));
             if (!served)
                 m_checks.fail("nothing was served 12 s after the last fault");
             simple_answer read;
             bool told = eventually([&] {
                 read = m_fleet.call(m_fleet.controlAddress(1), "GET", platform_names::configurationPath, {}, {}, milliseconds(1000));
                 return read.status == 200;
-            }, std::chrono::seconds(12));
+            },
+                std::chrono::seconds(12));
             if (!told)
                 m_checks.fail("the configuration could not be read back at the end");
             else
