--- a/Source/forwarding/call_types.h
+++ b/Source/forwarding/call_types.h
@@ -47,8 +47,8 @@
     std::string organisation;
     attempt_part part = attempt_part::Whole;
     /// Where a prefill's result waits; empty when there is none.
-    std::string kvAddress;
-    std::string kvHandle;
+    std::string prefillAddress;
+    std::string prefillHandle;
     std::string resumeAfter;
 };
 
--- a/Source/forwarding/forward_call_model.h
+++ b/Source/forwarding/forward_call_model.h
@@ -144,8 +144,8 @@
         co_return attempt_end::NotSent;
     auto orders = ordersFor(places.decode);
     if (m_prefill) {
-        orders.kvAddress = m_prefill->endpointAddress;
-        orders.kvHandle = m_prefill->handle;
+        orders.prefillAddress = m_prefill->endpointAddress;
+        orders.prefillHandle = m_prefill->handle;
     }
     auto end = co_await sendTo(places.decode, std::move(orders));
     // A handle serves once. Only where the decode endpoint vouches that nothing ran, or was never reached, is it still there.
