Coordination, Forwarding, HTTP: Split the long files, open acceptors in one place

No change of behaviour: the coordinator's plans and limits and a call's answers have files of their own; the code that opened a listening socket stood three times.

--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -81,15 +81,7 @@
 template <call_dialect Dialect>
 result<void> call_gateway<Dialect>::listen()
 {
-    boost::system::error_code error;
-    auto endpoint = parseAddress(m_settings.listen);
-    m_acceptor.open(endpoint.protocol(), error);
-    m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-    m_acceptor.bind(endpoint, error);
-    if (!error)
-        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-    if (error)
-        return failure { fmt::format("can't listen on {}: {}; free the address or choose another", m_settings.listen, error.message()) };
+    BOOST_OUTCOME_TRYV(listenOn(m_acceptor, m_settings.listen));
     accept();
     scheduleSweep();
     return ok();
--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -142,5 +142,6 @@
 
 } // namespace pistachiolatch
 
+#include "forwarding/forward_call_answers.h"
 #include "forwarding/forward_call_model.h"
 #include "forwarding/forward_call_steps.h"
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -95,6 +95,20 @@
     return { asio::ip::make_address_v4(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))) };
 }
 
+result<void> listenOn(asio::ip::tcp::acceptor& acceptor, const std::string& address)
+{
+    beast::error_code error;
+    auto endpoint = parseAddress(address);
+    acceptor.open(endpoint.protocol(), error);
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return failure { fmt::format("can't listen on {}: {}; free the address or choose another", address, error.message()) };
+    return ok();
+}
+
 http_server::http_server(traffic_threads& threads, http_limits limits, http_handler handler, http_refuser refuser)
     : m_threads(threads)
     , m_state(std::make_shared<shared_state>())
@@ -109,15 +123,7 @@
 
 result<void> http_server::listen(const std::string& address)
 {
-    beast::error_code error;
-    auto endpoint = parseAddress(address);
-    m_acceptor.open(endpoint.protocol(), error);
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    m_acceptor.bind(endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return failure { fmt::format("can't listen on {}: {}; free the address or choose another", address, error.message()) };
+    BOOST_OUTCOME_TRYV(listenOn(m_acceptor, address));
     m_port = m_acceptor.local_endpoint().port();
     asio::co_spawn(m_threads.first(), acceptAll(), asio::detached);
     return ok();
--- a/Source/http/http_server.h
+++ b/Source/http/http_server.h
@@ -68,6 +68,10 @@
     std::uint16_t m_port = 0;
 };
 
+/// Opens an acceptor on an address that isAddress() accepts. Errors: address in use, in words.
+/// Thread safety: the acceptor's thread.
+result<void> listenOn(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address);
+
 /// Splits an address that isAddress() accepts. Thread safety: any thread.
 boost::asio::ip::tcp::endpoint parseAddress(const std::string& address);
 
--- a/Source/peering/peer_network.cpp
+++ b/Source/peering/peer_network.cpp
@@ -30,16 +30,9 @@
 
 result<void> peer_network::listen(const std::string& address)
 {
-    boost::system::error_code error;
-    auto endpoint = parseAddress(address);
-    m_acceptor.open(endpoint.protocol(), error);
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    m_acceptor.bind(endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return failure { fmt::format("can't listen on {}: {}; free the address or choose another", address, error.message()) };
-    m_ownAddress = fmt::format("{}:{}", endpoint.address().to_string(), m_acceptor.local_endpoint().port());
+    BOOST_OUTCOME_TRYV(listenOn(m_acceptor, address));
+    auto bound = m_acceptor.local_endpoint();
+    m_ownAddress = fmt::format("{}:{}", bound.address().to_string(), bound.port());
     accept();
     return ok();
 }
--- a/Source/replication/document_replica.cpp
+++ b/Source/replication/document_replica.cpp
@@ -365,8 +365,8 @@
 
 void document_replica::compactIfLong()
 {
-    bool long_ = m_bytesSinceSnapshot > mostLogBytes || m_applied > m_host.core().log().baseIndex() + mostLogEntries;
-    if (!long_)
+    bool tooLong = m_bytesSinceSnapshot > mostLogBytes || m_applied > m_host.core().log().baseIndex() + mostLogEntries;
+    if (!tooLong)
         return;
     m_bytesSinceSnapshot = 0;
     auto compacted = m_host.compact(m_applied, m_document.SerializeAsString());
