--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -61,8 +61,6 @@
     /// Takes in a report that an endpoint sent here. That an endpoint leaves is confirmed once the leader knows it and
     /// has told the entries: an endpoint takes the confirmation as word that no new work will come.
     void report(const wire::endpoint_report& report, std::function<void(bool taken)> handler);
-    const endpoint_directory& directory() const { return m_directory; }
-    std::size_t entries() const { return m_entries.size(); }
 
 private:
     struct entry_session {
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -27,8 +27,6 @@
     /// Whether nothing is left to do after drain().
     bool isDrained() const { return !m_acceptor.is_open() && m_active == 0; }
     void stop();
-    std::size_t connections() const { return m_callers.size(); }
-    unsigned activeCalls() const { return m_active; }
 
 private:
     struct caller_state {
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -1,7 +1,6 @@
 #include "scheduling/engine_planner.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace pistachiolatch {
 
@@ -24,8 +23,6 @@
     /// How much the newest call counts in the speed of generation.
     constexpr double speedWeight = 0.05;
     constexpr milliseconds leastToLearnFrom { 200 };
-    /// The time over which the rate of prompts is averaged: longer than a lull, shorter than a change of the mix.
-    constexpr double demandSeconds = 8;
 }
 
 void engine_planner::takeEndpoint(const wire::endpoint_row& row)
@@ -129,23 +126,6 @@
     return best && bestAt - now <= longestPromptQueue ? best : nullptr;
 }
 
-void engine_planner::noteDemand(const engine_ask& ask, time_point now)
-{
-    auto& demand = m_demand[ask.service];
-    auto elapsed = std::chrono::duration<double>(now - demand.at).count();
-    demand.tokens = demand.tokens * std::exp(-elapsed / demandSeconds) + static_cast<double>(ask.promptTokens);
-    demand.at = now;
-}
-
-double engine_planner::promptRate(const std::string& service, time_point now) const
-{
-    auto found = m_demand.find(service);
-    if (found == m_demand.end())
-        return 0;
-    auto elapsed = std::chrono::duration<double>(now - found->second.at).count();
-    return found->second.tokens * std::exp(-elapsed / demandSeconds) / demandSeconds;
-}
-
 engine_plan engine_planner::place(const std::string& entry, const engine_ask& ask, time_point now)
 {
     engine_plan plan;
@@ -154,7 +134,6 @@
         plan.full = true;
         return plan;
     }
-    noteDemand(ask, now);
     plan.decode = decode->row.report().id();
     m_calls[entry][ask.callId] = { plan.decode, ask.promptTokens, ask.outputTokens, 0, now };
     if (auto* prefill = pickPrefill(ask, decode->row.report().data_centre(), now)) {
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -59,8 +59,6 @@
     void forgetEntry(const std::string& entry);
     /// The most tokens that the calls placed on an endpoint will hold.
     std::uint64_t projectedTokens(const std::string& endpoint, time_point now) const;
-    /// Prompt tokens placed in the last seconds, a second.
-    double promptRate(const std::string& service, time_point now) const;
 
 private:
     struct engine {
@@ -76,10 +74,6 @@
         /// When the figures were true.
         time_point at;
     };
-    struct prompt_demand {
-        double tokens = 0;
-        time_point at {};
-    };
     using users_by_endpoint = std::map<std::string, std::vector<memory_user>>;
 
     memory_user userOf(const placed_call& call, time_point now) const;
@@ -88,12 +82,10 @@
     std::vector<engine*> candidates(const engine_ask& ask, wire::endpoint_stage stage);
     const engine* pickDecode(const engine_ask& ask, time_point now);
     engine* pickPrefill(const engine_ask& ask, const std::string& nearTo, time_point now);
-    void noteDemand(const engine_ask& ask, time_point now);
 
     std::mt19937_64 m_random;
     std::map<std::string, engine> m_engines;
     std::map<std::string, std::map<std::uint64_t, placed_call>> m_calls;
-    std::map<std::string, prompt_demand> m_demand;
     /// Tokens that a call generates in a millisecond, learnt from calls that ended.
     double m_tokensPerMs = 1.5;
 };
