Forwarding: Leave a stream that stands still only for a place that was found

Cause: a resumable stream that was quiet for 900 ms was cut at once; where no other engine had room, or the retry budget was spent, its caller got a broken stream although its own engine had only put it back for want of memory and would have gone on. A stream that lost its engine waited for a new place only within the time for a first event, so it broke as soon as engines were full. Now: quiet streams ask for another place first and stay without one; an engine that sends on other streams is given longer than one that is dark; a stream that has begun waits for a place for half of what its caller bears.

--- a/Source/forwarding/endpoint_roster.cpp
+++ b/Source/forwarding/endpoint_roster.cpp
@@ -288,6 +288,19 @@
     one.avoidUntil = now + std::min(firstPause * (1 << doublings), longestPause);
 }
 
+void endpoint_roster::noteHeard(const std::string& id)
+{
+    auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end())
+        found->second.heardAt = m_clock.now();
+}
+
+time_point endpoint_roster::heardAt(const std::string& id) const
+{
+    auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? time_point {} : found->second.heardAt;
+}
+
 void endpoint_roster::noteLoad(const std::string& id, const load_report& load)
 {
     auto found = m_endpoints.find(id);
--- a/Source/forwarding/endpoint_roster.h
+++ b/Source/forwarding/endpoint_roster.h
@@ -76,6 +76,10 @@
     void begin(const std::string& id, std::uint64_t tokens);
     void end(const std::string& id, std::uint64_t tokens);
     void judge(const std::string& id, endpoint_verdict verdict);
+    /// Bytes of an answer came from the endpoint.
+    void noteHeard(const std::string& id);
+    /// When bytes last came from the endpoint; zero when none ever did.
+    time_point heardAt(const std::string& id) const;
     void noteLoad(const std::string& id, const load_report& load);
     std::size_t size() const { return m_endpoints.size(); }
 
@@ -92,6 +96,7 @@
         unsigned failuresInARow = 0;
         time_point avoidUntil {};
         time_point succeededAt {};
+        time_point heardAt {};
         /// Since when the present leader has not confirmed the endpoint; zero when it has.
         time_point unconfirmedSince {};
     };
--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -7,6 +7,7 @@
 #include "forwarding/event_splitter.h"
 #include "forwarding/repeat_policy.h"
 #include "forwarding/shared_retry_budget.h"
+#include "forwarding/stall_policy.h"
 #include <boost/asio/steady_timer.hpp>
 
 namespace pistachiolatch {
@@ -57,6 +58,8 @@
         std::optional<picked_endpoint> prefill;
         /// Whether the leader chose; it then knows better than this entry whether a prefill endpoint is worth its queue.
         bool planned = false;
+        /// Names this try towards the planner.
+        std::uint64_t callId = 0;
     };
 
     std::optional<call_refusal> admit();
@@ -67,7 +70,15 @@
     task_of<std::optional<wire::engine_plan_reply>> planByLeader();
     endpoint_query decodeQuery() const;
     std::uint64_t expectedOutput() const;
+    milliseconds patienceForPlaces() const;
+    wire::engine_plan_request planQuestion(std::uint64_t callId, milliseconds patience) const;
     void noteEvents(std::string_view piece);
+    quiet_stream quietStream(const std::string& endpointId) const;
+    void watchQuiet(picked_endpoint endpoint, milliseconds delay);
+    void seekOtherPlaces(const picked_endpoint& endpoint);
+    std::optional<model_places> placesElsewhere(const std::optional<wire::engine_plan_reply>& plan, const picked_endpoint& endpoint, std::uint64_t callId);
+    void leaveFor(const model_places& places, const picked_endpoint& endpoint);
+    bool noteMoved(const std::string& endpointId);
     task_of<attempt_end> serveModelAt(const model_places& places);
     task_of<void> ensurePrefill(const model_places& places);
     std::optional<picked_endpoint> pickPrefill(const model_places& places, const std::set<std::string>& tried);
@@ -124,6 +135,8 @@
     std::string m_endpoints;
     std::optional<prefill_result> m_prefill;
     bool m_firstPrefillDone = false;
+    /// The prefill endpoint that last read the prompt; empty while decode endpoints read it.
+    std::string m_promptReadAt;
     event_splitter m_events;
     /// An endpoint's own error, kept while another endpoint is tried: where none can be, it is the caller's answer.
     std::string m_spareAnswer;
@@ -136,6 +149,13 @@
     std::uint64_t m_eventsPassed = 0;
     std::uint64_t m_eventsHere = 0;
     time_point m_generatingSince {};
+    /// Since when the stream's next bytes are awaited; zero while a slow caller holds it back.
+    time_point m_quietSince {};
+    milliseconds m_longestPause { 0 };
+    /// Where a stream that stands still goes on; its share of the retry budget is taken.
+    std::optional<model_places> m_nextPlaces;
+    /// Whether the endpoint that it left was alive, so that nothing is held against it.
+    bool m_leftLive = false;
     milliseconds m_retryAfter { 0 };
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
@@ -145,3 +165,4 @@
 #include "forwarding/forward_call_answers.h"
 #include "forwarding/forward_call_model.h"
 #include "forwarding/forward_call_steps.h"
+#include "forwarding/forward_call_streams.h"
--- a/Source/forwarding/forward_call_model.h
+++ b/Source/forwarding/forward_call_model.h
@@ -24,20 +24,24 @@
     constexpr int alonePatienceTenths = 5;
     /// The share of the allowed output that answers use where nobody guesses; measured 0.54 on long answers.
     constexpr double usualOutputShare = 0.6;
-    /// Pauses between events that are borne at a stream that can go on elsewhere.
-    constexpr int gapsBorne = 3;
-    constexpr milliseconds leastGapBorne { 700 };
+    /// How long a stream that has begun may wait for another place, as a part of the pause that callers bear: what is left
+    /// covers the reading of the prompt there.
+    constexpr int resumePatienceShare = 2;
 }
 
 template <call_dialect Dialect>
 task_of<void> forward_call<Dialect>::runModel()
 {
     reason why = reason::NoCapacity;
-    m_callId = m_shared.roster.nextCallId();
     while (!ended()) {
-        auto places = co_await awaitPlaces();
+        auto places = std::exchange(m_nextPlaces, std::nullopt);
+        if (!places) {
+            m_callId = m_shared.roster.nextCallId();
+            places = co_await awaitPlaces();
+        }
         if (!places)
             break;
+        m_callId = places->callId;
         attempt_end end = attempt_end::NotSent;
         m_eventsHere = 0;
         m_generatingSince = {};
@@ -53,7 +57,10 @@
             co_return;
         why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed
                                                                                                   : reason::EndpointFailed;
-        if (ended() || !tryAgainAfter(end, places->decode.id))
+        if (ended())
+            break;
+        bool again = m_nextPlaces ? noteMoved(places->decode.id) : tryAgainAfter(end, places->decode.id);
+        if (!again)
             break;
         m_events.dropRest();
     }
@@ -83,13 +90,21 @@
 }
 
 template <call_dialect Dialect>
-task_of<std::optional<wire::engine_plan_reply>> forward_call<Dialect>::planByLeader()
+milliseconds forward_call<Dialect>::patienceForPlaces() const
 {
-    wire::engine_plan_request ask;
+    // A caller who has part of a stream gains nothing from a fast refusal: the stream would be broken off.
+    if (m_answerBegun)
+        return pauseCallersBear(m_route->latencyTarget, m_route->gapTarget) / forwarding_detail::resumePatienceShare;
     auto answerBy = m_receivedAt + m_route->latencyTarget * forwarding_detail::capacityPatienceTenths / 10;
-    auto patience = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(answerBy - m_shared.clock.now()));
+    return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(answerBy - m_shared.clock.now()));
+}
+
+template <call_dialect Dialect>
+wire::engine_plan_request forward_call<Dialect>::planQuestion(std::uint64_t callId, milliseconds patience) const
+{
+    wire::engine_plan_request ask;
     ask.set_patience_ms(static_cast<std::uint32_t>(patience.count()));
-    ask.set_call_id(m_callId);
+    ask.set_call_id(callId);
     ask.set_service(m_service->name);
     ask.set_data_centre(m_shared.roster.dataCentre());
     ask.set_prompt_tokens(m_head.tokens ? m_head.tokens->prompt : 0);
@@ -99,8 +114,14 @@
         ask.add_avoid(id);
     for (const auto& id : m_tried)
         ask.add_exclude(id);
+    return ask;
+}
+
+template <call_dialect Dialect>
+task_of<std::optional<wire::engine_plan_reply>> forward_call<Dialect>::planByLeader()
+{
     pending_reply<std::optional<wire::engine_plan_reply>> reply(m_shared.context.get_executor());
-    m_shared.link.plan(std::move(ask), reply.completer());
+    m_shared.link.plan(planQuestion(m_callId, patienceForPlaces()), reply.completer());
     auto answer = co_await reply.wait(timeLeft());
     if (!answer)
         co_return std::nullopt;
@@ -118,14 +139,14 @@
     if (plan) {
         auto decode = m_shared.roster.find(plan->decode());
         if (decode)
-            co_return model_places { *decode, m_shared.roster.find(plan->prefill()), true };
+            co_return model_places { *decode, m_shared.roster.find(plan->prefill()), true, m_callId };
     }
     // Without a leader, or with one that knows an endpoint which this entry doesn't yet, the entry chooses itself.
     auto giveUpAt = m_shared.clock.now() + m_route->latencyTarget * forwarding_detail::alonePatienceTenths / 10;
     while (!ended()) {
         auto decode = m_shared.roster.pick(decodeQuery());
         if (decode)
-            co_return model_places { *decode, std::nullopt, false };
+            co_return model_places { *decode, std::nullopt, false, m_callId };
         if (m_shared.clock.now() >= giveUpAt)
             break;
         // What was tried may serve by now: a full endpoint's queue drains while this call waits.
@@ -188,6 +209,7 @@
         auto handle = co_await prefillAt(*endpoint);
         if (handle) {
             m_firstPrefillDone = true;
+            m_promptReadAt = endpoint->id;
             m_prefill = prefill_result { endpoint->address, endpoint->dataCentre, *handle, m_shared.clock.now() };
             co_return;
         }
@@ -253,81 +275,4 @@
     boost::asio::co_spawn(m_shared.context, release(connection, std::move(*unused)), boost::asio::detached);
 }
 
-template <call_dialect Dialect>
-void forward_call<Dialect>::noteEvents(std::string_view piece)
-{
-    constexpr std::string_view eventEnd = "\n\n";
-    std::uint64_t count = 0;
-    for (auto at = piece.find(eventEnd); at != std::string_view::npos; at = piece.find(eventEnd, at + eventEnd.size()))
-        ++count;
-    if (count == 0)
-        return;
-    if (m_generatingSince == time_point {})
-        m_generatingSince = m_shared.clock.now();
-    m_eventsHere += count;
-    m_eventsPassed += count;
-    m_shared.roster.noteGenerated(m_callId, m_eventsPassed * m_service->engine->tokensPerEvent);
-}
-
-template <call_dialect Dialect>
-task_of<attempt_end> forward_call<Dialect>::passStream(const picked_endpoint& endpoint, const answer_head& answer)
-{
-    disarmAttempt();
-    auto connection = m_current;
-    if (!m_answerBegun) {
-        m_keepAlive = m_keepAlive && !m_shared.draining;
-        m_answerBegun = true;
-        m_status = connection->status();
-        auto head = encodeAnswerHead(m_status, connection->reasonPhrase(), connection->fields(), { std::nullopt, !m_keepAlive });
-        bool written = co_await m_caller->write(std::move(head));
-        if (!written) {
-            m_callerGone = true;
-            co_return attempt_end::MayHaveRun;
-        }
-    }
-    auto gapBorne = std::max(m_route->gapTarget * forwarding_detail::gapsBorne, forwarding_detail::leastGapBorne);
-    while (true) {
-        bool mayGoElsewhere = resumable() && m_mayHaveRunAt < m_route->mostEndpoints;
-        if (mayGoElsewhere)
-            armAttempt(gapBorne);
-        std::string piece;
-        auto failed = co_await connection->readPiece(piece);
-        if (mayGoElsewhere && !m_attemptExpired)
-            disarmAttempt();
-        if (failed != call_failure::None) {
-            if (!ended())
-                m_shared.roster.judge(endpoint.id, endpoint_verdict::Lost);
-            co_return attempt_end::MayHaveRun;
-        }
-        bool last = connection->whole();
-        if (resumable()) {
-            m_events.feed(piece);
-            piece = m_events.takeWhole();
-            if (last)
-                piece += m_events.rest();
-        }
-        std::string out = piece.empty() ? std::string() : encodeChunk(piece);
-        if (last)
-            out += encodeChunk({});
-        noteEvents(piece);
-        if (!piece.empty() && m_firstPiece < milliseconds(0)) {
-            m_firstPiece = age();
-            m_shared.counters.observe("first_event_seconds", m_firstPiece);
-        }
-        bool written = true;
-        if (!out.empty())
-            written = co_await m_caller->write(std::move(out));
-        if (!written) {
-            m_callerGone = true;
-            co_return attempt_end::MayHaveRun;
-        }
-        if (last)
-            break;
-    }
-    m_outcome = "answered";
-    m_shared.roster.judge(endpoint.id, endpoint_verdict::Good);
-    finishConnection(endpoint.id, answer);
-    co_return attempt_end::Answered;
-}
-
 } // namespace pistachiolatch
--- a/Tests/Forwarding/ForwardingDecisionsTest.cpp
+++ b/Tests/Forwarding/ForwardingDecisionsTest.cpp
@@ -2,6 +2,7 @@
 #include "forwarding/event_splitter.h"
 #include "forwarding/repeat_policy.h"
 #include "forwarding/shared_retry_budget.h"
+#include "forwarding/stall_policy.h"
 #include <catch2/catch.hpp>
 
 using namespace pistachiolatch;
@@ -148,3 +149,21 @@
     CHECK(roster.size() == 1);
     CHECK(roster.find("one"));
 }
+
+// Callers see: a stream is read anew at another engine although its own would have gone on with it a moment later.
+// Order: an engine puts back one stream for want of memory; the others go on; the stream leaves as if the engine were dark.
+// Why: an engine that sends anything is alive, so its stream may be quiet for longer, but never until its caller leaves.
+TEST_CASE("A quiet stream stays longer at an engine that lives")
+{
+    quiet_stream dark { milliseconds(900), milliseconds(300), milliseconds(1000), milliseconds(1000) };
+    quiet_stream live { milliseconds(900), milliseconds(300), milliseconds(1000), milliseconds(50) };
+    CHECK(quietAllowed(dark) == milliseconds(900));
+    CHECK(quietAllowed(live) == milliseconds(1800));
+    // What came before the stream fell quiet, or just after, proves nothing.
+    live.endpointQuiet = milliseconds(800);
+    CHECK(quietAllowed(live) == milliseconds(900));
+    for (auto target : { milliseconds(50), milliseconds(900), milliseconds(5000) }) {
+        quiet_stream stream { target, milliseconds(300), milliseconds(1000), milliseconds(0) };
+        CHECK(quietAllowed(stream) < pauseCallersBear(target, milliseconds(300)));
+    }
+}
--- a/Tests/Platform/PlatformSessionTest.cpp
+++ b/Tests/Platform/PlatformSessionTest.cpp
@@ -218,6 +218,56 @@
     CHECK(where.entry(1).wait() == 0);
 }
 
+// Callers see: a report stops halfway, though its engine would have finished it.
+// Order: an engine puts a stream back for want of memory; nothing comes for longer than the entry waits; no other engine
+// has room; the engine goes on.
+// Why: the entry leaves a stream that stands still only for a place that it has found.
+TEST_CASE("A stream that stands still stays where it is while no other engine has room")
+{
+    platform_fleet where;
+    where.start();
+    stand_in_runner decode("decode-1", where.runnerAddress(4), "llm", "decode");
+    decode.setMode(runner_mode::StandStill);
+    REQUIRE(where.submit(exampleConfiguration(7)) == 200);
+    REQUIRE(where.report(decode).status == 200);
+    REQUIRE(eventually([&] { return where.entryReady(1); }));
+    simple_answer answer;
+    std::thread caller([&] {
+        http_headers headers { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, "one" }, { platform_names::tokenUsage, "500,432" } };
+        answer = where.call(where.entryAddress(1), "POST", "/report/x", headers, "the prompt");
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    decode.setMode(runner_mode::Good);
+    caller.join();
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.broken);
+    CHECK(decode.runs() == std::map<std::string, int> { { "one", 1 } });
+}
+
+// Callers see: a report stops halfway and never goes on.
+// Order: the engine that makes it goes dark without closing its connections; another has room.
+// Why: a stream that stands still goes on at the other engine after its last whole event, and leaves the first.
+TEST_CASE("A stream whose engine went dark goes on at another")
+{
+    platform_fleet where;
+    where.start();
+    stand_in_runner decode1("decode-1", where.runnerAddress(4), "llm", "decode");
+    stand_in_runner decode2("decode-2", where.runnerAddress(5), "llm", "decode");
+    REQUIRE(where.submit(exampleConfiguration(7)) == 200);
+    for (auto* runner : { &decode1, &decode2 }) {
+        runner->setMode(runner_mode::StandStill);
+        REQUIRE(where.report(*runner).status == 200);
+    }
+    REQUIRE(eventually([&] { return where.entryReady(1); }));
+    http_headers headers { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, "one" }, { platform_names::tokenUsage, "500,432" } };
+    auto answer = where.call(where.entryAddress(1), "POST", "/report/x", headers, "the prompt");
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.broken);
+    for (int i = 0; i < stand_in_runner::eventsOfStream; ++i)
+        CHECK(answer.body.find(fmt::format("data: piece {}\n", i)) != std::string::npos);
+    CHECK(decode1.runs().size() + decode2.runs().size() == 2);
+}
+
 TEST_CASE("Settings that can't be used are refused with file, key and remedy")
 {
     platform_fleet where;
--- a/Tests/Platform/stand_in_runner.cpp
+++ b/Tests/Platform/stand_in_runner.cpp
@@ -126,6 +126,10 @@
             exchange.abortStream();
             co_return;
         }
+        while (mode == runner_mode::StandStill && first == 0 && i == 2 && m_mode == runner_mode::StandStill) {
+            pause.expires_after(milliseconds(10));
+            co_await pause.async_wait(boost::asio::use_awaitable);
+        }
         std::string event = fmt::format("id: {}\ndata: piece {}\n\n", i, i);
         bool written = co_await exchange.writePiece(event);
         if (!written)
--- a/Tests/Platform/stand_in_runner.h
+++ b/Tests/Platform/stand_in_runner.h
@@ -17,6 +17,8 @@
     BreakUnanswered,
     /// Breaks off in the middle of a stream, but for one that goes on from elsewhere.
     BreakMidway,
+    /// Stands still in the middle of a stream until the mode changes, but for one that goes on from elsewhere.
+    StandStill,
     /// Answers without vouching for the answer.
     Unsealed,
     ServerError,
