Scheduling: Forecast answers from guesses and history, and keep long prompts off decode engines that have streams

Cause: in bursts all streams of an engine stood still for 330 to 525 ms and were late. The guesses of callers, which the projection of memory rested on, err by 2,040 tokens (root of the mean square); the projection thought that a call which outgrew its guess was nearly done. Now: a decode engine with streams reads at most what holds them up for 120 ms; a forecast joins guess and the route's usual length (1,640 tokens); what an answer has yet to generate grows with how far it has outgrown its forecast.

--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -8,6 +8,7 @@
 #include "forwarding/repeat_policy.h"
 #include "forwarding/shared_retry_budget.h"
 #include "forwarding/stall_policy.h"
+#include "scheduling/output_forecast.h"
 #include <boost/asio/steady_timer.hpp>
 
 namespace pistachiolatch {
@@ -22,6 +23,7 @@
     endpoint_roster& roster;
     connection_pool& pool;
     shared_retry_budget& budget;
+    output_forecast& outputs;
     std::mt19937_64& random;
     /// Whether the entry is shutting down; answers then close their connections.
     const bool& draining;
--- a/Source/forwarding/forward_call_streams.h
+++ b/Source/forwarding/forward_call_streams.h
@@ -169,6 +169,8 @@
     }
     m_outcome = "answered";
     m_shared.roster.judge(endpoint.id, endpoint_verdict::Good);
+    if (m_head.resumeAfter.empty() && m_service->engine)
+        m_shared.outputs.learn(m_route->name, m_eventsPassed * m_service->engine->tokensPerEvent);
     finishConnection(endpoint.id, answer);
     co_return attempt_end::Answered;
 }
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -1,13 +1,14 @@
 #include "scheduling/engine_planner.h"
 
+#include "scheduling/output_forecast.h"
 #include <algorithm>
 
 namespace pistachiolatch {
 
 namespace {
-    /// Engines are filled up to this share of their memory, by projection. The rest covers memory that goes by blocks,
-    /// answers longer than expected and calls that entries placed by themselves while no leader answered.
-    constexpr double memoryShare = 0.93;
+    /// Engines are filled up to this share of their memory, by projection. The rest covers memory that goes by blocks and
+    /// calls that entries placed by themselves while no leader answered.
+    constexpr double memoryShare = 0.96;
     /// A call placed more recently than this may not be in its entry's list yet: a plan takes a few milliseconds to
     /// arrive.
     constexpr milliseconds listLag { 80 };
@@ -16,13 +17,23 @@
     /// What another data centre costs, as a share of memory and as time: a transfer takes twice as long there.
     constexpr double remoteLoad = 0.03;
     constexpr milliseconds remoteDelay { 3 };
-    /// Waiting prompts beyond which the decode engine had better read the prompt itself, though at half the speed.
+    /// Prompts that a prefill engine still has to read when it counts as busy. With a longer queue the first event would
+    /// come later than callers are content with.
     constexpr milliseconds longestPromptQueue { 300 };
-    /// What a call that outgrew its estimate is expected to generate yet, as a share of the estimate.
-    constexpr double outgrownShare = 0.15;
+    /// A decode engine reads a prompt at half the speed and makes no tokens meanwhile.
+    constexpr double decodeReadsPerMs = promptTokensPerMs / 2;
+    /// The longest pause that a prompt may bring to the streams of a decode engine which reads it. Measured without this
+    /// bound, in a burst that kept the prefill engines busy: all streams of three engines stood still for 330 to 525 ms,
+    /// time and again, and were late for it; 300 ms are borne, 60 pass between events anyway.
+    constexpr milliseconds longestDecodeRead { 120 };
     /// How much the newest call counts in the speed of generation.
     constexpr double speedWeight = 0.05;
     constexpr milliseconds leastToLearnFrom { 200 };
+
+    duration readingTime(std::uint64_t tokens, double tokensPerMs)
+    {
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / tokensPerMs));
+    }
 }
 
 void engine_planner::takeEndpoint(const wire::endpoint_row& row)
@@ -61,10 +72,7 @@
 {
     auto elapsed = std::chrono::duration<double, std::milli>(now - call.at).count();
     auto grown = call.generated + static_cast<std::uint64_t>(std::max(0.0, elapsed * m_tokensPerMs));
-    auto least = static_cast<std::uint64_t>(outgrownShare * static_cast<double>(call.output));
-    if (grown + least >= call.output)
-        return { call.prompt + std::max(call.generated, std::min(grown, call.output)), least };
-    return { call.prompt + grown, call.output - grown };
+    return { call.prompt + grown, static_cast<std::uint64_t>(expectedRest(call.output, grown)) };
 }
 
 engine_planner::users_by_endpoint engine_planner::usersNow(time_point now) const
@@ -84,17 +92,17 @@
     return found == users.end() ? 0 : peakMemory(found->second);
 }
 
-const engine_planner::engine* engine_planner::pickDecode(const engine_ask& ask, time_point now)
+engine_planner::engine* engine_planner::pickDecode(const engine_ask& ask, time_point now)
 {
     auto users = usersNow(now);
-    const engine* best = nullptr;
+    engine* best = nullptr;
     double bestCost = 0;
     auto memory = static_cast<double>(std::max<std::uint64_t>(ask.memoryTokens, 1));
-    for (const auto* one : candidates(ask, wire::STAGE_DECODE)) {
+    for (auto* one : candidates(ask, wire::STAGE_DECODE)) {
         const auto& report = one->row.report();
         auto& running = users[report.id()];
         bool empty = running.empty();
-        running.push_back({ ask.promptTokens, ask.outputTokens });
+        running.push_back({ ask.promptTokens, static_cast<std::uint64_t>(expectedRest(ask.outputTokens, 0)) });
         auto peak = static_cast<double>(peakMemory(running));
         bool slotFree = report.slots() == 0 || running.size() <= report.slots();
         // A request larger than the share is served where nothing else runs.
@@ -126,21 +134,30 @@
     return best && bestAt - now <= longestPromptQueue ? best : nullptr;
 }
 
+bool engine_planner::mayReadItself(const engine& decode, const engine_ask& ask, time_point now)
+{
+    if (candidates(ask, wire::STAGE_PREFILL).empty())
+        return true;
+    auto users = usersNow(now);
+    if (users[decode.row.report().id()].empty())
+        return true;
+    auto pending = std::max(duration::zero(), decode.promptsReadAt - now);
+    return pending + readingTime(ask.promptTokens, decodeReadsPerMs) <= longestDecodeRead;
+}
+
 engine_plan engine_planner::place(const std::string& entry, const engine_ask& ask, time_point now)
 {
-    engine_plan plan;
-    const auto* decode = pickDecode(ask, now);
-    if (!decode) {
-        plan.full = true;
-        return plan;
-    }
-    plan.decode = decode->row.report().id();
+    const engine_plan full { true, {}, {} };
+    auto* decode = pickDecode(ask, now);
+    if (!decode)
+        return full;
+    auto* prefill = pickPrefill(ask, decode->row.report().data_centre(), now);
+    if (!prefill && !mayReadItself(*decode, ask, now))
+        return full;
+    engine_plan plan { false, decode->row.report().id(), prefill ? prefill->row.report().id() : std::string() };
     m_calls[entry][ask.callId] = { plan.decode, ask.promptTokens, ask.outputTokens, 0, now };
-    if (auto* prefill = pickPrefill(ask, decode->row.report().data_centre(), now)) {
-        plan.prefill = prefill->row.report().id();
-        auto reading = std::chrono::duration<double, std::milli>(static_cast<double>(ask.promptTokens) / promptTokensPerMs);
-        prefill->promptsReadAt = std::max(now, prefill->promptsReadAt) + std::chrono::duration_cast<duration>(reading);
-    }
+    auto& reader = prefill ? *prefill : *decode;
+    reader.promptsReadAt = std::max(now, reader.promptsReadAt) + readingTime(ask.promptTokens, prefill ? promptTokensPerMs : decodeReadsPerMs);
     return plan;
 }
 
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -30,6 +30,7 @@
 
 /// Where a model call goes. Without a prefill endpoint the decode endpoint reads the prompt itself.
 struct engine_plan {
+    /// Nothing can take the call now: no memory, or nothing that could read its prompt in time.
     bool full = false;
     std::string decode;
     std::string prefill;
@@ -80,7 +81,9 @@
     users_by_endpoint usersNow(time_point now) const;
     static bool serves(const engine& one, const engine_ask& ask, wire::endpoint_stage stage);
     std::vector<engine*> candidates(const engine_ask& ask, wire::endpoint_stage stage);
-    const engine* pickDecode(const engine_ask& ask, time_point now);
+    engine* pickDecode(const engine_ask& ask, time_point now);
+    /// Whether a decode engine may read the prompt itself while the prefill engines are busy.
+    bool mayReadItself(const engine& decode, const engine_ask& ask, time_point now);
     engine* pickPrefill(const engine_ask& ask, const std::string& nearTo, time_point now);
 
     std::mt19937_64 m_random;
--- a/Source/scheduling/scheduling.h
+++ b/Source/scheduling/scheduling.h
@@ -2,4 +2,5 @@
 /// Which endpoint runs what, and when: pools, reservations, queues, policies.
 /// This is the library's one public header.
 #include "scheduling/engine_planner.h"
+#include "scheduling/output_forecast.h"
 #include "scheduling/pool.h"
