--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -206,15 +206,19 @@
         handler(std::nullopt);
 }
 
-void control_link::release(std::uint64_t callId, std::uint64_t generated, milliseconds generating)
+void control_link::release(const ended_try& ended)
 {
     if (m_leader.empty())
         return;
     wire::envelope message;
     auto& release = *message.mutable_engine_release();
-    release.set_call_id(callId);
-    release.set_generated(generated);
-    release.set_generating_ms(static_cast<std::uint32_t>(generating.count()));
+    release.set_call_id(ended.callId);
+    release.set_generated(ended.generated);
+    release.set_generating_ms(static_cast<std::uint32_t>(ended.generating.count()));
+    for (const auto& id : ended.outcomes.succeeded)
+        release.add_succeeded(id);
+    for (const auto& id : ended.outcomes.failed)
+        release.add_failed(id);
     m_network.send(m_leader, std::move(message));
 }
 
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -16,6 +16,21 @@
     milliseconds lease { 4000 };
 };
 
+/// The engines that served, or failed, a part of a model call.
+struct engine_outcomes {
+    std::vector<std::string> succeeded;
+    std::vector<std::string> failed;
+};
+
+/// A try at a model call that has ended.
+struct ended_try {
+    std::uint64_t callId = 0;
+    /// Tokens that it generated, and the time that took.
+    std::uint64_t generated = 0;
+    milliseconds generating { 0 };
+    engine_outcomes outcomes;
+};
+
 /// An entry's link to the leader: keeps the configuration and the endpoints current, and knows until when they may be
 /// acted on. Any control process that answers tells who leads and which others there are, so that stale addresses at
 /// the start do no harm.
@@ -44,8 +59,8 @@
     /// Takes note that the leader did not answer a question in time: it is asked for a sign of life at once, and given up
     /// sooner than at the next sync.
     void suspectLeader();
-    /// Tells the leader that a call which it placed has ended, after it had generated so many tokens in that time.
-    void release(std::uint64_t callId, std::uint64_t generated, milliseconds generating);
+    /// Tells the leader that a try which it placed has ended.
+    void release(const ended_try& ended);
     /// Tells the leader that an endpoint could not be reached.
     void tellUnreachable(const std::string& endpoint, std::uint64_t born);
     /// Tells the leader that this entry leaves, so that its shares go to the others.
--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -97,6 +97,10 @@
         return;
     const auto& release = message.engine_release();
     m_planner.release(session->second.name, release.call_id(), release.generated(), milliseconds(release.generating_ms()));
+    for (const auto& id : release.succeeded())
+        m_planner.noteSuccess(id);
+    for (const auto& id : release.failed())
+        m_planner.noteFailure(id, m_clock.now());
     if (!m_waitingPlans.empty())
         answerPlans();
 }
--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -81,6 +81,8 @@
     std::optional<model_places> placesElsewhere(const std::optional<wire::engine_plan_reply>& plan, const picked_endpoint& endpoint, std::uint64_t callId);
     void leaveFor(const model_places& places, const picked_endpoint& endpoint);
     bool noteMoved(const std::string& endpointId);
+    /// Notes what a send tells of its endpoint, here and, for model calls, with the release that the leader learns from.
+    void judge(const std::string& endpointId, endpoint_verdict verdict);
     task_of<attempt_end> serveModelAt(const model_places& places);
     task_of<void> ensurePrefill(const model_places& places);
     std::optional<picked_endpoint> pickPrefill(const model_places& places, const std::set<std::string>& tried);
@@ -151,6 +153,8 @@
     std::uint64_t m_eventsPassed = 0;
     std::uint64_t m_eventsHere = 0;
     time_point m_generatingSince {};
+    /// What this try told of engines.
+    engine_outcomes m_outcomes;
     /// Since when the stream's next bytes are awaited; zero while a slow caller holds it back.
     time_point m_quietSince {};
     milliseconds m_longestPause { 0 };
--- a/Source/forwarding/forward_call_answers.h
+++ b/Source/forwarding/forward_call_answers.h
@@ -36,7 +36,7 @@
     auto failed = co_await readOwnHead(answer);
     if (failed != call_failure::None) {
         if (!ended())
-            m_shared.roster.judge(endpoint.id, endpoint_verdict::Lost);
+            judge(endpoint.id, endpoint_verdict::Lost);
         co_return attempt_end::MayHaveRun;
     }
     auto status = m_current->status();
@@ -49,7 +49,7 @@
         if (failed == call_failure::None)
             finishConnection(endpoint.id, answer);
         // Another endpoint has the address by now; until its announcement comes, this one is as good as lost.
-        m_shared.roster.judge(endpoint.id, status == misdirected ? endpoint_verdict::Lost : endpoint_verdict::Refused);
+        judge(endpoint.id, status == misdirected ? endpoint_verdict::Lost : endpoint_verdict::Refused);
         co_return attempt_end::RefusedUnrun;
     }
     bool success = status >= 200 && status < 300;
@@ -58,13 +58,13 @@
     constexpr std::array promises { 408U, 429U, 503U };
     bool unprovenPromise = std::find(promises.begin(), promises.end(), status) != promises.end();
     if ((success && !trusted) || unprovenPromise || answer.encoded) {
-        m_shared.roster.judge(endpoint.id, endpoint_verdict::Failed);
+        judge(endpoint.id, endpoint_verdict::Failed);
         co_return attempt_end::MayHaveRun;
     }
     bool serverError = status >= 500;
     bool mayGoElsewhere = idempotent() && m_mayHaveRunAt < m_route->mostEndpoints && !m_answerBegun;
     if (serverError)
-        m_shared.roster.judge(endpoint.id, endpoint_verdict::Failed);
+        judge(endpoint.id, endpoint_verdict::Failed);
     if (serverError && mayGoElsewhere)
         co_return co_await keepSpare(endpoint, answer);
     if (serverError && m_answerBegun)
@@ -98,11 +98,11 @@
     auto failed = co_await m_current->readRest(body, forwarding_detail::mostAnswerBytes);
     if (failed != call_failure::None) {
         if (!ended())
-            m_shared.roster.judge(endpoint.id, endpoint_verdict::Failed);
+            judge(endpoint.id, endpoint_verdict::Failed);
         co_return attempt_end::MayHaveRun;
     }
     if (status < 500)
-        m_shared.roster.judge(endpoint.id, endpoint_verdict::Good);
+        judge(endpoint.id, endpoint_verdict::Good);
     m_keepAlive = m_keepAlive && !m_shared.draining;
     auto bytes = encodeAnswerHead(status, m_current->reasonPhrase(), m_current->fields(), { body.size(), !m_keepAlive });
     finishConnection(endpoint.id, answer);
--- a/Source/forwarding/forward_call_model.h
+++ b/Source/forwarding/forward_call_model.h
@@ -50,7 +50,7 @@
         }
         m_shared.roster.endCall(m_callId);
         auto generating = m_generatingSince == time_point {} ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_generatingSince);
-        m_shared.link.release(m_callId, m_eventsHere * m_service->engine->tokensPerEvent, generating);
+        m_shared.link.release({ m_callId, m_eventsHere * m_service->engine->tokensPerEvent, generating, std::exchange(m_outcomes, {}) });
         if (end == attempt_end::Answered)
             co_return;
         why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed
@@ -235,7 +235,7 @@
     if (failed != call_failure::None) {
         connection->close();
         if (!ended())
-            m_shared.roster.judge(endpoint.id, endpoint_verdict::Lost);
+            judge(endpoint.id, endpoint_verdict::Lost);
         co_return std::nullopt;
     }
     auto status = connection->status();
@@ -248,7 +248,7 @@
         handle = Dialect::decodePrefill(body);
     auto verdict = handle ? endpoint_verdict::Good : answer.refusedUnrun ? endpoint_verdict::Refused
                                                                          : endpoint_verdict::Failed;
-    m_shared.roster.judge(endpoint.id, verdict);
+    judge(endpoint.id, verdict);
     co_return handle;
 }
 
--- a/Source/forwarding/forward_call_steps.h
+++ b/Source/forwarding/forward_call_steps.h
@@ -208,7 +208,7 @@
     fresh->close();
     m_current.reset();
     if (!ended()) {
-        m_shared.roster.judge(endpoint.id, endpoint_verdict::Lost);
+        judge(endpoint.id, endpoint_verdict::Lost);
         m_shared.link.tellUnreachable(endpoint.id, endpoint.born);
     }
     co_return nullptr;
@@ -335,6 +335,16 @@
         logEnd();
 }
 
+template <call_dialect Dialect>
+void forward_call<Dialect>::judge(const std::string& endpointId, endpoint_verdict verdict)
+{
+    m_shared.roster.judge(endpointId, verdict);
+    if (verdict == endpoint_verdict::Good)
+        m_outcomes.succeeded.push_back(endpointId);
+    else if (verdict != endpoint_verdict::Refused)
+        m_outcomes.failed.push_back(endpointId);
+}
+
 template <call_dialect Dialect>
 void forward_call<Dialect>::logEnd()
 {
--- a/Source/forwarding/forward_call_streams.h
+++ b/Source/forwarding/forward_call_streams.h
@@ -68,7 +68,7 @@
             return;
         }
         if (plan && !plan->full())
-            m_shared.link.release(callId, 0, milliseconds(0));
+            m_shared.link.release({ callId, 0, milliseconds(0), {} });
         watchQuiet(endpoint, forwarding_detail::seekPause);
     });
 }
@@ -135,7 +135,7 @@
         auto failed = co_await connection->readPiece(piece);
         if (failed != call_failure::None) {
             if (!ended())
-                m_shared.roster.judge(endpoint.id, m_leftLive ? endpoint_verdict::Refused : endpoint_verdict::Lost);
+                judge(endpoint.id, m_leftLive ? endpoint_verdict::Refused : endpoint_verdict::Lost);
             co_return attempt_end::MayHaveRun;
         }
         m_longestPause = std::max(m_longestPause, quietStream(endpoint.id).quiet);
@@ -168,7 +168,7 @@
             break;
     }
     m_outcome = "answered";
-    m_shared.roster.judge(endpoint.id, endpoint_verdict::Good);
+    judge(endpoint.id, endpoint_verdict::Good);
     if (m_head.resumeAfter.empty() && m_service->engine)
         m_shared.outputs.learn(m_route->name, m_eventsPassed * m_service->engine->tokensPerEvent);
     finishConnection(endpoint.id, answer);
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -29,6 +29,9 @@
     /// How much the newest call counts in the speed of generation.
     constexpr double speedWeight = 0.05;
     constexpr milliseconds leastToLearnFrom { 200 };
+    /// Failures so close together count once: connections that are reset at one moment have one cause, which need not be
+    /// the engine's.
+    constexpr milliseconds oneMoment { 50 };
 
     duration readingTime(std::uint64_t tokens, double tokensPerMs)
     {
@@ -41,11 +44,14 @@
     const auto& report = row.report();
     if (report.state() == wire::ENDPOINT_GONE) {
         m_engines.erase(report.id());
+        m_breaker.forget(report.id());
         return;
     }
     auto& one = m_engines[report.id()];
-    if (one.row.report().born_ms() != report.born_ms())
+    if (one.row.report().born_ms() != report.born_ms()) {
         one.promptsReadAt = {};
+        m_breaker.forget(report.id());
+    }
     one.row = row;
 }
 
@@ -56,14 +62,22 @@
         && !ask.exclude.count(report.id());
 }
 
-std::vector<engine_planner::engine*> engine_planner::candidates(const engine_ask& ask, wire::endpoint_stage stage)
+std::vector<engine_planner::engine*> engine_planner::candidates(const engine_ask& ask, wire::endpoint_stage stage, time_point now)
 {
     std::vector<engine*> sound;
+    std::vector<engine*> failing;
     std::vector<engine*> doubtful;
     for (auto& [id, one] : m_engines) {
-        if (serves(one, ask, stage))
-            (ask.avoid.count(id) ? doubtful : sound).push_back(&one);
+        if (!serves(one, ask, stage))
+            continue;
+        if (ask.avoid.count(id))
+            doubtful.push_back(&one);
+        else
+            (m_breaker.allows(id, now) ? sound : failing).push_back(&one);
     }
+    // Where most engines fail the cause is not theirs, and the few others would be overfilled.
+    if (failing.size() > sound.size())
+        sound.insert(sound.end(), failing.begin(), failing.end());
     // A call waits for a sound engine rather than go to one that just failed; where all failed, waiting helps nobody.
     return sound.empty() ? doubtful : sound;
 }
@@ -98,7 +112,7 @@
     engine* best = nullptr;
     double bestCost = 0;
     auto memory = static_cast<double>(std::max<std::uint64_t>(ask.memoryTokens, 1));
-    for (auto* one : candidates(ask, wire::STAGE_DECODE)) {
+    for (auto* one : candidates(ask, wire::STAGE_DECODE, now)) {
         const auto& report = one->row.report();
         auto& running = users[report.id()];
         bool empty = running.empty();
@@ -122,7 +136,7 @@
 {
     engine* best = nullptr;
     time_point bestAt {};
-    for (auto* one : candidates(ask, wire::STAGE_PREFILL)) {
+    for (auto* one : candidates(ask, wire::STAGE_PREFILL, now)) {
         auto at = std::max(now, one->promptsReadAt);
         if (one->row.report().data_centre() != nearTo)
             at += remoteDelay;
@@ -136,7 +150,7 @@
 
 bool engine_planner::mayReadItself(const engine& decode, const engine_ask& ask, time_point now)
 {
-    if (candidates(ask, wire::STAGE_PREFILL).empty())
+    if (candidates(ask, wire::STAGE_PREFILL, now).empty())
         return true;
     auto users = usersNow(now);
     if (users[decode.row.report().id()].empty())
@@ -156,6 +170,8 @@
         return full;
     engine_plan plan { false, decode->row.report().id(), prefill ? prefill->row.report().id() : std::string() };
     m_calls[entry][ask.callId] = { plan.decode, ask.promptTokens, ask.outputTokens, 0, now };
+    m_breaker.onSent(plan.decode, now);
+    m_breaker.onSent(plan.prefill, now);
     auto& reader = prefill ? *prefill : *decode;
     reader.promptsReadAt = std::max(now, reader.promptsReadAt) + readingTime(ask.promptTokens, prefill ? promptTokensPerMs : decodeReadsPerMs);
     return plan;
@@ -164,8 +180,11 @@
 void engine_planner::takeCalls(const std::string& entry, const std::vector<wire::running_call>& calls, time_point now)
 {
     std::map<std::uint64_t, placed_call> fresh;
-    for (const auto& call : calls)
+    for (const auto& call : calls) {
+        if (call.generated() > 0)
+            noteSuccess(call.endpoint());
         fresh[call.id()] = { call.endpoint(), call.prompt_tokens(), call.output_tokens(), call.generated(), now };
+    }
     for (auto& [id, call] : m_calls[entry]) {
         if (now - call.at <= listLag)
             fresh.emplace(id, call);
@@ -184,6 +203,15 @@
     m_tokensPerMs += speedWeight * (speed - m_tokensPerMs);
 }
 
+void engine_planner::noteFailure(const std::string& endpoint, time_point now)
+{
+    auto found = m_engines.find(endpoint);
+    if (found == m_engines.end() || (found->second.failedAt != time_point {} && now - found->second.failedAt < oneMoment))
+        return;
+    found->second.failedAt = now;
+    m_breaker.onFailure(endpoint, now);
+}
+
 void engine_planner::forgetEntry(const std::string& entry)
 {
     m_calls.erase(entry);
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "kernel/kernel.h"
+#include "scheduling/circuit_breaker.h"
 #include "scheduling/memory_projection.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
@@ -57,6 +58,11 @@
     void takeCalls(const std::string& entry, const std::vector<wire::running_call>& calls, time_point now);
     /// A call ended after it had generated so much in that time.
     void release(const std::string& entry, std::uint64_t callId, std::uint64_t generated, milliseconds generating);
+    /// An engine served a part of a call, or failed one. Load pattern: an engine that fails all calls, while its health
+    /// check is good, is always empty and so draws calls from every entry; each entry by itself learns of it only by its
+    /// own failures. Here the failures of all count, and after a few in a row it gets one call a second until one succeeds.
+    void noteSuccess(const std::string& endpoint) { m_breaker.onSuccess(endpoint); }
+    void noteFailure(const std::string& endpoint, time_point now);
     void forgetEntry(const std::string& entry);
     /// The most tokens that the calls placed on an endpoint will hold.
     std::uint64_t projectedTokens(const std::string& endpoint, time_point now) const;
@@ -66,6 +72,7 @@
         wire::endpoint_row row;
         /// When the prompts that were sent here are expected to be read.
         time_point promptsReadAt {};
+        time_point failedAt {};
     };
     struct placed_call {
         std::string endpoint;
@@ -80,7 +87,7 @@
     memory_user userOf(const placed_call& call, time_point now) const;
     users_by_endpoint usersNow(time_point now) const;
     static bool serves(const engine& one, const engine_ask& ask, wire::endpoint_stage stage);
-    std::vector<engine*> candidates(const engine_ask& ask, wire::endpoint_stage stage);
+    std::vector<engine*> candidates(const engine_ask& ask, wire::endpoint_stage stage, time_point now);
     engine* pickDecode(const engine_ask& ask, time_point now);
     /// Whether a decode engine may read the prompt itself while the prefill engines are busy.
     bool mayReadItself(const engine& decode, const engine_ask& ask, time_point now);
@@ -88,6 +95,7 @@
 
     std::mt19937_64 m_random;
     std::map<std::string, engine> m_engines;
+    circuit_breaker m_breaker;
     std::map<std::string, std::map<std::uint64_t, placed_call>> m_calls;
     /// Tokens that a call generates in a millisecond, learnt from calls that ended.
     double m_tokensPerMs = 1.5;
--- a/Tests/Scheduling/EnginePlannerTest.cpp
+++ b/Tests/Scheduling/EnginePlannerTest.cpp
@@ -257,3 +257,69 @@
     CHECK(byForecast < 0.75 * byGuess);
     CHECK(byForecast < 0.75 * byUsual);
 }
+
+// Callers see: one call in five fails for seconds, and prompts are read for nothing.
+// Order: an engine answers each call with an error at once while its health check is good; so it is always empty, and each
+// entry in turn sends it calls until it has failed there often enough.
+// Why: the leader counts the failures of all entries; after three in a row one call a second tries the engine.
+TEST_CASE("An engine that fails all calls is left alone by all entries")
+{
+    manual_clock_source clock;
+    engine_planner planner(7);
+    for (const auto* id : { "d1", "d2", "d3" })
+        planner.takeEndpoint(rowOf(id, wire::STAGE_DECODE));
+    std::uint64_t id = 0;
+    int atBad = 0;
+    for (int step = 0; step < 300; ++step) {
+        clock.advance(milliseconds(100));
+        auto entry = "entry-" + std::to_string(step % 60);
+        auto plan = planner.place(entry, askOf(++id, 500, 500), clock.now());
+        REQUIRE_FALSE(plan.full);
+        planner.release(entry, id, 0, milliseconds(0));
+        if (plan.decode == "d1") {
+            ++atBad;
+            planner.noteFailure("d1", clock.now());
+        } else {
+            planner.noteSuccess(plan.decode);
+        }
+    }
+    CHECK(atBad >= 10);
+    CHECK(atBad <= 35);
+    // It serves again: the one call that tries it succeeds, and it gets its share.
+    int atGood = 0;
+    for (int step = 0; step < 60; ++step) {
+        clock.advance(milliseconds(100));
+        auto plan = planner.place("entry", askOf(++id, 500, 500), clock.now());
+        planner.release("entry", id, 0, milliseconds(0));
+        planner.noteSuccess(plan.decode);
+        atGood += plan.decode == "d1";
+    }
+    CHECK(atGood >= 8);
+}
+
+// Callers see: refusals while engines are free.
+// Order: all connections of an entry are reset at one moment; each engine counts as failing.
+// Why: failures of one moment count once, and where most engines fail all are used.
+TEST_CASE("Engines are not shut out by failures of one moment or of most engines")
+{
+    manual_clock_source clock;
+    engine_planner planner(7);
+    for (const auto* id : { "d1", "d2", "d3" })
+        planner.takeEndpoint(rowOf(id, wire::STAGE_DECODE));
+    for (int i = 0; i < 20; ++i)
+        planner.noteFailure("d1", clock.now());
+    std::set<std::string> used;
+    for (std::uint64_t id = 1; id <= 9; ++id)
+        used.insert(planner.place("entry", askOf(id), clock.now()).decode);
+    CHECK(used.size() == 3);
+    planner.forgetEntry("entry");
+    for (int i = 0; i < 5; ++i) {
+        clock.advance(milliseconds(100));
+        for (const auto* id : { "d1", "d2" })
+            planner.noteFailure(id, clock.now());
+    }
+    used.clear();
+    for (std::uint64_t id = 1; id <= 9; ++id)
+        used.insert(planner.place("entry", askOf(id), clock.now()).decode);
+    CHECK(used.size() == 3);
+}
