Scheduling: Let only calls placed after a failure speak for an engine

Cause: an engine that reset each new call kept the streams it had begun before; their events counted as success, so the breaker closed again each half second (84 and 81 failed calls at two engines within four seconds). Now events count only for calls that were placed after the engine's last failure.

--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -169,7 +169,7 @@
     if (!prefill && !mayReadItself(*decode, ask, now))
         return full;
     engine_plan plan { false, decode->row.report().id(), prefill ? prefill->row.report().id() : std::string() };
-    m_calls[entry][ask.callId] = { plan.decode, ask.promptTokens, ask.outputTokens, 0, now };
+    m_calls[entry][ask.callId] = { plan.decode, ask.promptTokens, ask.outputTokens, 0, now, now };
     m_breaker.onSent(plan.decode, now);
     m_breaker.onSent(plan.prefill, now);
     auto& reader = prefill ? *prefill : *decode;
@@ -179,17 +179,20 @@
 
 void engine_planner::takeCalls(const std::string& entry, const std::vector<wire::running_call>& calls, time_point now)
 {
+    auto& known = m_calls[entry];
     std::map<std::uint64_t, placed_call> fresh;
     for (const auto& call : calls) {
-        if (call.generated() > 0)
-            noteSuccess(call.endpoint());
-        fresh[call.id()] = { call.endpoint(), call.prompt_tokens(), call.output_tokens(), call.generated(), now };
+        auto before = known.find(call.id());
+        auto placedAt = before == known.end() ? now : before->second.placedAt;
+        auto& one = fresh[call.id()];
+        one = { call.endpoint(), call.prompt_tokens(), call.output_tokens(), call.generated(), now, placedAt };
+        learnFromEvents(one);
     }
-    for (auto& [id, call] : m_calls[entry]) {
+    for (auto& [id, call] : known) {
         if (now - call.at <= listLag)
             fresh.emplace(id, call);
     }
-    m_calls[entry] = std::move(fresh);
+    known = std::move(fresh);
 }
 
 void engine_planner::release(const std::string& entry, std::uint64_t callId, std::uint64_t generated, milliseconds generating)
@@ -203,6 +206,13 @@
     m_tokensPerMs += speedWeight * (speed - m_tokensPerMs);
 }
 
+void engine_planner::learnFromEvents(const placed_call& call)
+{
+    auto found = m_engines.find(call.endpoint);
+    if (call.generated > 0 && found != m_engines.end() && call.placedAt > found->second.failedAt)
+        noteSuccess(call.endpoint);
+}
+
 void engine_planner::noteFailure(const std::string& endpoint, time_point now)
 {
     auto found = m_engines.find(endpoint);
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -81,9 +81,12 @@
         std::uint64_t generated;
         /// When the figures were true.
         time_point at;
+        time_point placedAt;
     };
     using users_by_endpoint = std::map<std::string, std::vector<memory_user>>;
 
+    /// Events of a call tell that its engine is sound, unless the call is older than the engine's last failure.
+    void learnFromEvents(const placed_call& call);
     memory_user userOf(const placed_call& call, time_point now) const;
     users_by_endpoint usersNow(time_point now) const;
     static bool serves(const engine& one, const engine_ask& ask, wire::endpoint_stage stage);
--- a/Tests/Scheduling/EnginePlannerTest.cpp
+++ b/Tests/Scheduling/EnginePlannerTest.cpp
@@ -323,3 +323,36 @@
         used.insert(planner.place("entry", askOf(id), clock.now()).decode);
     CHECK(used.size() == 3);
 }
+
+// Callers see: calls go on failing at an engine that resets each new one.
+// Order: streams that the engine began before it turned bad go on for seconds, while each new call is reset.
+// Why: only events of calls that were placed after its last failure speak for an engine.
+TEST_CASE("Streams from before an engine turned bad don't speak for it")
+{
+    manual_clock_source clock;
+    engine_planner planner(7);
+    planner.takeEndpoint(rowOf("d1", wire::STAGE_DECODE));
+    planner.takeEndpoint(rowOf("d2", wire::STAGE_DECODE));
+    auto first = planner.place("entry", askOf(1), clock.now());
+    wire::running_call running;
+    running.set_id(1);
+    running.set_endpoint(first.decode);
+    running.set_prompt_tokens(5200);
+    running.set_output_tokens(5000);
+    running.set_generated(500);
+    for (int i = 0; i < 4; ++i) {
+        clock.advance(milliseconds(100));
+        planner.noteFailure(first.decode, clock.now());
+        planner.takeCalls("entry", { running }, clock.now());
+    }
+    for (std::uint64_t id = 2; id <= 4; ++id)
+        CHECK(planner.place("entry", askOf(id), clock.now()).decode != first.decode);
+    // One that was placed since does.
+    clock.advance(milliseconds(500));
+    running.set_id(9);
+    planner.takeCalls("entry", { running }, clock.now());
+    std::set<std::string> used;
+    for (std::uint64_t id = 10; id <= 13; ++id)
+        used.insert(planner.place("entry", askOf(id), clock.now()).decode);
+    CHECK(used.count(first.decode) == 1);
+}
