Membership: Hold a farewell that names no run against reports that come after it

Cause: an engine started behind a cut and said farewell as the cut healed; its farewell names no run and its first report, held up by the cut, arrived two seconds later. Ruled out: the order of reports within one run, the entries' own tables, a leader that changed (none did). Now: after a farewell without a run, a run counts as new only once it has gone on reporting for two and a half intervals. The wall clock was weighed and left: it may be seconds off on either side. EndpointDirectoryTest "A farewell that names no run ..." and "A new run under an old name ..." fail with that time at zero, which is the old code.

--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -33,6 +33,19 @@
     return !isGone(report) && report.sequence() <= known.sequence();
 }
 
+bool endpoint_directory::mayPrecedeFarewell(known_endpoint& one, const wire::endpoint_report& report, time_point now) const
+{
+    // Its run is newer than any that is known, but so is that of an endpoint which started behind a cut, said farewell,
+    // and whose first reports arrive last. Used again, it would get calls after it was told that none would come.
+    if (!isGone(one.row.report()) || !one.endedUnnamed)
+        return false;
+    if (one.reportingRun != report.born_ms()) {
+        one.reportingRun = report.born_ms();
+        one.reportingSince = now;
+    }
+    return now - one.reportingSince < m_settings.provenAlive;
+}
+
 bool endpoint_directory::addressTaken(const wire::endpoint_report& report)
 {
     for (auto& [id, other] : m_endpoints) {
@@ -56,6 +69,7 @@
             known_endpoint gone;
             *gone.row.mutable_report() = report;
             gone.heardAt = now;
+            gone.endedUnnamed = report.born_ms() == 0;
             markChanged(m_endpoints.emplace(report.id(), std::move(gone)).first->second);
             return true;
         }
@@ -67,18 +81,22 @@
         if (report.born_ms() > held.born_ms())
             held.set_born_ms(report.born_ms());
         held.set_state(wire::ENDPOINT_GONE);
+        found->second.endedUnnamed = report.born_ms() == 0;
         found->second.heardAt = now;
         markChanged(found->second);
         return true;
     }
     if (found != m_endpoints.end() && isOlder(report, found->second.row.report()))
         return false;
+    if (found != m_endpoints.end() && mayPrecedeFarewell(found->second, report, now))
+        return false;
     auto before = m_version;
     if (addressTaken(report))
         return m_version != before;
     auto& one = found == m_endpoints.end() ? m_endpoints[report.id()] : found->second;
     bool changed = found == m_endpoints.end() || one.row.silent() || !sameForReaders(report, one.row.report());
     *one.row.mutable_report() = report;
+    one.endedUnnamed = false;
     one.row.set_silent(false);
     one.heardAt = now;
     if (changed)
--- a/Source/membership/endpoint_directory.h
+++ b/Source/membership/endpoint_directory.h
@@ -13,6 +13,9 @@
     milliseconds silentAfter { 4000 };
     /// How long an endpoint that left is remembered, so that announcements delayed on the way don't bring it back.
     milliseconds goneKept { 60000 };
+    /// How long an endpoint whose farewell named no run must go on reporting before it counts as started again. Reports
+    /// that were held up by a cut come together when it heals; a live endpoint reports every second or so.
+    milliseconds provenAlive { 3000 };
     /// Silence after which an endpoint counts as gone. A VM that is cut off or suspended comes back within seconds.
     milliseconds goneAfter { 30000 };
 };
@@ -44,7 +47,14 @@
         wire::endpoint_row row;
         time_point heardAt;
         std::uint64_t changedAt = 0;
+        /// Whether its farewell named no run.
+        bool endedUnnamed = false;
+        /// The run that reported after such a farewell, and since when.
+        std::uint64_t reportingRun = 0;
+        time_point reportingSince {};
     };
+    /// Whether a report that follows a farewell without a run may come from before it.
+    bool mayPrecedeFarewell(known_endpoint& one, const wire::endpoint_report& report, time_point now) const;
     bool isOlder(const wire::endpoint_report& report, const wire::endpoint_report& known) const;
     bool addressTaken(const wire::endpoint_report& report);
     void markChanged(known_endpoint& one) { one.changedAt = ++m_version; }
--- a/Tests/Membership/EndpointDirectoryTest.cpp
+++ b/Tests/Membership/EndpointDirectoryTest.cpp
@@ -107,3 +107,45 @@
     CHECK(directory.take(reportOf("b", 100, 2, "10.0.0.2:80"), clock.now()));
     CHECK_FALSE(rowOf(directory.changesSince(seen), "b")->silent());
 }
+
+// Callers see: a call reaches an engine seconds after it said that it leaves, and is cut off when it ends.
+// Order: an engine starts behind a cut; its first reports are held up; its farewell, which names no run, arrives first;
+// the reports follow when the cut heals.
+// Why: a farewell without a run ends every run that began before it, also one not heard of yet.
+TEST_CASE("A farewell that names no run holds against reports that were held up on the way")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    auto known = GENERATE(false, true);
+    if (known)
+        directory.take(reportOf("d1", 10, 1), clock.now());
+    auto farewell = reportOf("d1", 0, 0);
+    farewell.set_state(wire::ENDPOINT_GONE);
+    CHECK(directory.take(farewell, clock.now()));
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+        clock.advance(milliseconds(900));
+        CHECK_FALSE(directory.take(reportOf("d1", 20, sequence), clock.now()));
+    }
+    CHECK(directory.changesSince(0).front().report().state() == wire::ENDPOINT_GONE);
+}
+
+// Callers see: an engine that was started again under its name stays unused.
+// Order: an engine says farewell without naming its run, ends, and starts again under the same name.
+// Why: what goes on reporting for longer than reports are held up is alive; a run named by its farewell hinders no later one.
+TEST_CASE("A new run under an old name is used once it goes on reporting")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    directory.take(reportOf("d1", 10, 1), clock.now());
+    auto farewell = reportOf("d1", 0, 0);
+    farewell.set_state(wire::ENDPOINT_GONE);
+    directory.take(farewell, clock.now());
+    clock.advance(milliseconds(1000));
+    directory.take(reportOf("d1", 20, 1), clock.now());
+    clock.advance(directory_settings {}.provenAlive);
+    CHECK(directory.take(reportOf("d1", 20, 4), clock.now()));
+    CHECK(directory.changesSince(0).front().report().state() == wire::ENDPOINT_SERVING);
+    farewell.set_born_ms(20);
+    CHECK(directory.take(farewell, clock.now()));
+    CHECK(directory.take(reportOf("d1", 30, 1), clock.now()));
+}
