Coordination: Keep running sums of the entries' loads

The leader added up all entries' loads anew for each entry's sync, so its work grew with the square of the entries (noted as a bound in docs/CAPACITY.md). entry_loads takes an entry's last report out of the sums before the next goes in; a seeded test compares them with what the reports add up to. The field `round` of syncs was written and read by nobody and is gone.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -87,7 +87,6 @@
     m_lastAsked = address;
     wire::envelope message;
     auto& sync = *message.mutable_entry_sync();
-    sync.set_round(++m_round);
     sync.set_document_version(m_table ? m_table->version() : 0);
     sync.set_directory_source(m_directorySource);
     sync.set_directory_version(m_directoryVersion);
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -89,7 +89,6 @@
     std::string m_lastAsked;
     std::shared_ptr<const route_table> m_table;
     time_point m_validUntil {};
-    std::uint64_t m_round = 0;
     std::uint64_t m_directorySource = 0;
     std::uint64_t m_directoryVersion = 0;
     unsigned m_entries = 1;
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -101,7 +101,6 @@
     const auto& sync = message.entry_sync();
     wire::envelope reply;
     auto& update = *reply.mutable_entry_update();
-    update.set_round(sync.round());
     update.set_leader_address(m_replica.leaderAddress());
     for (const auto& address : m_replica.peers())
         update.add_controls(address);
@@ -115,9 +114,7 @@
         session.documentVersion = sync.document_version();
         session.directorySource = sync.directory_source();
         session.directoryVersion = sync.directory_version();
-        session.load.clear();
-        for (const auto& one : sync.load())
-            session.load[one.id()] = one;
+        m_loads.replace(session.name, sync.load());
         m_planner.takeCalls(session.name, { sync.calls().begin(), sync.calls().end() }, m_clock.now());
         if (sync.leaving())
             forgetEntry(from.get());
@@ -125,7 +122,7 @@
         update.set_confirmed_age_ms(static_cast<std::uint32_t>(age->count()));
         if (!sync.leaving()) {
             fillUpdate(update, session);
-            fillLoad(update, session);
+            m_loads.fillOthers(session.name, *update.mutable_load());
         }
     }
     peer_network::reply(from, message, std::move(reply));
@@ -148,24 +145,6 @@
     update.set_entries(static_cast<std::uint32_t>(m_entries.size()));
 }
 
-void entry_coordinator::fillLoad(wire::entry_update& update, const entry_session& session) const
-{
-    std::map<std::string, wire::endpoint_load> sums;
-    for (const auto& [peer, other] : m_entries) {
-        if (&other == &session)
-            continue;
-        for (const auto& [id, load] : other.load) {
-            auto& sum = sums[id];
-            sum.set_requests(sum.requests() + load.requests());
-            sum.set_tokens(sum.tokens() + load.tokens());
-        }
-    }
-    for (auto& [id, sum] : sums) {
-        sum.set_id(id);
-        *update.add_load() = sum;
-    }
-}
-
 void entry_coordinator::pushChanges()
 {
     if (!m_replica.leads())
@@ -190,6 +169,7 @@
 void entry_coordinator::onLeadershipChanged(bool leads)
 {
     m_entries.clear();
+    m_loads.clear();
     m_waiting.clear();
     m_waitingPlans.clear();
     m_planner = engine_planner(freshIncarnation());
@@ -209,6 +189,7 @@
     if (found == m_entries.end())
         return;
     m_planner.forgetEntry(found->second.name);
+    m_loads.forget(found->second.name);
     m_entries.erase(found);
 }
 
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -1,4 +1,5 @@
 #pragma once
+#include "coordination/entry_loads.h"
 #include "limits/limits.h"
 #include "membership/membership.h"
 #include "replication/replication.h"
@@ -64,14 +65,13 @@
 
 private:
     struct entry_session {
-        /// Names the session towards the planner.
+        /// Names the session towards the planner and in the loads.
         std::string name;
         peer_network::peer peer;
         std::uint64_t documentVersion = 0;
         std::uint64_t directorySource = 0;
         std::uint64_t directoryVersion = 0;
         time_point heardAt;
-        std::map<std::string, wire::endpoint_load> load;
     };
     struct waiting_plan {
         peer_network::peer peer;
@@ -93,7 +93,6 @@
     void refreshPlanner();
     void onLimitRequest(const wire::envelope& message, const peer_network::peer& from);
     void fillUpdate(wire::entry_update& update, entry_session& session);
-    void fillLoad(wire::entry_update& update, const entry_session& session) const;
     void pushChanges();
     void answerLimits();
     void configureLimits();
@@ -108,6 +107,7 @@
     configuration_decoder m_decode;
     endpoint_directory m_directory;
     std::map<peer_connection*, entry_session> m_entries;
+    entry_loads m_loads;
     engine_planner m_planner;
     /// From when on this leader places calls.
     time_point m_planFrom {};
--- /dev/null
+++ b/Tests/Coordination/EntryLoadsTest.cpp
@@ -0,0 +1,76 @@
+#include "coordination/entry_loads.h"
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace pistachiolatch;
+
+namespace {
+entry_loads::loads loadsOf(const std::map<std::string, std::uint32_t>& requests)
+{
+    entry_loads::loads loads;
+    for (const auto& [id, count] : requests) {
+        auto& one = *loads.Add();
+        one.set_id(id);
+        one.set_requests(count);
+        one.set_tokens(count * 100);
+    }
+    return loads;
+}
+
+std::map<std::string, std::uint32_t> othersOf(const entry_loads& all, const std::string& entry)
+{
+    entry_loads::loads others;
+    all.fillOthers(entry, others);
+    std::map<std::string, std::uint32_t> requests;
+    for (const auto& one : others) {
+        CHECK(one.tokens() == one.requests() * 100);
+        requests[one.id()] = one.requests();
+    }
+    return requests;
+}
+}
+
+TEST_CASE("An entry is told what all others have at an endpoint")
+{
+    entry_loads all;
+    all.replace("a", loadsOf({ { "d1", 2 }, { "d2", 1 } }));
+    all.replace("b", loadsOf({ { "d1", 3 } }));
+    CHECK(othersOf(all, "a") == std::map<std::string, std::uint32_t> { { "d1", 3 } });
+    CHECK(othersOf(all, "b") == std::map<std::string, std::uint32_t> { { "d1", 2 }, { "d2", 1 } });
+    CHECK(othersOf(all, "new") == std::map<std::string, std::uint32_t> { { "d1", 5 }, { "d2", 1 } });
+    all.forget("a");
+    CHECK(othersOf(all, "new") == std::map<std::string, std::uint32_t> { { "d1", 3 } });
+    all.clear();
+    CHECK(othersOf(all, "new").empty());
+}
+
+// Callers see: calls avoid an endpoint that is free, or crowd at one that is full.
+// Order: entries report, restart and leave in any order; the sums drift away from what the reports add up to.
+// Why: what an entry reported last is taken out of the sums before its next report goes in.
+TEST_CASE("Sums of loads stay what the last reports add up to")
+{
+    std::mt19937 random(GENERATE(1U, 2U, 3U));
+    entry_loads all;
+    std::map<std::string, std::map<std::string, std::uint32_t>> last;
+    for (int step = 0; step < 2000; ++step) {
+        auto entry = "entry-" + std::to_string(random() % 6);
+        if (random() % 10 == 0) {
+            all.forget(entry);
+            last.erase(entry);
+        } else {
+            std::map<std::string, std::uint32_t> requests;
+            for (auto count = random() % 4; count > 0; --count)
+                requests["d" + std::to_string(random() % 5)] = 1 + random() % 9;
+            all.replace(entry, loadsOf(requests));
+            last[entry] = requests;
+        }
+        std::map<std::string, std::uint32_t> expected;
+        for (const auto& [other, requests] : last) {
+            for (const auto& [id, count] : requests) {
+                if (other != "entry-0")
+                    expected[id] += count;
+            }
+        }
+        REQUIRE(othersOf(all, "entry-0") == expected);
+    }
+}
