Scheduling: Follow a trial of an engine that ended without a verdict with another

Cause: found by reading: the one call that tries an engine which had failed may be refused as full, or its caller may leave; nothing was then learnt, and the engine stood unused until the trial's own end after ten seconds. EnginePlannerTest "A trial of an engine that ends without a verdict ..." fails without it (one trial where five are due).

--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -80,7 +80,7 @@
     void seekOtherPlaces(const picked_endpoint& endpoint);
     std::optional<model_places> placesElsewhere(const std::optional<wire::engine_plan_reply>& plan, const picked_endpoint& endpoint, std::uint64_t callId);
     void leaveFor(const model_places& places, const picked_endpoint& endpoint);
-    bool noteMoved(const std::string& endpointId);
+    void noteMoved(const std::string& endpointId);
     /// Notes what a send tells of its endpoint, here and, for model calls, with the release that the leader learns from.
     void judge(const std::string& endpointId, endpoint_verdict verdict);
     task_of<attempt_end> serveModelAt(const model_places& places);
--- a/Source/forwarding/forward_call_model.h
+++ b/Source/forwarding/forward_call_model.h
@@ -57,8 +57,9 @@
                                                                                                   : reason::EndpointFailed;
         if (ended())
             break;
-        bool again = m_nextPlaces ? noteMoved(places->decode.id) : tryAgainAfter(end, places->decode.id);
-        if (!again)
+        if (m_nextPlaces)
+            noteMoved(places->decode.id);
+        else if (!tryAgainAfter(end, places->decode.id))
             break;
         m_events.dropRest();
     }
--- a/Source/forwarding/forward_call_streams.h
+++ b/Source/forwarding/forward_call_streams.h
@@ -60,6 +60,7 @@
     auto question = planQuestion(callId, milliseconds(0));
     question.add_exclude(endpoint.id);
     m_shared.link.plan(std::move(question), [this, attempt = m_attempt, since = m_quietSince, alive = m_alive, endpoint, callId](std::optional<wire::engine_plan_reply> plan) {
+        // What the leader booked meanwhile is dropped with this entry's next list of running calls.
         if (!*alive || attempt != m_attempt || ended())
             return;
         auto places = since == m_quietSince ? placesElsewhere(plan, endpoint, callId) : std::nullopt;
@@ -103,12 +104,11 @@
 }
 
 template <call_dialect Dialect>
-bool forward_call<Dialect>::noteMoved(const std::string& endpointId)
+void forward_call<Dialect>::noteMoved(const std::string& endpointId)
 {
     m_tried.insert(endpointId);
     m_leftLive = false;
     m_shared.counters.countRetry(reason::EndpointFailed);
-    return true;
 }
 
 template <call_dialect Dialect>
--- a/Source/scheduling/circuit_breaker.cpp
+++ b/Source/scheduling/circuit_breaker.cpp
@@ -23,6 +23,13 @@
         found->second.trialUntil = now + trialFor;
 }
 
+void circuit_breaker::onUndecided(const std::string& endpoint)
+{
+    auto found = m_rows.find(endpoint);
+    if (found != m_rows.end())
+        found->second.trialUntil = {};
+}
+
 void circuit_breaker::onFailure(const std::string& endpoint, time_point now)
 {
     auto& one = m_rows[endpoint];
--- a/Source/scheduling/circuit_breaker.h
+++ b/Source/scheduling/circuit_breaker.h
@@ -14,6 +14,9 @@
     bool allows(const std::string& endpoint, time_point now) const;
     /// Tells that work was sent to the endpoint; an open breaker thereby starts its one trial.
     void onSent(const std::string& endpoint, time_point now);
+    /// Work on the endpoint ended without telling whether it is sound: refused as full, or its caller left. A trial may
+    /// begin anew.
+    void onUndecided(const std::string& endpoint);
     void onSuccess(const std::string& endpoint) { m_rows.erase(endpoint); }
     void onFailure(const std::string& endpoint, time_point now);
     void forget(const std::string& endpoint) { m_rows.erase(endpoint); }
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -197,9 +197,12 @@
 
 void engine_planner::release(const std::string& entry, std::uint64_t callId, std::uint64_t generated, milliseconds generating)
 {
-    auto found = m_calls.find(entry);
-    if (found != m_calls.end())
-        found->second.erase(callId);
+    auto& calls = m_calls[entry];
+    auto ended = calls.find(callId);
+    if (ended != calls.end()) {
+        m_breaker.onUndecided(ended->second.endpoint);
+        calls.erase(ended);
+    }
     if (generating < leastToLearnFrom || generated == 0)
         return;
     auto speed = static_cast<double>(generated) / static_cast<double>(generating.count());
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -56,7 +56,7 @@
     engine_plan place(const std::string& entry, const engine_ask& ask, time_point now);
     /// All calls that an entry has running, as of when it sent the list.
     void takeCalls(const std::string& entry, const std::vector<wire::running_call>& calls, time_point now);
-    /// A call ended after it had generated so much in that time.
+    /// A call ended after it had generated so much in that time. What it told of engines is noted after this.
     void release(const std::string& entry, std::uint64_t callId, std::uint64_t generated, milliseconds generating);
     /// An engine served a part of a call, or failed one. Load pattern: an engine that fails all calls, while its health
     /// check is good, is always empty and so draws calls from every entry; each entry by itself learns of it only by its
--- a/Tests/Scheduling/EnginePlannerTest.cpp
+++ b/Tests/Scheduling/EnginePlannerTest.cpp
@@ -356,3 +356,26 @@
         used.insert(planner.place("entry", askOf(id), clock.now()).decode);
     CHECK(used.count(first.decode) == 1);
 }
+
+// Callers see: refusals for ten seconds after an engine is sound again.
+// Order: an engine failed often; the call that tries it is refused as full, or its caller leaves; nothing is learnt.
+// Why: a trial that ends without a verdict lets the next one begin.
+TEST_CASE("A trial of an engine that ends without a verdict is followed by another")
+{
+    manual_clock_source clock;
+    engine_planner planner(7);
+    for (const auto* id : { "d1", "d2", "d3" })
+        planner.takeEndpoint(rowOf(id, wire::STAGE_DECODE));
+    for (int i = 0; i < 3; ++i) {
+        clock.advance(milliseconds(100));
+        planner.noteFailure("d1", clock.now());
+    }
+    int trials = 0;
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        clock.advance(milliseconds(100));
+        auto plan = planner.place("entry", askOf(id, 500, 500), clock.now());
+        trials += plan.decode == "d1";
+        planner.release("entry", id, 0, milliseconds(0));
+    }
+    CHECK(trials >= 5);
+}
