--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -161,13 +161,12 @@
 
 engine_plan engine_planner::place(const std::string& entry, const engine_ask& ask, time_point now)
 {
-    const engine_plan full { true, {}, {} };
     auto* decode = pickDecode(ask, now);
     if (!decode)
-        return full;
+        return { .full = true, .decode = {}, .prefill = {} };
     auto* prefill = pickPrefill(ask, decode->row.report().data_centre(), now);
     if (!prefill && !mayReadItself(*decode, ask, now))
-        return full;
+        return { .full = true, .decode = {}, .prefill = {} };
     engine_plan plan { false, decode->row.report().id(), prefill ? prefill->row.report().id() : std::string() };
     m_calls[entry][ask.callId] = { plan.decode, ask.promptTokens, ask.outputTokens, 0, now, now };
     m_breaker.onSent(plan.decode, now);
