Forwarding: Read a leader's plan in one place, and time pauses without looking up the endpoint

Found on reading the change again: what a plan says of places was read by the same lines in awaitPlaces and in placesElsewhere; placesOfPlan now serves both. Each piece of a stream looked its endpoint up once more only for a pause that the call knows by itself. Behaviour is unchanged.

--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -78,6 +78,7 @@
     quiet_stream quietStream(const std::string& endpointId) const;
     void watchQuiet(picked_endpoint endpoint, milliseconds delay);
     void seekOtherPlaces(const picked_endpoint& endpoint);
+    std::optional<model_places> placesOfPlan(const wire::engine_plan_reply& plan, std::uint64_t callId) const;
     std::optional<model_places> placesElsewhere(const std::optional<wire::engine_plan_reply>& plan, const picked_endpoint& endpoint, std::uint64_t callId);
     void leaveFor(const model_places& places, const picked_endpoint& endpoint);
     void noteMoved(const std::string& endpointId);
--- a/Source/forwarding/forward_call_model.h
+++ b/Source/forwarding/forward_call_model.h
@@ -125,6 +125,15 @@
     co_return *answer;
 }
 
+template <call_dialect Dialect>
+std::optional<typename forward_call<Dialect>::model_places> forward_call<Dialect>::placesOfPlan(const wire::engine_plan_reply& plan, std::uint64_t callId) const
+{
+    auto decode = m_shared.roster.find(plan.decode());
+    if (!decode)
+        return std::nullopt;
+    return model_places { *decode, m_shared.roster.find(plan.prefill()), true, callId };
+}
+
 template <call_dialect Dialect>
 task_of<std::optional<typename forward_call<Dialect>::model_places>> forward_call<Dialect>::awaitPlaces()
 {
@@ -133,11 +142,9 @@
         m_retryAfter = milliseconds(plan->retry_after_ms());
         co_return std::nullopt;
     }
-    if (plan) {
-        auto decode = m_shared.roster.find(plan->decode());
-        if (decode)
-            co_return model_places { *decode, m_shared.roster.find(plan->prefill()), true, m_callId };
-    }
+    auto planned = plan ? placesOfPlan(*plan, m_callId) : std::nullopt;
+    if (planned)
+        co_return planned;
     // Without a leader, or with one that knows an endpoint which this entry doesn't yet, the entry chooses itself.
     auto giveUpAt = m_shared.clock.now() + m_route->latencyTarget * forwarding_detail::alonePatienceTenths / 10;
     while (!ended()) {
--- a/Source/forwarding/forward_call_streams.h
+++ b/Source/forwarding/forward_call_streams.h
@@ -79,11 +79,9 @@
 {
     if (plan && plan->full())
         return std::nullopt;
-    if (plan) {
-        auto decode = m_shared.roster.find(plan->decode());
-        if (decode)
-            return model_places { *decode, m_shared.roster.find(plan->prefill()), true, callId };
-    }
+    auto planned = plan ? placesOfPlan(*plan, callId) : std::nullopt;
+    if (planned)
+        return planned;
     auto query = decodeQuery();
     query.exclude.insert(endpoint.id);
     auto decode = m_shared.roster.pick(query);
@@ -138,7 +136,7 @@
                 judge(endpoint.id, m_leftLive ? endpoint_verdict::Refused : endpoint_verdict::Lost);
             co_return attempt_end::MayHaveRun;
         }
-        m_longestPause = std::max(m_longestPause, quietStream(endpoint.id).quiet);
+        m_longestPause = std::max(m_longestPause, std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_quietSince));
         // While a slow caller holds back the stream, the endpoint is not the one that is quiet.
         m_quietSince = time_point {};
         m_shared.roster.noteHeard(endpoint.id);
