--- a/Tests/Coordination/StateTransferTest.cpp
+++ b/Tests/Coordination/StateTransferTest.cpp
@@ -3,7 +3,7 @@
 // than an answer may take; the answer is dropped as late, and the next question asks for the whole again.
 // Why it must not: whatever the size, the link and the number of entries that start at once, each must come to serve, and
 // heartbeats and questions must not wait behind the bulk.
-#include "Coordination/coordination_fleet.h"
+#include "Coordination/slow_fleet.h"
 #include <catch2/catch.hpp>
 
 using namespace pistachiolatch;
@@ -11,69 +11,10 @@
 
 namespace {
 constexpr std::size_t megabyte = 1'000'000;
-/// 10 Mbit/s.
-constexpr std::size_t slowLink = 1'250'000;
 /// Within this time of its start a VM must serve.
 constexpr std::chrono::milliseconds recoveryBound { 12000 };
-constexpr std::chrono::milliseconds founding { 5000 };
 /// How long a question to the leader may take while bulk state is under way.
 constexpr milliseconds questionBound { 300 };
-
-/// A leader, and entries that each have a slow link to it.
-class slow_fleet {
-public:
-    explicit slow_fleet(int network)
-        : m_network(network)
-        , m_leaderAddress(fmt::format("127.8.{}.1:23710", network))
-    {
-        // Each leader of a test has a log of its own.
-        leader = std::make_unique<leader_under_test>(context, clock, m_leaderAddress);
-        REQUIRE(runUntil(
-            context, [&] { return leader->leads(); }, founding));
-    }
-    ~slow_fleet()
-    {
-        entries.clear();
-        context.restart();
-        context.poll();
-        leader.reset();
-    }
-    slow_fleet(const slow_fleet&) = delete;
-    slow_fleet& operator=(const slow_fleet&) = delete;
-
-    void submit(std::uint64_t version, const std::string& body)
-    {
-        leader->submit(version, body);
-        REQUIRE(runUntil(
-            context, [&] { return leader->version() == version; }, founding));
-    }
-
-    void startEntries(int count)
-    {
-        for (int i = 0; i < count; ++i) {
-            auto address = fmt::format("127.8.{}.{}:{}", m_network, 2 + i % 250, 23711 + i / 250);
-            auto ip = address.substr(0, address.find(':'));
-            proxy.setRule("", ip, { .bytesPerSecond = slowLink });
-            proxy.forward(address, m_leaderAddress);
-            entries.push_back(std::make_unique<entry_under_test>(context, clock, address));
-        }
-    }
-
-    bool allServe(std::uint64_t version) const
-    {
-        return std::all_of(entries.begin(), entries.end(), [&](const auto& one) { return one->serves(version); });
-    }
-
-    boost::asio::io_context context;
-    steady_clock_source clock;
-    fault_proxy proxy;
-    std::unique_ptr<leader_under_test> leader;
-    std::vector<std::unique_ptr<entry_under_test>> entries;
-
-private:
-    int m_network;
-    std::string m_leaderAddress;
-};
 }
 
 TEST_CASE("An entry gets a configuration that takes longer over its link than an answer may take")
--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -4,7 +4,9 @@
 #include <fcntl.h>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -26,6 +28,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(::open(out.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600), STDOUT_FILENO);
     ::dup2(::open(err.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600), STDERR_FILENO);
+    // A write beyond the limit on file sizes must fail as on a full disk, not end the process.
+    ::signal(SIGXFSZ, SIG_IGN);
     ::execv(program.c_str(), argv.data());
     ::_exit(127);
 }
@@ -51,7 +55,18 @@
 
 bool child_process::running()
 {
-    return m_pid > 0 && ::waitid(P_PID, static_cast<id_t>(m_pid), nullptr, WEXITED | WNOHANG | WNOWAIT) == 0 && ::kill(m_pid, 0) == 0;
+    siginfo_t ended {};
+    return m_pid > 0 && ::waitid(P_PID, static_cast<id_t>(m_pid), &ended, WEXITED | WNOHANG | WNOWAIT) == 0 && ended.si_pid == 0;
+}
+
+void child_process::refuseWrites(bool refuse) const
+{
+    rlimit limit {};
+    if (::prlimit(m_pid, RLIMIT_FSIZE, nullptr, &limit) != 0)
+        throw std::runtime_error("can't read the limit of a process that this test started");
+    limit.rlim_cur = refuse ? 0 : limit.rlim_max;
+    if (::prlimit(m_pid, RLIMIT_FSIZE, &limit, nullptr) != 0)
+        throw std::runtime_error("can't set the limit of a process that this test started");
 }
 
 void child_process::signal(int number) const
--- a/Tests/Support/child_process.h
+++ b/Tests/Support/child_process.h
@@ -15,6 +15,9 @@
     child_process& operator=(child_process&& other) noexcept;
 
     bool running();
+    /// Has every write to a file fail, as on a full disk, or succeed again. Output that goes to a file is lost meanwhile.
+    /// Precondition: running.
+    void refuseWrites(bool refuse) const;
     /// Sends a signal. Precondition: running.
     void signal(int number) const;
     /// Waits for its end and returns its exit code, or minus the signal that ended it.
