Coordination: End a configuration when its successor must be in force

Cause: an entry that can't get a document acts on its predecessor until its lease ends. The lease is as long as an entry may go on without word from a leader, 4 s, and nothing else bounded the time.

Now the leader tells with each version how long ago it was accepted, and an entry that knows of a newer version refuses after three quarters of the time allowed for a change (bounds.change_ms), counted from the acceptance. It learns of a version by a small message that does not wait behind documents. Entries that hear nothing are bound by the lease as before.

Ruled out: reading the document late.

Each announcement is logged (configuration_announced, with the version held and its age), so that a refusal for a missing document can be told from one for a lost leader.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -20,6 +20,9 @@
     constexpr int newestEighths = 1;
     /// Pause between two questions while no leader is known; an election takes about a second.
     constexpr milliseconds searchPause { 80 };
+    /// Share of the bound on changes for which an entry goes on with a superseded configuration; the rest is for the way of
+    /// the leader's word and for calls that were admitted just before. In quarters.
+    constexpr int supersededQuarters = 3;
     /// A plan that takes longer than it was to wait is done without: an entry can place a call by itself, only less well.
     constexpr milliseconds planTimeout { 60 };
 }
@@ -156,7 +159,7 @@
     }
     if (awaited || m_leader.empty())
         noteLeader(question.asked);
-    takeUpdate(update);
+    takeUpdate(update, question.sentAt);
     m_endpoints.onLoad(update.load());
     // What the leader knew was the newest when it was last confirmed; the lease counts from before that moment, so
     // that neither the way of the question nor that of the answer lengthens it.
@@ -195,18 +198,21 @@
     if (message.has_document_piece())
         takePiece(message.document_piece());
     else if (message.has_entry_update())
-        takeUpdate(message.entry_update());
+        takeUpdate(message.entry_update(), m_clock.now());
     else
         return false;
     return true;
 }
 
-void control_link::takeUpdate(const wire::entry_update& update)
+void control_link::takeUpdate(const wire::entry_update& update, time_point writtenAt)
 {
     // A leader of an earlier version sends the document whole.
     if (update.has_document() && m_fetch.takeWhole(update.document()))
         applyDocument();
-    m_fetch.announce(update.document_version());
+    if (m_fetch.announce(update.document_version()))
+        logEvent("configuration_announced", { { "version", update.document_version() }, { "held", m_fetch.held().version() }, { "age_ms", update.document_age_ms() } });
+    auto acceptedAt = writtenAt - milliseconds(update.document_age_ms());
+    m_lease.supersede(update.document_version(), acceptedAt + m_settings.changeBound * supersededQuarters / 4);
     fetchMore();
     if (update.entries() > 0)
         m_entries = update.entries();
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -17,6 +17,8 @@
     /// How long an entry may act on what it knows without word from a leader. It bounds the time for which an entry
     /// that is cut off goes on with a withdrawn key.
     milliseconds lease { 4000 };
+    /// The time within which an accepted configuration must be in force at every entry.
+    milliseconds changeBound { 2000 };
 };
 
 /// The engines that served, or failed, a part of a model call.
@@ -82,7 +84,8 @@
     void onSilence(const sync_question& question);
     void onReply(const wire::envelope* reply, const sync_question& question);
     void onOtherLeader(const wire::entry_update& update, const sync_question& question);
-    void takeUpdate(const wire::entry_update& update);
+    /// Precondition: the leader wrote the update at the given moment or later.
+    void takeUpdate(const wire::entry_update& update, time_point writtenAt);
     void takePiece(const wire::document_piece& piece);
     void applyDocument();
     void fetchMore();
--- a/Source/coordination/document_fetch.cpp
+++ b/Source/coordination/document_fetch.cpp
@@ -13,16 +13,17 @@
     constexpr std::uint32_t mostPackedBytes = 32U * 1024 * 1024;
 }
 
-void document_fetch::announce(std::uint64_t version)
+bool document_fetch::announce(std::uint64_t version)
 {
     if (version <= m_announced)
-        return;
+        return false;
     bool idle = !wanted();
     m_announced = version;
     if (idle) {
         m_askAt = {};
         m_patience = firstPatience;
     }
+    return true;
 }
 
 std::optional<wire::document_ask> document_fetch::due(time_point now)
--- a/Source/coordination/document_fetch.h
+++ b/Source/coordination/document_fetch.h
@@ -22,8 +22,8 @@
 /// Takes messages and time, returns effects; no I/O. Not thread-safe.
 class document_fetch {
 public:
-    /// Takes note of the leader's word that a version is the newest.
-    void announce(std::uint64_t version);
+    /// Takes note of the leader's word that a version is the newest. Returns whether that is news.
+    bool announce(std::uint64_t version);
     /// Whether something is to be fetched.
     bool wanted() const { return m_announced > m_held.version(); }
     /// What to ask the leader now, if it is time to.
--- a/Source/coordination/entry_coordinator_state.cpp
+++ b/Source/coordination/entry_coordinator_state.cpp
@@ -14,6 +14,7 @@
 {
     const auto& document = m_replica.document();
     update.set_document_version(document.version());
+    update.set_document_age_ms(static_cast<std::uint32_t>(m_replica.documentAge().count()));
     if (document.version() > session.documentVersion) {
         // An entry of an earlier version knows nothing of pieces.
         if (!session.takesPieces)
--- a/Source/replication/document_replica.cpp
+++ b/Source/replication/document_replica.cpp
@@ -40,6 +40,7 @@
     , m_self(start.self)
     , m_host(raft_core(start.self, electionSettings(), freshIncarnation(), start.restored, clock.now()), std::move(store), effects())
     , m_timer(context)
+    , m_documentSince(clock.now())
 {
     load(start.restored.snapshot);
     if (start.founders.voters_size() > 0) {
@@ -91,6 +92,7 @@
     // The snapshot's checksum was right, so content that can't be decoded is a broken invariant.
     if (!m_document.ParseFromString(snapshot.state()))
         std::abort();
+    m_documentSince = m_clock.now();
     m_applied = snapshot.index();
 }
 
@@ -126,9 +128,15 @@
         return;
     logEvent("document_committed", { { "version", document.version() }, { "before", m_document.version() }, { "bytes", document.body().size() }, { "index", m_applied } });
     m_document = std::move(document);
+    m_documentSince = m_clock.now();
     m_events.documentChanged();
 }
 
+milliseconds document_replica::documentAge() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_clock.now() - m_documentSince);
+}
+
 bool document_replica::leads() const
 {
     return m_host.core().hasCommittedInTerm() && m_host.core().leaseValid(m_clock.now());
--- a/Source/replication/document_replica.h
+++ b/Source/replication/document_replica.h
@@ -54,6 +54,8 @@
 
     /// The newest committed document that this replica knows.
     const wire::document& document() const { return m_document; }
+    /// How long this replica has known that document to be committed.
+    milliseconds documentAge() const;
     /// Whether this replica leads and no other can.
     bool leads() const;
     /// The address of the leader, as far as known.
@@ -101,6 +103,7 @@
     time_point m_nextJoin {};
     std::set<std::string> m_peers;
     wire::document m_document;
+    time_point m_documentSince;
     std::uint64_t m_applied = 0;
     std::uint64_t m_bytesSinceSnapshot = 0;
     bool m_leads = false;
