Replication: Open the data folder again instead of ending the process

Cause: a replica whose disk refused a write ended its process after 3 s and left the rest to the supervisor. Started again, it failed at its next write. A damaged file ended it at each start. Meanwhile it had lost the endpoints it knew, each time.

Now the replica, not the process, is what fails. It gives up its lead and its part in the log at once, keeps passing endpoints' reports, changes and reads to the leader (known from what the leader goes on sending), and reads its files anew each second. The host of the log stays failed after an error, so that a round within a round can't acknowledge what was not stored. Files half written are removed, since they hold room on a full disk. firstStart ends with the first success: files that vanish are a lost disk, not a first start.

What an end that the process asks for is logged as says its exit code and no signal. pistachiolatch-control, the own interface's, still ends on a failed disk.

--- a/Source/consensus/file_log_store.cpp
+++ b/Source/consensus/file_log_store.cpp
@@ -243,7 +243,10 @@
     std::string bytes;
     for (const auto& entry : entries)
         bytes += frame(entry.SerializeAsString());
-    BOOST_OUTCOME_TRYV(appendBytes(bytes));
+    if (auto written = appendBytes(bytes); !written) {
+        ::unlink(temporary.c_str());
+        return written;
+    }
     if (::rename(temporary.c_str(), path(logFile).c_str()) != 0)
         return fileFailure(temporary, "rename");
     return syncFolder(m_folder);
@@ -256,12 +259,14 @@
     if (descriptor < 0)
         return fileFailure(temporary, "open");
     auto written = writeAll(descriptor, frame(payload), temporary);
-    bool synced = written && ::fdatasync(descriptor) == 0;
+    if (written && ::fdatasync(descriptor) != 0)
+        written = fileFailure(temporary, "sync");
     ::close(descriptor);
-    if (!written)
+    if (!written) {
+        // A part of a file would go on taking room from a disk that is full.
+        ::unlink(temporary.c_str());
         return written;
-    if (!synced)
-        return fileFailure(temporary, "sync");
+    }
     if (::rename(temporary.c_str(), path(name).c_str()) != 0)
         return fileFailure(temporary, "rename");
     return syncFolder(m_folder);
--- a/Source/consensus/raft_host.h
+++ b/Source/consensus/raft_host.h
@@ -1,6 +1,7 @@
 #pragma once
 #include "consensus/memory_log_store.h"
 #include <functional>
+#include <optional>
 
 namespace pistachiolatch {
 
@@ -27,17 +28,20 @@
     raft_core& core() { return m_core; }
     const raft_core& core() const { return m_core; }
 
-    /// Carries out what the core asks for. An error of the storage is final: a replica that can't sync must stop,
-    /// since it can no longer keep what it acknowledges.
+    /// Carries out what the core asks for. An error of the storage is final: the core believes in what was not stored, and
+    /// must not acknowledge it. The replica has to be read from its files again.
     result<void> drain()
     {
         // Applying may make the core ask for more; two rounds settle nearly always, the rest waits for the next tick.
         constexpr int mostRounds = 4;
         for (int round = 0; round < mostRounds; ++round) {
             auto ready = m_core.takeReady();
+            // Effects may have led to a round within this one.
+            if (m_failed)
+                return *m_failed;
             if (isEmpty(ready))
                 return ok();
-            BOOST_OUTCOME_TRYV(m_storage.persist(ready));
+            BOOST_OUTCOME_TRYV(keepFailure(m_storage.persist(ready)));
             if (ready.snapshot)
                 m_effects.restore(*ready.snapshot);
             for (const auto& message : ready.messages)
@@ -59,10 +63,17 @@
         std::vector<wire::log_entry> rest;
         for (auto i = m_core.log().firstIndex(); i <= m_core.log().lastIndex(); ++i)
             rest.push_back(m_core.log().at(i));
-        return m_storage.compact(m_core.snapshot(), rest);
+        return keepFailure(m_storage.compact(m_core.snapshot(), rest));
     }
 
 private:
+    result<void> keepFailure(result<void> stored)
+    {
+        if (!stored)
+            m_failed = stored.error();
+        return stored;
+    }
+
     static bool isEmpty(const raft_ready& ready)
     {
         return !ready.hardState && !ready.snapshot && ready.append.empty() && ready.messages.empty() && ready.committed.empty()
@@ -72,6 +83,7 @@
     raft_core m_core;
     Storage m_storage;
     raft_effects m_effects;
+    std::optional<failure> m_failed;
 };
 
 } // namespace pistachiolatch
--- a/Source/program/program_main.cpp
+++ b/Source/program/program_main.cpp
@@ -31,7 +31,11 @@
             if (body.reload)
                 body.reload();
         }
-        logEvent("stopping", { { "signal", signal } });
+        // The signal of an end that the process asked for is its own.
+        if (requestedExit == exitOk)
+            logEvent("stopping", { { "signal", signal } });
+        else
+            logEvent("stopping", { { "exit_code", requestedExit.load() } });
         body.stop();
         logEvent("stopped", {});
         return requestedExit.load();
--- a/Source/replication/document_replica.cpp
+++ b/Source/replication/document_replica.cpp
@@ -18,46 +18,47 @@
     /// The log is cut when it holds this much behind the snapshot: a small share of the disk, and little to read at a start.
     constexpr std::uint64_t mostLogBytes = 4UL * 1024 * 1024;
     constexpr std::uint64_t mostLogEntries = 400;
-    /// An election takes about half a second, for which calls go without one view of the engines and limits. Replicas
-    /// stand within a few milliseconds of each other and sync within as much, so that seven heartbeats fit into the
-    /// shortest silence that ends a lead.
-    raft_settings electionSettings()
-    {
-        raft_settings settings;
-        settings.heartbeat = milliseconds(40);
-        settings.electionLeast = milliseconds(300);
-        settings.electionMost = milliseconds(550);
-        return settings;
-    }
+}
+
+raft_settings document_replica::electionSettings()
+{
+    // An election takes about half a second, for which calls go without one view of the engines and limits. Replicas stand
+    // within a few milliseconds of each other and sync within as much, so that seven heartbeats fit into the shortest
+    // silence that ends a lead.
+    raft_settings settings;
+    settings.heartbeat = milliseconds(40);
+    settings.electionLeast = milliseconds(300);
+    settings.electionMost = milliseconds(550);
+    return settings;
 }
 
 document_replica::document_replica(boost::asio::io_context& context, peer_network& network, const clock_source& clock, metrics& counters,
-    replica_start start, file_log_store store, replica_events events)
+    replica_home home, replica_events events)
     : m_network(network)
     , m_clock(clock)
     , m_metrics(counters)
     , m_events(std::move(events))
-    , m_self(start.self)
-    , m_host(raft_core(start.self, electionSettings(), freshIncarnation(), start.restored, clock.now()), std::move(store), effects())
+    , m_home(std::move(home))
+    , m_unusableSince(clock.now())
+    , m_storageTimer(context)
     , m_timer(context)
     , m_documentSince(clock.now())
 {
-    load(start.restored.snapshot);
-    if (start.founders.voters_size() > 0) {
-        m_host.core().found(start.founders);
-        logEvent("log_founded", { { "voters", start.founders.voters_size() } });
-    }
+    m_self.set_vm(vmOfAddress(m_home.facts.ownAddress));
+    m_self.set_address(m_home.facts.ownAddress);
 }
 
 void document_replica::start()
 {
-    settle();
+    openStorage();
 }
 
 void document_replica::stop()
 {
-    m_failed = true;
+    m_stopped = true;
+    m_usable = false;
     m_timer.cancel();
+    m_storageTimer.cancel();
 }
 
 raft_effects document_replica::effects()
@@ -87,13 +88,18 @@
 
 void document_replica::load(const wire::raft_snapshot& snapshot)
 {
+    m_applied = snapshot.index();
     if (snapshot.index() == 0)
         return;
     // The snapshot's checksum was right, so content that can't be decoded is a broken invariant.
-    if (!m_document.ParseFromString(snapshot.state()))
+    wire::document document;
+    if (!document.ParseFromString(snapshot.state()))
         std::abort();
+    // Files that are read again may hold less than what this process has shown.
+    if (document.version() <= m_document.version())
+        return;
+    m_document = std::move(document);
     m_documentSince = m_clock.now();
-    m_applied = snapshot.index();
 }
 
 void document_replica::apply(const wire::log_entry& entry)
@@ -139,19 +145,25 @@
 
 bool document_replica::leads() const
 {
-    return m_host.core().hasCommittedInTerm() && m_host.core().leaseValid(m_clock.now());
+    return m_usable && core().hasCommittedInTerm() && core().leaseValid(m_clock.now());
 }
 
 std::string document_replica::leaderAddress() const
 {
-    const auto& leader = m_host.core().leader();
-    return leader ? leader->address() : std::string();
+    if (m_usable) {
+        const auto& leader = core().leader();
+        return leader ? leader->address() : std::string();
+    }
+    bool heardLately = m_clock.now() - m_heard.at < electionSettings().electionMost;
+    return heardLately ? m_heard.address : std::string();
 }
 
 std::optional<milliseconds> document_replica::confirmedAge() const
 {
+    if (!m_usable)
+        return std::nullopt;
     auto now = m_clock.now();
-    auto at = m_host.core().confirmedAt(now);
+    auto at = core().confirmedAt(now);
     if (!at)
         return std::nullopt;
     return std::chrono::ceil<milliseconds>(now - *at);
@@ -168,7 +180,9 @@
 std::vector<std::string> document_replica::peers() const
 {
     auto all = m_peers;
-    for (const auto& voter : m_host.core().members().voters()) {
+    if (!m_host)
+        return { all.begin(), all.end() };
+    for (const auto& voter : core().members().voters()) {
         if (voter.address() != m_self.address())
             all.insert(voter.address());
     }
@@ -179,15 +193,15 @@
 {
     switch (message.body_case()) {
     case wire::envelope::kRaft:
-        if (m_failed)
+        if (!m_usable) {
+            noteLeader(message.raft());
             return true;
-        m_host.core().step(message.raft(), m_clock.now());
+        }
+        core().step(message.raft(), m_clock.now());
         settle();
         return true;
     case wire::envelope::kJoin:
         learnPeers({ message.join().replica().address() });
-        if (m_failed)
-            return true;
         onJoin(message.join().replica());
         return true;
     case wire::envelope::kDocumentSubmit:
@@ -220,13 +234,16 @@
     // A replica that lost its disk knows only the addresses it was started with, and the leader may be elsewhere.
     // Without the hand-over it would stay outside for good, and the next lost disk would take the quorum with it.
     auto leader = leaderAddress();
-    if (m_host.core().role() != raft_role::Leader && !leader.empty() && leader != m_self.address() && leader != replica.address()) {
+    bool leadsHere = m_usable && core().role() == raft_role::Leader;
+    if (!leadsHere && !leader.empty() && leader != m_self.address() && leader != replica.address()) {
         wire::envelope message;
         *message.mutable_join()->mutable_replica() = replica;
         m_network.send(leader, std::move(message));
         return;
     }
-    m_host.core().join(replica, m_clock.now());
+    if (!m_usable)
+        return;
+    core().join(replica, m_clock.now());
     settle();
 }
 
@@ -250,7 +267,7 @@
 
 void document_replica::propose(const wire::document& document, submit_handler handler)
 {
-    if (m_failed || !leads()) {
+    if (!leads()) {
         handler({ true, 0 });
         return;
     }
@@ -261,7 +278,7 @@
     }
     wire::command command;
     *command.mutable_document() = document;
-    auto position = m_host.core().propose(command.SerializeAsString());
+    auto position = core().propose(command.SerializeAsString());
     if (!position) {
         handler({ true, 0 });
         return;
@@ -273,7 +290,8 @@
 void document_replica::read(read_handler handler)
 {
     auto leader = leaderAddress();
-    if (m_host.core().hasCommittedInTerm() || leader.empty() || leader == m_self.address()) {
+    bool leadsHere = m_usable && core().hasCommittedInTerm();
+    if (leadsHere || leader.empty() || leader == m_self.address()) {
         readHere(std::move(handler));
         return;
     }
@@ -293,41 +311,32 @@
 
 void document_replica::readHere(read_handler handler)
 {
-    if (m_failed) {
+    if (!m_usable) {
         handler(nullptr);
         return;
     }
     m_reads[++m_lastRead] = std::move(handler);
-    m_host.core().read(m_lastRead);
+    core().read(m_lastRead);
     settle();
 }
 
 void document_replica::settle()
 {
-    if (m_failed)
+    if (!m_usable)
         return;
-    auto drained = m_host.drain();
+    auto drained = m_host->drain();
     if (!drained) {
-        fail(drained.error().message);
+        onStorageFailure(drained.error().message);
         return;
     }
     followLeadership();
-    compactIfLong();
-    armTimer();
-}
-
-void document_replica::fail(const std::string& why)
-{
-    m_failed = true;
-    logEvent("storage_failed", { { "error", why } });
-    m_timer.cancel();
-    failPending();
-    m_events.storageFailed(why);
+    if (compactIfLong())
+        armTimer();
 }
 
 void document_replica::armTimer()
 {
-    auto due = std::min(m_host.core().nextDue(), m_host.core().wantsToJoin() ? m_nextJoin : time_point::max());
+    auto due = std::min(core().nextDue(), core().wantsToJoin() ? m_nextJoin : time_point::max());
     auto now = m_clock.now();
     // A timer that is armed for an earlier time looks again then; arming it anew at each message would cost more.
     if (m_armedFor != time_point {} && m_armedFor <= due)
@@ -342,17 +351,17 @@
 
 void document_replica::onTimer()
 {
-    if (m_failed)
+    if (!m_usable)
         return;
     m_armedFor = {};
-    m_host.core().tick(m_clock.now());
+    core().tick(m_clock.now());
     sendJoin();
     settle();
 }
 
 void document_replica::sendJoin()
 {
-    if (!m_host.core().wantsToJoin() || m_clock.now() < m_nextJoin)
+    if (!core().wantsToJoin() || m_clock.now() < m_nextJoin)
         return;
     m_nextJoin = m_clock.now() + joinInterval;
     for (const auto& address : peers()) {
@@ -365,12 +374,12 @@
 void document_replica::followLeadership()
 {
     // This replica leads once it knows all that was ever acknowledged, not as soon as it is elected.
-    bool leads = m_host.core().hasCommittedInTerm();
+    bool leads = m_usable && core().hasCommittedInTerm();
     if (leads == m_leads)
         return;
     m_leads = leads;
     m_metrics.count(leads ? "leadership_gained" : "leadership_lost");
-    logEvent(leads ? "leadership_gained" : "leadership_lost", { { "term", m_host.core().term() }, { "version", m_document.version() } });
+    logEvent(leads ? "leadership_gained" : "leadership_lost", { { "term", term() }, { "version", m_document.version() } });
     if (!leads)
         failPending();
     m_events.leadershipChanged(leads);
@@ -386,15 +395,16 @@
         handler(nullptr);
 }
 
-void document_replica::compactIfLong()
+bool document_replica::compactIfLong()
 {
-    bool tooLong = m_bytesSinceSnapshot > mostLogBytes || m_applied > m_host.core().log().baseIndex() + mostLogEntries;
+    bool tooLong = m_bytesSinceSnapshot > mostLogBytes || m_applied > core().log().baseIndex() + mostLogEntries;
     if (!tooLong)
-        return;
+        return true;
     m_bytesSinceSnapshot = 0;
-    auto compacted = m_host.compact(m_applied, m_document.SerializeAsString());
+    auto compacted = m_host->compact(m_applied, m_document.SerializeAsString());
     if (!compacted)
-        fail(compacted.error().message);
+        onStorageFailure(compacted.error().message);
+    return m_usable;
 }
 
 } // namespace pistachiolatch
--- a/Source/replication/document_replica.h
+++ b/Source/replication/document_replica.h
@@ -23,12 +23,18 @@
     std::function<void()> documentChanged;
     /// This replica became the leader, or stopped being it.
     std::function<void(bool leads)> leadershipChanged;
-    /// The disk failed; the replica can no longer keep what it acknowledges and takes no further part.
-    std::function<void(const std::string& why)> storageFailed;
+};
+
+/// Where a replica keeps its files, and how its log begins.
+struct replica_home {
+    std::string folder;
+    founding_facts facts;
 };
 
 /// One replica of the log that holds the configuration document. Of two documents the one with the higher version
 /// wins; an equal or lower version changes nothing, so that a document sent again is acknowledged again.
+/// A replica whose files can't be read or written takes no part in the log, since it couldn't keep what it acknowledges. It
+/// goes on passing questions to the leader, and reads its files anew until they can be used.
 /// Thread safety: everything is called on the thread that runs the context.
 class document_replica {
 public:
@@ -36,10 +42,11 @@
     /// Gets null when the newest document can't be told for certain.
     using read_handler = std::function<void(const wire::document* newest)>;
 
-    /// Preconditions: the references outlive the replica; the store was opened by openReplica().
+    /// Precondition: the references outlive the replica.
     document_replica(boost::asio::io_context& context, peer_network& network, const clock_source& clock, metrics& counters,
-        replica_start start, file_log_store store, replica_events events);
+        replica_home home, replica_events events);
 
+    /// Opens the files and takes part, at once or as soon as they can be used.
     void start();
     void stop();
     /// Takes in what a peer sent, if it is for the log. Returns whether it was.
@@ -64,13 +71,24 @@
     std::optional<milliseconds> confirmedAge() const;
     /// The other replicas that are known, voters or not.
     std::vector<std::string> peers() const;
-    std::uint64_t term() const { return m_host.core().term(); }
-    bool isVoter() const { return m_host.core().isVoter(); }
-    /// Voters of the log, as far as this replica knows.
-    std::size_t voters() const { return static_cast<std::size_t>(m_host.core().members().voters_size()); }
+    /// Whether its files can be used, so that it takes part in the log.
+    bool hasStorage() const { return m_usable; }
+    /// The term of its log; 0 where its files could not be read.
+    std::uint64_t term() const { return m_host ? core().term() : 0; }
+    bool isVoter() const { return m_usable && core().isVoter(); }
+    /// Voters of the log, as far as this replica knows; none while its files can't be used.
+    std::size_t voters() const { return m_usable ? static_cast<std::size_t>(core().members().voters_size()) : 0; }
 
 private:
+    /// Precondition: the files can be used.
+    raft_core& core() { return m_host->core(); }
+    const raft_core& core() const { return m_host->core(); }
+    static raft_settings electionSettings();
     raft_effects effects();
+    void openStorage();
+    result<void> openFiles();
+    void retryStorage();
+    void noteLeader(const wire::raft_message& message);
     void onJoin(const wire::replica_id& replica);
     void settle();
     void armTimer();
@@ -79,13 +97,20 @@
     void apply(const wire::log_entry& entry);
     void load(const wire::raft_snapshot& snapshot);
     void take(wire::document document);
-    void compactIfLong();
+    /// Returns whether the files can be used still.
+    bool compactIfLong();
     void followLeadership();
     void failPending();
     void propose(const wire::document& document, submit_handler handler);
     void readHere(read_handler handler);
-    void fail(const std::string& why);
+    void onStorageFailure(const std::string& why);
 
+    /// The leader as a replica without storage knows it, from what the leader goes on sending.
+    struct heard_leader {
+        std::string address;
+        std::uint64_t term = 0;
+        time_point at {};
+    };
     struct pending_submit {
         std::uint64_t term;
         std::uint64_t version;
@@ -96,8 +121,18 @@
     const clock_source& m_clock;
     metrics& m_metrics;
     replica_events m_events;
+    replica_home m_home;
     wire::replica_id m_self;
-    raft_host<file_log_store> m_host;
+    /// Present from the first time that the files could be read.
+    std::optional<raft_host<file_log_store>> m_host;
+    bool m_usable = false;
+    bool m_stopped = false;
+    /// Whether what the files hold may be in memory alone, since a write or sync failed.
+    bool m_unsynced = false;
+    time_point m_unusableSince;
+    int m_openTries = 0;
+    heard_leader m_heard;
+    boost::asio::steady_timer m_storageTimer;
     boost::asio::steady_timer m_timer;
     time_point m_armedFor {};
     time_point m_nextJoin {};
@@ -107,7 +142,6 @@
     std::uint64_t m_applied = 0;
     std::uint64_t m_bytesSinceSnapshot = 0;
     bool m_leads = false;
-    bool m_failed = false;
     std::map<std::uint64_t, pending_submit> m_pending;
     std::map<std::uint64_t, read_handler> m_reads;
     std::uint64_t m_lastRead = 0;
--- a/Tests/Coordination/coordination_fleet.cpp
+++ b/Tests/Coordination/coordination_fleet.cpp
@@ -42,15 +42,10 @@
 {
     std::filesystem::remove_all(m_folder);
     std::filesystem::create_directories(m_folder);
-    file_log_store store;
-    auto opened = openReplica(store, m_folder, { address, { address }, true });
-    if (!opened)
-        throw std::runtime_error(opened.error().message);
     replica_events events;
     events.documentChanged = [this] { m_coordinator->onDocumentChanged(); };
     events.leadershipChanged = [this](bool leads) { m_coordinator->onLeadershipChanged(leads); };
-    events.storageFailed = [](const std::string& why) { throw std::runtime_error(why); };
-    m_replica = std::make_unique<document_replica>(context, m_network, clock, m_metrics, std::move(opened.value()), std::move(store), std::move(events));
+    m_replica = std::make_unique<document_replica>(context, m_network, clock, m_metrics, replica_home { m_folder, { address, { address }, true } }, std::move(events));
     m_coordinator = std::make_unique<entry_coordinator>(context, m_network, *m_replica, clock, m_metrics, coordinator_settings {}, decodeVersion);
     m_network.onMessage([this](const wire::envelope& message, const peer_network::peer& from) {
         if (!m_replica->onMessage(message, from))
@@ -61,6 +56,8 @@
         throw std::runtime_error(listening.error().message);
     m_network.start();
     m_replica->start();
+    if (!m_replica->hasStorage())
+        throw std::runtime_error(m_folder + " can't be used");
     m_coordinator->start();
 }
 
--- a/Tests/Replication/DocumentReplicaTest.cpp
+++ b/Tests/Replication/DocumentReplicaTest.cpp
@@ -28,26 +28,24 @@
 
     void start(bool firstStart)
     {
-        file_log_store store;
-        auto opened = openReplica(store, m_folder, { m_address, m_founders, firstStart });
-        REQUIRE(opened);
         m_network = std::make_unique<peer_network>(m_context, m_clock, m_metrics);
         m_network->onMessage([this](const wire::envelope& message, const peer_network::peer& from) { m_replica->onMessage(message, from); });
         replica_events events;
         events.documentChanged = [] {};
         events.leadershipChanged = [](bool) {};
-        events.storageFailed = [](const std::string& why) { FAIL(why); };
-        m_replica = std::make_unique<document_replica>(m_context, *m_network, m_clock, m_metrics, std::move(opened.value()), std::move(store), std::move(events));
+        m_replica = std::make_unique<document_replica>(m_context, *m_network, m_clock, m_metrics, replica_home { m_folder, { m_address, m_founders, firstStart } }, std::move(events));
         m_replica->learnPeers(m_founders);
         REQUIRE(m_network->listen(m_address));
         m_network->start();
         m_replica->start();
+        REQUIRE(m_replica->hasStorage());
     }
 
     void stop()
     {
         if (!m_replica)
             return;
+        CHECK(m_replica->hasStorage());
         m_replica->stop();
         m_network->stop();
         // Handlers that were posted still hold this replica's network; they must run before it goes.
