Control: Open the data folder again instead of ending the process

The own interface's control had the same fault as the platform's: a write or sync that failed ended the process with code 1, and a supervisor would start it again for as long as the disk was full. Operators saw a VM of control go and come, without the sessions and events it held.

Now the replica steps down and takes no part in the log until its storage, opened again each second, takes writes. Everything that only a leader does was guarded already; messages of the log and reads are refused meanwhile. The rule that files are written anew after a failure stands in one place for both programs, file_log_store::openAfterFailure.

--- a/Source/consensus/file_log_store.cpp
+++ b/Source/consensus/file_log_store.cpp
@@ -129,10 +129,15 @@
 
 file_log_store::~file_log_store()
 {
-    if (m_log >= 0)
-        ::close(m_log);
-    if (m_lock >= 0)
-        ::close(m_lock);
+    close();
+}
+
+void file_log_store::close()
+{
+    for (int* descriptor : { &m_log, &m_lock }) {
+        if (*descriptor >= 0)
+            ::close(std::exchange(*descriptor, -1));
+    }
 }
 
 result<stored_replica> file_log_store::open(const std::string& folder, std::optional<std::uint64_t> identityIfFresh)
@@ -167,6 +172,13 @@
     return replica;
 }
 
+result<stored_replica> file_log_store::openAfterFailure(const std::string& folder, std::optional<std::uint64_t> identityIfFresh)
+{
+    BOOST_OUTCOME_TRY(auto replica, open(folder, identityIfFresh));
+    BOOST_OUTCOME_TRYV(compact(replica.restored.snapshot, replica.restored.entries));
+    return replica;
+}
+
 result<void> file_log_store::readLog(stored_replica& replica)
 {
     m_log = ::open(path(logFile).c_str(), O_CREAT | O_RDWR | O_APPEND | O_CLOEXEC, 0600);
--- a/Source/consensus/file_log_store.h
+++ b/Source/consensus/file_log_store.h
@@ -29,6 +29,11 @@
     /// A folder without an identity gets a fresh one, or the one that is given.
     /// Errors: folder missing or in use, damaged file, disk errors; each names the file.
     result<stored_replica> open(const std::string& folder, std::optional<std::uint64_t> identityIfFresh = std::nullopt);
+    /// Opens the folder after a write or sync failed. What can be read then may be in memory alone, so all of it is written
+    /// anew; a disk that still takes no writes is an error. Errors: those of open(), disk errors.
+    result<stored_replica> openAfterFailure(const std::string& folder, std::optional<std::uint64_t> identityIfFresh = std::nullopt);
+    /// Gives up the files and the lock, so that the folder can be opened again.
+    void close();
     /// Writes and syncs what the ready asks for. Errors: disk errors.
     result<void> persist(const raft_ready& ready);
     /// Replaces the snapshot, then the log by the entries behind it.
--- a/Source/consensus/memory_log_store.h
+++ b/Source/consensus/memory_log_store.h
@@ -19,6 +19,7 @@
 class memory_log_store {
 public:
     result<void> persist(const raft_ready&) { return ok(); }
+    void close() { }
     result<void> compact(const wire::raft_snapshot&, const std::vector<wire::log_entry>&) { return ok(); }
 };
 
--- a/Source/consensus/raft_host.h
+++ b/Source/consensus/raft_host.h
@@ -28,6 +28,8 @@
     raft_core& core() { return m_core; }
     const raft_core& core() const { return m_core; }
 
+    Storage& storage() { return m_storage; }
+
     /// Carries out what the core asks for. An error of the storage is final: the core believes in what was not stored, and
     /// must not acknowledge it. The replica has to be read from its files again.
     result<void> drain()
--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -6,6 +6,8 @@
 
 namespace {
     constexpr std::size_t logEntriesKept = 2000;
+    /// Pause before a storage that could not be used is tried again.
+    constexpr milliseconds reopenPause { 1000 };
     constexpr milliseconds joinInterval { 500 };
     constexpr milliseconds forceTimeout { 10000 };
     constexpr milliseconds explainTimeout { 1000 };
@@ -17,17 +19,22 @@
     , m_clock(given.clock)
     , m_metrics(given.counters)
     , m_wire(std::move(given.wire))
-    , m_self(given.self)
-    , m_host(raft_core(given.self, raft_settings {}, given.self.incarnation(), given.restored, given.clock.now()), std::move(given.store), effects())
+    , m_open(std::move(given.open))
 {
-    if (given.restored.snapshot.index() > 0) {
-        auto loaded = m_state.load(given.restored.snapshot.state());
-        if (!loaded)
-            std::abort(); // The snapshot's checksum was right, so its content is a broken invariant.
-        m_applied = given.restored.snapshot.index();
-    }
+    restore(std::move(given.replica));
     if (given.bootstrap)
-        m_host.core().bootstrap();
+        core().bootstrap();
+}
+
+void control_node::restore(opened_replica replica)
+{
+    m_self = replica.self;
+    m_state = control_state();
+    m_applied = replica.restored.snapshot.index();
+    if (m_applied > 0 && !m_state.load(replica.restored.snapshot.state()))
+        std::abort(); // The snapshot's checksum was right, so its content is a broken invariant.
+    raft_core core(m_self, raft_settings {}, freshIncarnation(), std::move(replica.restored), m_clock.now());
+    m_host.emplace(std::move(core), std::move(replica.store), effects());
 }
 
 raft_effects control_node::effects()
@@ -60,10 +67,12 @@
 {
     switch (message.body_case()) {
     case wire::envelope::kRaft:
-        m_host.core().step(message.raft(), m_clock.now());
+        if (!m_storageFailed)
+            core().step(message.raft(), m_clock.now());
         break;
     case wire::envelope::kJoin:
-        m_host.core().join(message.join().replica(), m_clock.now());
+        if (!m_storageFailed)
+            core().join(message.join().replica(), m_clock.now());
         break;
     case wire::envelope::kHeartbeat:
         onHeartbeat(message);
@@ -83,7 +92,11 @@
 
 void control_node::tick()
 {
-    m_host.core().tick(m_clock.now());
+    if (m_storageFailed)
+        reopenStorage();
+    if (m_storageFailed)
+        return;
+    core().tick(m_clock.now());
     sendJoin();
     settle();
     if (m_leads) {
@@ -101,18 +114,45 @@
 
 void control_node::drain()
 {
-    auto drained = m_host.drain();
-    if (drained)
+    if (m_storageFailed)
         return;
-    // A replica that can't sync can't keep its word; it stops before it acknowledges anything more.
-    logEvent("storage_failed", { { "error", drained.error().message } });
-    requestExit(exitFailed);
+    auto drained = m_host->drain();
+    if (!drained)
+        onStorageFailure(drained.error().message);
+}
+
+void control_node::onStorageFailure(const std::string& why)
+{
+    // A replica that can't sync can't keep its word; it takes no part before it acknowledges anything more.
+    logEvent("storage_failed", { { "error", why }, { "term", core().term() } });
+    m_metrics.count("storage_failed");
+    m_storageFailed = true;
+    m_reopenAt = m_clock.now() + reopenPause;
+    failPending();
+    auto reads = std::exchange(m_reads, {});
+    for (auto& [id, answer] : reads)
+        answer(false);
+}
+
+void control_node::reopenStorage()
+{
+    if (m_clock.now() < m_reopenAt)
+        return;
+    m_reopenAt = m_clock.now() + reopenPause;
+    m_host->storage().close();
+    auto opened = m_open(true);
+    if (!opened) {
+        logEvent("storage_unusable", { { "error", opened.error().message } });
+        return;
+    }
+    m_storageFailed = false;
+    logEvent("storage_recovered", { { "incarnation", opened.value().self.incarnation() }, { "entries", opened.value().restored.entries.size() }, { "snapshot", opened.value().restored.snapshot.index() } });
+    restore(std::move(opened.value()));
 }
 
 void control_node::sendJoin()
 {
-    auto& core = m_host.core();
-    if (!core.wantsToJoin() || m_clock.now() < m_nextJoin)
+    if (!core().wantsToJoin() || m_clock.now() < m_nextJoin)
         return;
     m_nextJoin = m_clock.now() + joinInterval;
     for (const auto& address : m_wire.controls) {
@@ -126,7 +166,7 @@
 
 void control_node::propose(const wire::command& command, proposal_handler handler)
 {
-    auto position = m_host.core().propose(command.SerializeAsString());
+    auto position = core().propose(command.SerializeAsString());
     if (!position) {
         handler(nullptr);
         return;
@@ -168,13 +208,13 @@
 void control_node::followLeadership()
 {
     // This replica leads once it knows all that was ever acknowledged, not as soon as it is elected.
-    bool leads = m_host.core().hasCommittedInTerm();
+    bool leads = !m_storageFailed && core().hasCommittedInTerm();
     if (leads == m_leads)
         return;
     m_leads = leads;
     m_assigning = false;
     if (!leads) {
-        logEvent("leadership_lost", { { "term", m_host.core().term() } });
+        logEvent("leadership_lost", { { "term", core().term() } });
         m_sessions.reset();
         failPending();
         return;
@@ -186,24 +226,23 @@
     m_pushedLive = 0;
     m_shardsWantedSince = m_clock.now();
     m_metrics.count("leadership_gained");
-    noteEvent(m_self.vm(), fmt::format("leads the control log in term {}", m_host.core().term()));
+    noteEvent(m_self.vm(), fmt::format("leads the control log in term {}", core().term()));
 }
 
 void control_node::compactIfLong()
 {
-    auto& core = m_host.core();
-    if (m_applied < core.log().baseIndex() + logEntriesKept)
+    if (m_storageFailed || m_applied < core().log().baseIndex() + logEntriesKept)
         return;
-    auto compacted = m_host.compact(m_applied, m_state.save());
-    if (!compacted) {
-        logEvent("storage_failed", { { "error", compacted.error().message } });
-        requestExit(exitFailed);
-    }
+    auto compacted = m_host->compact(m_applied, m_state.save());
+    if (compacted)
+        return;
+    onStorageFailure(compacted.error().message);
+    followLeadership();
 }
 
 void control_node::submit(wire::submit_batch batch, std::function<void(submit_answer)> answer)
 {
-    if (!m_leads || !m_host.core().leaseValid(m_clock.now())) {
+    if (!m_leads || !core().leaseValid(m_clock.now())) {
         answer({ "not_leader", {}, false });
         return;
     }
@@ -235,8 +274,12 @@
 
 void control_node::readThroughQuorum(std::function<void(bool)> answer)
 {
+    if (m_storageFailed) {
+        answer(false);
+        return;
+    }
     m_reads[++m_lastRead] = std::move(answer);
-    m_host.core().read(m_lastRead);
+    core().read(m_lastRead);
     settle();
 }
 
--- a/Source/control/control_node.h
+++ b/Source/control/control_node.h
@@ -29,10 +29,24 @@
         return std::visit([&](auto& store) { return store.compact(snapshot, rest); }, m_store);
     }
 
+    void close()
+    {
+        std::visit([](auto& store) { store.close(); }, m_store);
+    }
+
 private:
     std::variant<file_log_store, memory_log_store> m_store;
 };
 
+/// A replica as its storage holds it.
+struct opened_replica {
+    wire::replica_id self;
+    replica_store store;
+    raft_restored restored;
+};
+/// Opens the storage, again after a write or sync failed. Errors: the storage can't be used yet.
+using replica_opener = std::function<result<opened_replica>(bool afterFailure)>;
+
 /// What a submission came to, for the operator who waits.
 struct submit_answer {
     /// Empty when the log took it; else why not.
@@ -41,7 +55,8 @@
     bool inForce = false;
 };
 
-/// One control VM: a replica of the log, and while it leads the sessions, shard owners and answers to operators.
+/// One control VM: a replica of the log, and while it leads the sessions, shard owners and answers to operators. While its
+/// storage can't be used it takes no part in the log, and opens the storage again and again.
 /// Thread safety: everything happens on the control thread; other threads post to its loop.
 class control_node {
 public:
@@ -50,9 +65,8 @@
         const clock_source& clock;
         metrics& counters;
         wire_settings wire;
-        wire::replica_id self;
-        replica_store store;
-        raft_restored restored;
+        opened_replica replica;
+        replica_opener open;
         bool bootstrap = false;
     };
     explicit control_node(parts given);
@@ -87,7 +101,12 @@
         std::function<void(bool inForce)> answer;
     };
 
+    raft_core& core() { return m_host->core(); }
+    const raft_core& core() const { return m_host->core(); }
     raft_effects effects();
+    void restore(opened_replica replica);
+    void onStorageFailure(const std::string& why);
+    void reopenStorage();
     void propose(const wire::command& command, proposal_handler handler);
     void apply(const wire::log_entry& entry);
     void settle();
@@ -117,7 +136,10 @@
     metrics& m_metrics;
     wire_settings m_wire;
     wire::replica_id m_self;
-    raft_host<replica_store> m_host;
+    replica_opener m_open;
+    std::optional<raft_host<replica_store>> m_host;
+    bool m_storageFailed = false;
+    time_point m_reopenAt {};
     control_state m_state;
     std::uint64_t m_applied = 0;
     bool m_leads = false;
--- a/Source/control/control_sessions.cpp
+++ b/Source/control/control_sessions.cpp
@@ -16,7 +16,7 @@
 
 bool control_node::mayGrant() const
 {
-    return m_leads && m_host.core().leaseValid(m_clock.now());
+    return m_leads && core().leaseValid(m_clock.now());
 }
 
 void control_node::onHeartbeat(const wire::envelope& message)
@@ -28,7 +28,7 @@
     // A leader whose own lease has run out may have a successor that no longer waits for the leases given here.
     if (!mayGrant()) {
         grant->set_refused(true);
-        const auto& leader = m_host.core().leader();
+        const auto& leader = core().leader();
         if (leader && keyOf(*leader) != keyOf(m_self))
             grant->set_leader_address(leader->address());
         m_loop.wire().send(message.sender_address(), envelope);
@@ -48,7 +48,7 @@
 
 void control_node::fillGrant(wire::session_grant& grant, std::uint64_t revision, std::uint64_t shardVersion, std::uint64_t poisonVersion, std::uint64_t liveVersion) const
 {
-    grant.set_leader_term(m_host.core().term());
+    grant.set_leader_term(core().term());
     grant.set_revision(m_state.revision());
     grant.set_base_revision(revision);
     for (auto& record : m_state.recordsAfter(revision))
--- a/Source/control/main.cpp
+++ b/Source/control/main.cpp
@@ -35,10 +35,12 @@
 
         result<void> start()
         {
-            BOOST_OUTCOME_TRYV(openStorage());
+            BOOST_OUTCOME_TRY(auto replica, openStorage(false));
+            if (bootstrap && !isEmpty(replica.restored))
+                return failure { fmt::format("{}: already holds a log; start without --bootstrap", settings.dataFolder) };
             addCore("pistachiolatch-control", settings.wire, 1);
             auto& loop = registry.find<control_loop>(loopService);
-            m_node = std::make_unique<control_node>(control_node::parts { loop, clock, counters, settings.wire, m_self, std::move(*m_store), std::move(m_replica.restored), bootstrap });
+            m_node = std::make_unique<control_node>(control_node::parts { loop, clock, counters, settings.wire, std::move(replica), [this](bool afterFailure) { return openStorage(afterFailure); }, bootstrap });
             loop.onMessage([this](const wire::envelope& message) { m_node->onMessage(message); });
             loop.onTick([this] { m_node->tick(); });
             m_operators = std::make_unique<operator_api>(registry.find<traffic_threads>(trafficService), loop, *m_node, counters, settings.operators);
@@ -54,34 +56,28 @@
         }
 
     private:
-        result<void> openStorage()
+        static bool isEmpty(const raft_restored& restored) { return restored.entries.empty() && restored.snapshot.index() == 0; }
+
+        result<opened_replica> openStorage(bool afterFailure) const
         {
-            m_self.set_vm(settings.wire.vm);
-            m_self.set_address(settings.wire.advertise);
+            wire::replica_id self;
+            self.set_vm(settings.wire.vm);
+            self.set_address(settings.wire.advertise);
             if (settings.dataFolder.empty()) {
                 if (bootstrap)
                     return failure { "--bootstrap needs control.data_folder: the first replica of a log must be on a disk" };
                 // Without a disk nothing of an earlier run is left, so this is a new replica.
-                m_self.set_incarnation(freshIncarnation());
-                m_store.emplace(memory_log_store());
-                return ok();
+                self.set_incarnation(freshIncarnation());
+                return opened_replica { self, replica_store(memory_log_store()), {} };
             }
             file_log_store files;
-            BOOST_OUTCOME_TRY(auto replica, files.open(settings.dataFolder));
-            m_replica = std::move(replica);
-            m_self.set_incarnation(m_replica.incarnation);
-            bool empty = m_replica.restored.entries.empty() && m_replica.restored.snapshot.index() == 0;
-            if (bootstrap && !empty)
-                return failure { fmt::format("{}: already holds a log; start without --bootstrap", settings.dataFolder) };
-            if (m_replica.tornBytes > 0)
-                logEvent("log_end_repaired", { { "bytes", m_replica.tornBytes } });
-            m_store.emplace(std::move(files));
-            return ok();
+            BOOST_OUTCOME_TRY(auto stored, afterFailure ? files.openAfterFailure(settings.dataFolder) : files.open(settings.dataFolder));
+            self.set_incarnation(stored.incarnation);
+            if (stored.tornBytes > 0)
+                logEvent("log_end_repaired", { { "bytes", stored.tornBytes } });
+            return opened_replica { self, replica_store(std::move(files)), std::move(stored.restored) };
         }
 
-        wire::replica_id m_self;
-        stored_replica m_replica;
-        std::optional<replica_store> m_store;
         std::atomic<bool> m_stopping { false };
         std::unique_ptr<control_node> m_node;
         std::unique_ptr<operator_api> m_operators;
--- a/Source/control/operator_json.cpp
+++ b/Source/control/operator_json.cpp
@@ -88,16 +88,15 @@
 
 std::string control_node::statusJson() const
 {
-    const auto& core = m_host.core();
     json::object status;
     status["leader"] = m_self.vm();
-    status["term"] = core.term();
-    status["commit_index"] = core.commitIndex();
+    status["term"] = core().term();
+    status["commit_index"] = core().commitIndex();
     status["revision"] = m_state.revision();
     status["in_force"] = m_sessions && m_sessions->inForce(m_state.revision(), m_clock.now());
     status["ledger_entries"] = m_state.calls().size();
     json::array replicas;
-    for (const auto& voter : core.members().voters())
+    for (const auto& voter : core().members().voters())
         replicas.push_back(json::object { { "vm", voter.vm() }, { "incarnation", std::to_string(voter.incarnation()) }, { "address", voter.address() } });
     status["replicas"] = std::move(replicas);
     json::array processes;
--- a/Source/replication/document_replica.h
+++ b/Source/replication/document_replica.h
@@ -127,7 +127,7 @@
     std::optional<raft_host<file_log_store>> m_host;
     bool m_usable = false;
     bool m_stopped = false;
-    /// Whether what the files hold may be in memory alone, since a write or sync failed.
+    /// Whether a write or sync failed since the files were last opened.
     bool m_unsynced = false;
     time_point m_unusableSince;
     int m_openTries = 0;
--- a/Source/replication/document_replica_storage.cpp
+++ b/Source/replication/document_replica_storage.cpp
@@ -33,12 +33,7 @@
 result<void> document_replica::openFiles()
 {
     file_log_store store;
-    BOOST_OUTCOME_TRY(auto start, openReplica(store, m_home.folder, m_home.facts));
-    // A write or sync that failed may have left bytes that can be read and are not on the disk. They count only once they
-    // have been written anew; it also tells whether the disk takes writes again.
-    if (m_unsynced) {
-        BOOST_OUTCOME_TRYV(store.compact(start.restored.snapshot, start.restored.entries));
-    }
+    BOOST_OUTCOME_TRY(auto start, openReplica(store, m_home.folder, m_home.facts, m_unsynced));
     if (start.tornBytes > 0)
         logEvent("log_end_repaired", { { "bytes", start.tornBytes } });
     logEvent("replica_opened", { { "incarnation", start.self.incarnation() }, { "first_start", m_home.facts.firstStart ? 1 : 0 }, { "entries", start.restored.entries.size() }, { "snapshot", start.restored.snapshot.index() }, { "try", m_openTries } });
--- a/Source/replication/replica_identity.cpp
+++ b/Source/replication/replica_identity.cpp
@@ -23,11 +23,12 @@
     return address.substr(0, address.rfind(':'));
 }
 
-result<replica_start> openReplica(file_log_store& store, const std::string& folder, const founding_facts& facts)
+result<replica_start> openReplica(file_log_store& store, const std::string& folder, const founding_facts& facts, bool afterFailure)
 {
     bool isFounder = std::find(facts.founders.begin(), facts.founders.end(), facts.ownAddress) != facts.founders.end();
     bool mayFound = facts.firstStart && isFounder;
-    BOOST_OUTCOME_TRY(auto stored, store.open(folder, mayFound ? std::optional(founderIncarnation) : std::nullopt));
+    auto identity = mayFound ? std::optional(founderIncarnation) : std::nullopt;
+    BOOST_OUTCOME_TRY(auto stored, afterFailure ? store.openAfterFailure(folder, identity) : store.open(folder, identity));
     replica_start start;
     start.self.set_vm(vmOfAddress(facts.ownAddress));
     start.self.set_incarnation(stored.incarnation);
--- a/Source/replication/replica_identity.h
+++ b/Source/replication/replica_identity.h
@@ -31,7 +31,8 @@
 /// that each derives the same first entry without a word from the others; a process killed in its first moments, whose
 /// disk holds that identity and nothing else, may found again, since it has promised nothing yet. A replica with a log
 /// never founds, nor does one with another identity: a lost disk would otherwise begin a second log.
+/// afterFailure: whether a write or sync failed since the folder was last opened.
 /// Errors: those of the store.
-result<replica_start> openReplica(file_log_store& store, const std::string& folder, const founding_facts& facts);
+result<replica_start> openReplica(file_log_store& store, const std::string& folder, const founding_facts& facts, bool afterFailure = false);
 
 } // namespace pistachiolatch
