Consensus: Sync a log that is read at the start before it counts

Found while tracing what a replica may believe after its disk failed; no caller has reported it. A process that is killed between the write and the sync of an entry leaves it in the kernel's memory. Started again, the replica read it, told the leader that it holds it, and the entry counted towards a majority; a power cut before its next sync took it away again. With as many VMs as a majority killed and then cut off from power within that time, an acknowledged change would be gone.

The log is synced when it is opened. FileLogStoreTest watches fdatasync from inside the test program: the log was not synced by open() before (1 check failed), and is now.

--- a/Source/consensus/file_log_store.cpp
+++ b/Source/consensus/file_log_store.cpp
@@ -201,10 +201,14 @@
         if (!looksTorn(bytes, offset))
             return failure { fmt::format("{}: damaged at byte {} of {}; empty the data folder so that this VM rejoins as a new replica, or restore it from a backup", path(logFile), offset, bytes.size()) };
         replica.tornBytes = bytes.size() - offset;
-        if (::ftruncate(m_log, static_cast<off_t>(offset)) != 0 || ::fdatasync(m_log) != 0)
+        if (::ftruncate(m_log, static_cast<off_t>(offset)) != 0)
             return fileFailure(path(logFile), "cut off the torn end");
         break;
     }
+    // A process that was killed before it synced leaves entries that can be read and that a power cut takes. They would
+    // count towards a majority as soon as this replica tells of them.
+    if (::fdatasync(m_log) != 0)
+        return fileFailure(path(logFile), "sync");
     auto expected = replica.restored.snapshot.index();
     for (const auto& entry : replica.restored.entries) {
         if (entry.index() != ++expected)
--- a/Tests/Consensus/FileLogStoreTest.cpp
+++ b/Tests/Consensus/FileLogStoreTest.cpp
@@ -3,10 +3,29 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <set>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 using namespace pistachiolatch;
 
+namespace {
+/// The files that this process has synced, by path.
+std::set<std::string>& syncedFiles()
+{
+    static std::set<std::string> files;
+    return files;
+}
+}
+
+/// Stands before the C library's, so that a test can tell what was synced.
+extern "C" int fdatasync(int descriptor)
+{
+    auto link = "/proc/self/fd/" + std::to_string(descriptor);
+    syncedFiles().insert(std::filesystem::read_symlink(link).string());
+    return static_cast<int>(::syscall(SYS_fdatasync, descriptor));
+}
+
 namespace {
 struct scratch_folder {
     std::string path = (std::filesystem::temp_directory_path() / ("pistachiolatch-log-" + std::to_string(::getpid()))).string();
@@ -133,3 +152,14 @@
     REQUIRE(replica.value().restored.entries.size() == 3);
     CHECK(replica.value().restored.entries.back().index() == 11);
 }
+
+// Guards against counting an entry that a killed process wrote and never synced: a power cut would take it afterwards.
+TEST_CASE("What a log shows at the start is on the disk before it counts")
+{
+    scratch_folder folder;
+    writeLog(folder.path);
+    syncedFiles().clear();
+    file_log_store store;
+    REQUIRE(store.open(folder.path));
+    CHECK(syncedFiles().count(folder.path + "/log") == 1);
+}
