--- a/Source/program/program_main.cpp
+++ b/Source/program/program_main.cpp
@@ -1,20 +1,16 @@
 #include "program/program_main.h"
 
 #include <algorithm>
-#include <atomic>
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <pthread.h>
 #include <string_view>
-#include <unistd.h>
 
 namespace pistachiolatch {
 
 namespace {
-    std::atomic<int> requestedExit { exitOk };
-
     void printLines(const std::string& text)
     {
         fmt::print(stderr, "{}\n", text);
@@ -31,23 +27,13 @@
             if (body.reload)
                 body.reload();
         }
-        // The signal of an end that the process asked for is its own.
-        if (requestedExit == exitOk)
-            logEvent("stopping", { { "signal", signal } });
-        else
-            logEvent("stopping", { { "exit_code", requestedExit.load() } });
+        logEvent("stopping", { { "signal", signal } });
         body.stop();
         logEvent("stopped", {});
-        return requestedExit.load();
+        return exitOk;
     }
 }
 
-void requestExit(int code)
-{
-    requestedExit = code;
-    ::kill(::getpid(), SIGTERM);
-}
-
 std::vector<char*> withSettingsFrom(const char* variable, int argc, char** argv)
 {
     static char option[] = "--settings";
--- a/Source/program/program_main.h
+++ b/Source/program/program_main.h
@@ -41,8 +41,4 @@
 /// gracefully. Returns the exit code.
 int runProgram(int argc, char** argv, const char* version, program_body body);
 
-/// Ends the running program from inside with an error, for instance when a disk can't be synced any more.
-/// Thread safety: any thread.
-void requestExit(int code);
-
 } // namespace pistachiolatch
