--- a/Tests/Consensus/FileLogStoreTest.cpp
+++ b/Tests/Consensus/FileLogStoreTest.cpp
@@ -163,3 +163,23 @@
     REQUIRE(store.open(folder.path));
     CHECK(syncedFiles().count(folder.path + "/log") == 1);
 }
+
+// Guards against counting what a failed write or sync left in memory alone.
+TEST_CASE("What a folder shows after a failure is written anew before it counts")
+{
+    scratch_folder folder;
+    writeLog(folder.path);
+    syncedFiles().clear();
+    file_log_store store;
+    auto replica = store.openAfterFailure(folder.path);
+    REQUIRE(replica);
+    CHECK(replica.value().restored.entries.size() == 10);
+    CHECK(syncedFiles().count(folder.path + "/snapshot.new") == 1);
+    CHECK(syncedFiles().count(folder.path + "/log.new") == 1);
+    store.close();
+    file_log_store again;
+    auto reread = again.open(folder.path);
+    REQUIRE(reread);
+    CHECK(reread.value().restored.entries.size() == 10);
+    CHECK(reread.value().incarnation == replica.value().incarnation);
+}
