--- a/Source/consensus/file_log_store.h
+++ b/Source/consensus/file_log_store.h
@@ -15,6 +15,9 @@
     std::uint64_t tornBytes = 0;
 };
 
+/// Pause before a folder that could not be used is opened again.
+constexpr milliseconds reopenPause { 1000 };
+
 /// A replica's files in one data folder: incarnation, hard state, snapshot and the log, each checksummed and synced.
 /// Not thread-safe: one process, one thread. A lock file keeps a second process out.
 class file_log_store {
--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -6,8 +6,6 @@
 
 namespace {
     constexpr std::size_t logEntriesKept = 2000;
-    /// Pause before a storage that could not be used is tried again.
-    constexpr milliseconds reopenPause { 1000 };
     constexpr milliseconds joinInterval { 500 };
     constexpr milliseconds forceTimeout { 10000 };
     constexpr milliseconds explainTimeout { 1000 };
@@ -22,6 +20,7 @@
     , m_open(std::move(given.open))
 {
     restore(std::move(given.replica));
+    m_metrics.gauge("storage_usable", 1);
     if (given.bootstrap)
         core().bootstrap();
 }
@@ -126,6 +125,7 @@
     // A replica that can't sync can't keep its word; it takes no part before it acknowledges anything more.
     logEvent("storage_failed", { { "error", why }, { "term", core().term() } });
     m_metrics.count("storage_failed");
+    m_metrics.gauge("storage_usable", 0);
     m_storageFailed = true;
     m_reopenAt = m_clock.now() + reopenPause;
     failPending();
@@ -148,6 +148,7 @@
     m_storageFailed = false;
     logEvent("storage_recovered", { { "incarnation", opened.value().self.incarnation() }, { "entries", opened.value().restored.entries.size() }, { "snapshot", opened.value().restored.snapshot.index() } });
     restore(std::move(opened.value()));
+    m_metrics.gauge("storage_usable", 1);
 }
 
 void control_node::sendJoin()
--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -204,14 +204,14 @@
     return true;
 }
 
-void control_link::takeUpdate(const wire::entry_update& update, time_point writtenAt)
+void control_link::takeUpdate(const wire::entry_update& update, time_point agesFrom)
 {
     // A leader of an earlier version sends the document whole.
     if (update.has_document() && m_fetch.takeWhole(update.document()))
         applyDocument();
     if (m_fetch.announce(update.document_version()))
         logEvent("configuration_announced", { { "version", update.document_version() }, { "held", m_fetch.held().version() }, { "age_ms", update.document_age_ms() } });
-    auto acceptedAt = writtenAt - milliseconds(update.document_age_ms());
+    auto acceptedAt = agesFrom - milliseconds(update.document_age_ms());
     m_lease.supersede(update.document_version(), acceptedAt + m_settings.changeBound * supersededQuarters / 4);
     fetchMore();
     if (update.entries() > 0)
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -84,8 +84,9 @@
     void onSilence(const sync_question& question);
     void onReply(const wire::envelope* reply, const sync_question& question);
     void onOtherLeader(const wire::entry_update& update, const sync_question& question);
-    /// Precondition: the leader wrote the update at the given moment or later.
-    void takeUpdate(const wire::entry_update& update, time_point writtenAt);
+    /// The moment is the one from which the ages in the update count: when it was asked for, so that its way makes nothing
+    /// younger, or when it came unasked.
+    void takeUpdate(const wire::entry_update& update, time_point agesFrom);
     void takePiece(const wire::document_piece& piece);
     void applyDocument();
     void fetchMore();
--- a/Source/coordination/entry_coordinator_state.cpp
+++ b/Source/coordination/entry_coordinator_state.cpp
@@ -1,11 +1,15 @@
 // The part of the coordinator that hands configuration and endpoints to the entries.
 #include "coordination/entry_coordinator.h"
 
+#include <algorithm>
+
 namespace pistachiolatch {
 
 namespace {
     /// Some 13 ms at 10 Mbit/s: what is sent behind a piece hardly waits.
     constexpr std::size_t pieceBytes = 16UL * 1024;
+    /// An age that says no more than that any bound on changes is over.
+    constexpr milliseconds oldestTold = std::chrono::hours(24);
     /// Endpoints in one update; as many bytes as a piece, or fewer.
     constexpr std::size_t endpointsPerUpdate = 100;
 }
@@ -14,7 +18,7 @@
 {
     const auto& document = m_replica.document();
     update.set_document_version(document.version());
-    update.set_document_age_ms(static_cast<std::uint32_t>(m_replica.documentAge().count()));
+    update.set_document_age_ms(static_cast<std::uint32_t>(std::min(m_replica.documentAge(), oldestTold).count()));
     if (document.version() > session.documentVersion) {
         // An entry of an earlier version knows nothing of pieces.
         if (!session.takesPieces)
--- a/Source/replication/document_replica_storage.cpp
+++ b/Source/replication/document_replica_storage.cpp
@@ -3,11 +3,6 @@
 
 namespace pistachiolatch {
 
-namespace {
-    /// Pause before files that could not be used are tried again.
-    constexpr milliseconds reopenPause { 1000 };
-}
-
 void document_replica::openStorage()
 {
     ++m_openTries;
