Soak: Disks of control processes that are full beside other faults

The soak's storage faults were wiped folders alone, which is why it never met a write that fails. An option of its own, so that earlier seeds keep their faults.

--- a/Tests/Soak/soak_main.cpp
+++ b/Tests/Soak/soak_main.cpp
@@ -34,8 +34,9 @@
 
     class soak {
     public:
-        explicit soak(std::uint64_t seed)
+        soak(std::uint64_t seed, bool fullDisks)
             : m_seed(seed)
+            , m_fullDisks(fullDisks)
             , m_random(seed)
             , m_fleet(controls, entries)
         {
@@ -63,8 +64,12 @@
             for (int i = 0; i < 4; ++i)
                 threads.emplace_back([this, i] { call(i); });
             auto end = steady::now() + length;
-            while (steady::now() < end)
-                injectOne();
+            while (steady::now() < end) {
+                if (m_fullDisks && pick(2) == 1)
+                    injectBesideFullDisk();
+                else
+                    injectOne();
+            }
             heal();
             m_clientsStop = true;
             for (std::size_t i = 1; i < threads.size(); ++i)
@@ -79,6 +84,19 @@
         void pause(int least, int most) { std::this_thread::sleep_for(milliseconds(std::uniform_int_distribution<int>(least, most)(m_random))); }
         int pick(int count) { return std::uniform_int_distribution<int>(1, count)(m_random); }
 
+        /// A control's disk is full from before another fault until after it. A control that the fault restarts finds room.
+        void injectBesideFullDisk()
+        {
+            int full = pick(controls);
+            m_fleet.control(full).refuseWrites(true);
+            pause(0, 400);
+            injectOne();
+            pause(0, 2500);
+            if (!m_fleet.control(full).running())
+                m_checks.fail("a control ended while its disk was full");
+            m_fleet.control(full).refuseWrites(false);
+        }
+
         void injectOne()
         {
             switch (pick(8)) {
@@ -289,6 +307,7 @@
         }
 
         std::uint64_t m_seed;
+        bool m_fullDisks;
         std::mt19937_64 m_random;
         platform_fleet m_fleet;
         fault_proxy m_proxy;
@@ -307,13 +326,15 @@
     std::uint64_t first = 1;
     int seeds = 1;
     int seconds = 12;
+    bool fullDisks = false;
     app.add_option("--seed", first, "the first seed");
     app.add_option("--seeds", seeds, "how many seeds, one after the other");
     app.add_option("--seconds", seconds, "how long faults come under each seed");
+    app.add_flag("--full-disks", fullDisks, "disks of control processes are full now and then");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     int broken = 0;
     for (int i = 0; i < seeds; ++i)
-        broken += pistachiolatch::test::soak(first + static_cast<std::uint64_t>(i)).run(std::chrono::seconds(seconds));
+        broken += pistachiolatch::test::soak(first + static_cast<std::uint64_t>(i), fullDisks).run(std::chrono::seconds(seconds));
     return broken == 0 ? 0 : 1;
 }
