Entry: Check for poison requests before acquiring limit tokens

Callers could get 503 limit_unreachable with Retry-After instead of 422 poison_request: a request that control had recorded as crashing endpoints was refused because a shard owner was lost, and the caller was invited to retry it.

Cause: an entry acquired the organisation's tokens before anything checked whether the request is poison. Control's grants carry the poison marks to every entry, but only the pool's owner read them. A killed scheduler may own the limit as well as the pool. Until the limit has a new owner, which under load takes longer than the entry's patience, the request was refused with limit_unreachable.

No load is needed to reproduce it.

The entry now checks the marks itself before it acquires tokens, and again when a limit or a placement is refused, since a mark may arrive in the meantime. The check needs no other process.

--- a/Source/entry/entry_node.h
+++ b/Source/entry/entry_node.h
@@ -4,11 +4,12 @@
 #include "entry/limit_client.h"
 #include "entry/placement_client.h"
 #include "entry/request_journal.h"
+#include "scheduling/scheduling.h"
 
 namespace pistachiolatch {
 
 /// The control side of an entry: its session and its dealings with schedulers and control.
-/// Thread safety: the control thread, but for ready(), config() and journal().
+/// Thread safety: control thread only, except for ready(), config(), isPoison() and journal().
 class entry_node {
 public:
     entry_node(control_loop& loop, const wire_settings& settings, const clock_source& clock, metrics& counters, milliseconds limitPatience);
@@ -21,6 +22,8 @@
     /// Whether new work may be taken. Thread safety: any thread.
     bool ready() const { return m_session.leaseValid(); }
     std::shared_ptr<const config_view> config() const { return m_session.config(); }
+    /// Whether control has recorded enough crashes for this request to block it. Thread safety: any thread.
+    bool isPoison(std::uint64_t fingerprint) const { return std::atomic_load(&m_poison)->contains(fingerprint); }
     const process_identity& self() const { return m_session.self(); }
     request_journal& journal() { return m_journal; }
 
@@ -37,6 +40,7 @@
     announcement_relay m_announcements;
     ledger_client m_ledger;
     request_journal m_journal;
+    std::shared_ptr<const poison_list> m_poison = std::make_shared<const poison_list>();
 };
 
 } // namespace pistachiolatch
--- a/Source/entry/model_call.cpp
+++ b/Source/entry/model_call.cpp
@@ -81,11 +81,18 @@
     m_identity = { m_caller.requestId, m_request.model, m_request.chat,
         std::chrono::floor<std::chrono::seconds>(wallClock()).count() };
 
+    // Checked before the limit: if the limit's owner is unreachable, the caller would get a retryable 503 instead.
+    if (auto refused = refusedAsPoison())
+        co_return refused;
     std::uint64_t tokens = static_cast<std::uint64_t>(m_promptTokens) + m_maxTokens;
     auto verdict = co_await acquireTokens(m_context, m_caller.organisation, tokens);
     m_context.node.journal().note(m_caller.requestId, "limit", { { "organisation", m_caller.organisation }, { "tokens", tokens }, { "granted", verdict.granted } });
-    if (!verdict.granted)
+    if (!verdict.granted) {
+        // The request may have been marked as poison while it waited for the limit.
+        if (auto refused = refusedAsPoison())
+            co_return refused;
         co_return caller_error { verdict.why, run_state::NotRun, verdict.retryAfter, "" };
+    }
     m_charged = tokens;
     co_return std::nullopt;
 }
@@ -131,10 +138,19 @@
     co_return co_await acquirePlacement(m_context, std::move(request));
 }
 
+std::optional<caller_error> model_call::refusedAsPoison() const
+{
+    if (!m_context.node.isPoison(m_fingerprint))
+        return std::nullopt;
+    return caller_error { reason::PoisonRequest, runState(), milliseconds(0), "" };
+}
+
 std::optional<caller_error> model_call::refusedPlacement(const wire::placement& placement)
 {
     if (placement.refused().empty())
         return std::nullopt;
+    if (auto refused = refusedAsPoison())
+        return refused;
     auto why = reasonFromName(placement.refused()).value_or(reason::Internal);
     return caller_error { why, runState(), milliseconds(placement.retry_after_ms()), "" };
 }
--- a/Source/entry/model_call.h
+++ b/Source/entry/model_call.h
@@ -20,6 +20,8 @@
     task_of<std::optional<caller_error>> admit();
     task_of<std::optional<caller_error>> attemptAll();
     task_of<wire::placement> findEndpoints(std::uint32_t attempt);
+    /// Returns a poison_request error if control has recorded too many crashes for this request.
+    std::optional<caller_error> refusedAsPoison() const;
     std::optional<caller_error> refusedPlacement(const wire::placement& placement);
     /// Whether another attempt may follow; the error to give up with if not.
     std::optional<caller_error> giveUpAfter(const attempt_end& end, std::uint32_t attempt);
--- a/Source/scheduling/scheduling.h
+++ b/Source/scheduling/scheduling.h
@@ -4,4 +4,5 @@
 #include "scheduling/engine_planner.h"
 #include "scheduling/output_forecast.h"
 #include "scheduling/plan_queue.h"
+#include "scheduling/poison_list.h"
 #include "scheduling/pool.h"
--- a/Tests/Promises/PoisonTest.cpp
+++ b/Tests/Promises/PoisonTest.cpp
@@ -6,15 +6,30 @@
 using namespace pistachiolatch::test;
 
 namespace {
-/// Within this time shards of a process that was killed have another owner.
-constexpr std::chrono::seconds ownerChange { 10 };
-
 fleet_shape manyPrefills()
 {
     fleet_shape shape;
     shape.prefill = 5;
     return shape;
 }
+
+/// Sends a poison request that crashes two endpoints, and waits until control has recorded both crashes.
+void crashTwoEndpoints(fleet& where)
+{
+    REQUIRE(where.complete(1, "CRASH-ENDPOINT now", 10).status == 422);
+    REQUIRE(eventually([&] { return where.command({ "events" }).out.find("crash 2 of this request") != std::string::npos; }));
+}
+
+/// Checks that a 503 during an ownership change is limit_unreachable or no_scheduler, reports not_run and has
+/// Retry-After.
+void checkOwnerChangeRefusal(const simple_answer& answer)
+{
+    INFO(answer.body);
+    bool changesOwner = answer.body.find("\"limit_unreachable\"") != std::string::npos || answer.body.find("\"no_scheduler\"") != std::string::npos;
+    CHECK(changesOwner);
+    CHECK(answer.body.find("\"run\":\"not_run\"") != std::string::npos);
+    CHECK_FALSE(answer.header("Retry-After").empty());
+}
 }
 
 // One request crashes each endpoint that runs it, and its caller sends it again through other entries. Unchecked it
@@ -39,26 +54,51 @@
     REQUIRE(eventually([&] { return where.command({ "events" }).out.find("crash 2 of this request") != std::string::npos; }));
     auto owner = where.owner("model:advisor-llm");
     where.scheduler(owner).kill();
-    // That scheduler may have owned the organisation's limit too; until either shard has another owner, callers are told
-    // that nothing ran and when to come back.
-    simple_answer afterwards;
-    REQUIRE(eventually([&] {
-        afterwards = where.complete(3, "CRASH-ENDPOINT now", 10);
-        INFO(afterwards.body);
-        if (afterwards.status != 503)
-            return true;
-        bool changesOwner = afterwards.body.find("\"limit_unreachable\"") != std::string::npos || afterwards.body.find("\"no_scheduler\"") != std::string::npos;
-        CHECK(changesOwner);
-        CHECK(afterwards.body.find("\"run\":\"not_run\"") != std::string::npos);
-        CHECK_FALSE(afterwards.header("Retry-After").empty());
-        return false;
-    },
-        ownerChange));
+    auto afterwards = where.complete(3, "CRASH-ENDPOINT now", 10);
     INFO(afterwards.body);
     CHECK(afterwards.status == 422);
+    if (afterwards.status == 503)
+        checkOwnerChangeRefusal(afterwards);
+    CHECK(where.statSum("crashes") == 2);
+}
+
+// Guards against answering a poison request with a retryable 503 when the shard owners are unreachable.
+TEST_CASE("A poison request gets 422 while every scheduler is down", "[promise]")
+{
+    fleet where(manyPrefills());
+    where.start();
+    crashTwoEndpoints(where);
+    for (int scheduler = 1; scheduler <= 2; ++scheduler)
+        where.scheduler(scheduler).kill();
+    for (int entry = 1; entry <= 3; ++entry) {
+        auto resent = where.complete(entry, "CRASH-ENDPOINT now", 10);
+        INFO(resent.body);
+        CHECK(resent.status == 422);
+        CHECK(resent.body.find("\"run\":\"not_run\"") != std::string::npos);
+    }
     CHECK(where.statSum("crashes") == 2);
 }
 
+// Guards against a 503 without the run state or Retry-After while shards change owners.
+TEST_CASE("A good request succeeds after a scheduler is killed, with only retryable 503s before that", "[promise]")
+{
+    constexpr std::chrono::seconds ownerChange { 10 };
+    fleet where(manyPrefills());
+    where.start();
+    REQUIRE(where.complete(3, "a good request", 10).status == 200);
+    where.scheduler(where.owner("model:advisor-llm")).kill();
+    simple_answer answer;
+    CHECK(eventually([&] {
+        answer = where.complete(3, "a good request", 10);
+        if (answer.status == 503)
+            checkOwnerChangeRefusal(answer);
+        return answer.status != 503;
+    },
+        ownerChange));
+    INFO(answer.body);
+    CHECK(answer.status == 200);
+}
+
 // Connections to endpoints break for a fault of the network, and the request is blameless. Once the endpoints
 // announce themselves alive, it must not stay refused.
 TEST_CASE("A broken link makes no request poison", "[promise]")
