Forwarding: Log why an answer is cut after it has begun

Missing from the log: a begun answer can end early because of the deadline, the lack of another endpoint, the route's limits on retries, the retry budget or the end of the process. Apart from the deadline, which has its own outcome, the log did not distinguish these causes. It recorded nothing when a process ended during a stream or when a caller that accepted no data was disconnected. Configuration changes end no stream: a call keeps the route table under which it was admitted.

Each of these ends is now logged: - answer_cut gives the reason and its inputs: events, sends, deadline, the route's limits, time spent waiting for endpoints, whether the engines were full, and configuration versions. - attempt_failed gives no_retry_reason, the reason why the call is not sent again. - caller_write_timeout reports a caller that was disconnected because it accepted no data. - call_ended has the outcome cut_at_shutdown for calls that still run when the process ends.

No test covers the retry budget or a caller that accepts no data. Retry decisions are unchanged: afterFailedSend is now derived from noRetryReasonAfter.

--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -35,6 +35,8 @@
         time_point phaseSince;
         bool receiving = false;
         bool inCall = false;
+        /// The call being served, or null between calls.
+        forward_call<Dialect>* call = nullptr;
     };
     using caller_handle = std::shared_ptr<caller_state>;
 
@@ -125,10 +127,13 @@
         bool tooLate = endsSoon();
         {
             forward_call<Dialect> call(m_shared, caller->channel, std::move(*request));
-            if (tooLate)
+            if (tooLate) {
                 co_await call.refuseAtShutdown();
-            else
+            } else {
+                caller->call = &call;
                 goesOn = co_await call.run();
+                caller->call = nullptr;
+            }
         }
         --m_active;
         caller->inCall = false;
@@ -226,6 +231,8 @@
         auto allowed = begun ? bounds.headerTimeout * 2 : bounds.idleTimeout;
         bool late = !caller->inCall && now - caller->phaseSince > allowed;
         bool idleAtEnd = stopsAccepting && !caller->inCall && !begun;
+        if (stuck)
+            logEvent("caller_write_timeout", { { "request", caller->call ? caller->call->requestId() : std::string() }, { "writing_ms", std::chrono::duration_cast<milliseconds>(now - channel.writingSince()).count() } });
         if (stuck || late || idleAtEnd)
             channel.close();
     }
@@ -245,8 +252,11 @@
     m_sweepTimer.cancel();
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
-    for (const auto& caller : std::set<caller_handle>(m_callers))
+    for (const auto& caller : std::set<caller_handle>(m_callers)) {
+        if (caller->call)
+            caller->call->cutAtShutdown();
         caller->channel->close();
+    }
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -45,6 +45,9 @@
     task_of<bool> run();
     /// Refuses the call because the entry ends before its answer might. The caller's next attempt reaches another entry.
     task_of<void> refuseAtShutdown();
+    const std::string& requestId() const { return m_head.id; }
+    /// Logs the end of a call that is interrupted because the process stops.
+    void cutAtShutdown();
 
 private:
     struct prefill_result {
@@ -115,6 +118,8 @@
     void cutCurrent();
     void finishConnection(const std::string& endpointId, const answer_head& answer);
     void logEnd();
+    /// Logs why an answer is cut after it has begun, with the inputs to that decision.
+    void logCut(std::string_view why) const;
 
     bool ended() const { return m_callerGone || m_deadlinePassed; }
     bool idempotent() const { return m_route->kind == call_kind::Idempotent || resumable(); }
@@ -175,6 +180,13 @@
     /// Whether the endpoint that it left was alive, so that nothing is held against it.
     bool m_leftLive = false;
     milliseconds m_retryAfter { 0 };
+    /// Why the call is not sent again; None while it may be.
+    no_retry_reason m_noRetryReason = no_retry_reason::None;
+    /// Duration of the last wait for endpoints.
+    milliseconds m_endpointWait { 0 };
+    /// Whether the leader's last plan reported that all engines are full.
+    bool m_enginesFull = false;
+    bool m_endLogged = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Source/forwarding/forward_call_model.h
+++ b/Source/forwarding/forward_call_model.h
@@ -39,10 +39,14 @@
         auto places = std::exchange(m_nextPlaces, std::nullopt);
         if (!places) {
             m_callId = m_shared.roster.nextCallId();
+            auto waitBegan = m_shared.clock.now();
             places = co_await awaitPlaces();
+            m_endpointWait = std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - waitBegan);
         }
-        if (!places)
+        if (!places) {
+            m_noRetryReason = no_retry_reason::NoEndpoint;
             break;
+        }
         m_callId = places->callId;
         attempt_end end = attempt_end::NotSent;
         m_eventsHere = 0;
@@ -147,7 +151,8 @@
 task_of<std::optional<typename forward_call<Dialect>::model_places>> forward_call<Dialect>::awaitPlaces()
 {
     auto plan = co_await planByLeader();
-    if (plan && plan->full()) {
+    m_enginesFull = plan && plan->full();
+    if (m_enginesFull) {
         m_retryAfter = milliseconds(plan->retry_after_ms());
         co_return std::nullopt;
     }
--- a/Source/forwarding/forward_call_steps.h
+++ b/Source/forwarding/forward_call_steps.h
@@ -223,8 +223,10 @@
         query.service = m_service->name;
         query.exclude = m_tried;
         auto endpoint = m_shared.roster.pick(query);
-        if (!endpoint)
+        if (!endpoint) {
+            m_noRetryReason = no_retry_reason::NoEndpoint;
             break;
+        }
         endpoint_booking booking(m_shared.roster, endpoint->id, 0);
         auto orders = ordersFor(*endpoint);
         auto end = co_await sendTo(*endpoint, std::move(orders));
@@ -242,14 +244,17 @@
 bool forward_call<Dialect>::tryAgainAfter(attempt_end end, const std::string& endpointId)
 {
     m_tried.insert(endpointId);
-    auto step = afterFailedSend({ end, m_route->kind, m_route->resumable, m_mayHaveRunAt, m_route->mostEndpoints, timeLeft() });
+    m_noRetryReason = noRetryReasonAfter({ end, m_route->kind, m_route->resumable, m_mayHaveRunAt, m_route->mostEndpoints, timeLeft() });
     // A send that never left is no burden on any endpoint, so it needs no budget.
-    bool allowed = step == next_step::SendAgain && (end == attempt_end::NotSent || m_shared.budget.tryAgain(m_service->name, m_shared.link.entries(), m_shared.clock.now()));
+    bool needsBudget = m_noRetryReason == no_retry_reason::None && end != attempt_end::NotSent;
+    if (needsBudget && !m_shared.budget.tryAgain(m_service->name, m_shared.link.entries(), m_shared.clock.now()))
+        m_noRetryReason = no_retry_reason::RetryBudgetSpent;
+    bool allowed = m_noRetryReason == no_retry_reason::None;
     auto why = end == attempt_end::NotSent ? reason::ConnectFailed : end == attempt_end::RefusedUnrun ? reason::EndpointRefused
                                                                                                       : reason::EndpointFailed;
     if (allowed)
         m_shared.counters.countRetry(why);
-    logEvent("attempt_failed", { { "request", m_head.id }, { "endpoint", endpointId }, { "why", reasonName(why) }, { "stalled", end == attempt_end::Stalled ? 1 : 0 }, { "may_have_run_at", m_mayHaveRunAt }, { "again", allowed ? 1 : 0 }, { "age_ms", age().count() } });
+    logEvent("attempt_failed", { { "request", m_head.id }, { "endpoint", endpointId }, { "why", reasonName(why) }, { "stalled", end == attempt_end::Stalled ? 1 : 0 }, { "may_have_run_at", m_mayHaveRunAt }, { "again", allowed ? 1 : 0 }, { "no_retry_reason", noRetryReasonName(m_noRetryReason) }, { "age_ms", age().count() } });
     return allowed;
 }
 
@@ -296,6 +301,7 @@
     if (m_answerBegun) {
         // A part of the answer is out. Only a broken connection tells the caller that it is not the whole.
         m_outcome = m_deadlinePassed ? "cut_at_deadline" : "cut_midway";
+        logCut(m_deadlinePassed ? "deadline" : noRetryReasonName(m_noRetryReason));
         m_keepAlive = false;
         m_caller->close();
         co_return;
@@ -347,9 +353,31 @@
         m_outcomes.refused.push_back(endpointId);
 }
 
+template <call_dialect Dialect>
+void forward_call<Dialect>::logCut(std::string_view why) const
+{
+    auto latestVersion = m_shared.link.table() ? m_shared.link.table()->version() : 0;
+    logEvent("answer_cut", { { "request", m_head.id }, { "why", why }, { "route", m_route->name }, { "version", m_table->version() }, { "latest_version", latestVersion }, { "events", m_eventsPassed }, { "may_have_run_at", m_mayHaveRunAt }, { "most_endpoints", m_route->mostEndpoints }, { "resumable", resumable() ? 1 : 0 }, { "deadline_ms", m_head.deadline.value_or(milliseconds(0)).count() }, { "timeout_ms", m_route->timeout.count() }, { "time_left_ms", timeLeft().count() }, { "endpoint_wait_ms", m_endpointWait.count() }, { "engines_full", m_enginesFull ? 1 : 0 }, { "draining", m_shared.draining ? 1 : 0 }, { "age_ms", age().count() } });
+}
+
+template <call_dialect Dialect>
+void forward_call<Dialect>::cutAtShutdown()
+{
+    // A refusal or a whole answer that is still being written already has its outcome.
+    if (!m_outcome.empty())
+        return;
+    m_outcome = "cut_at_shutdown";
+    if (m_answerBegun)
+        logCut("shutdown");
+    logEnd();
+}
+
 template <call_dialect Dialect>
 void forward_call<Dialect>::logEnd()
 {
+    // A call cut at shutdown may resume after its connection is closed; log its end only once.
+    if (std::exchange(m_endLogged, true))
+        return;
     m_shared.counters.observe("call_seconds", age());
     logEvent("call_ended", { { "request", m_head.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "endpoints", m_endpoints }, { "prompt_read_at", m_promptReadAt }, { "prompt_read_ms", m_promptReadIn.count() }, { "sends", m_sends }, { "tokens", m_tokens }, { "first_ms", m_firstPiece.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
 }
--- a/Source/forwarding/repeat_policy.h
+++ b/Source/forwarding/repeat_policy.h
@@ -36,6 +36,28 @@
     FailMayHaveRun,
 };
 
+/// Why a call is not sent again.
+enum class no_retry_reason {
+    None,
+    /// The call may have run and must not run twice.
+    NotIdempotent,
+    /// The call may already have run at as many endpoints as its route allows.
+    EndpointLimitReached,
+    /// The time left before the deadline is too short for another send.
+    TooLittleTimeLeft,
+    /// The retry budget shared by the entries is spent.
+    RetryBudgetSpent,
+    /// No endpoint had capacity for the call in time.
+    NoEndpoint,
+};
+
+/// The reason's name in logs. Thread safety: any thread.
+std::string_view noRetryReasonName(no_retry_reason value);
+
+/// Why the call may not be sent again after this failure, or None if it may. Does not consider the retry budget or the
+/// availability of endpoints, so it never returns RetryBudgetSpent or NoEndpoint. Pure. Thread safety: any thread.
+no_retry_reason noRetryReasonAfter(const failed_send& failed);
+
 /// What to do after a failed send. A call that must not run twice is sent again only after proof that it has not run:
 /// a lost answer looks the same as a lost request from here, and a second booking is worse than none. Pure.
 /// Thread safety: any thread.
