Coordination, Forwarding: Block requests that crash endpoints at all entries

Effect on callers: on the users' platform, each entry learnt of crashes independently. A request that crashes the endpoints that run it, sent through seven entries in turn, crashed all 6 of 6 engines, and a valid request was then answered with 502.

Cause: the only limit on a request was maxAttempts, which applies to a single send by the caller. No process kept track of crashes across requests.

When a connection breaks while an endpoint has a request, the entry now reports the endpoint and the request's fingerprint (organisation, method, host, path and body) to the leader, and waits for the crash count before it sends the request to another endpoint. The limit is two endpoints, as in the project's own interface (crash_suspects, now shared by both). The leader sends the blocked fingerprints to all entries, which refuse such requests immediately: with 503 suspected_poison and Retry-After while it is not known whether the endpoints crashed, and with 422 poison_request once they have restarted or stayed silent. A report from the same run of an endpoint, or its farewell, removes the suspicion, so that broken connections alone do not block a request for long. Entries send the certain blocks that they hold to a new leader. A block lasts ten minutes; a crash counts for one minute.

RequestBlocksTest tests the blocking decisions in isolation.

Not covered: a crash whose reports are lost while no leader is known; copies of a request sent at the same moment, before any crash; and a late report from a crashed run that arrives more than 0.7 s after the crash and removes the suspicion.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -111,6 +111,11 @@
     sync.set_takes_pieces(true);
     sync.set_directory_source(m_directorySource);
     sync.set_directory_version(m_directoryVersion);
+    for (const auto& [fingerprint, certain] : m_blocked) {
+        auto* block = sync.mutable_blocked()->add_requests();
+        block->set_fingerprint(fingerprint);
+        block->set_certain(certain);
+    }
     m_endpoints.fillLoad(*sync.mutable_load());
     m_endpoints.fillCalls(*sync.mutable_calls());
     sync_question question { ++m_lastSync, address, m_clock.now() };
@@ -216,6 +221,14 @@
     fetchMore();
     if (update.entries() > 0)
         m_entries = update.entries();
+    if (update.has_blocked()) {
+        std::map<std::uint64_t, bool> blocked;
+        for (const auto& block : update.blocked().requests())
+            blocked[block.fingerprint()] = block.certain();
+        if (blocked != m_blocked)
+            logEvent("blocks_updated", { { "blocked", blocked.size() } });
+        m_blocked = std::move(blocked);
+    }
     if (update.directory_source() == 0)
         return;
     bool everything = update.directory_source() != m_directorySource;
@@ -343,6 +356,27 @@
     m_network.send(m_leader, std::move(message));
 }
 
+void control_link::tellCrash(const wire::crash_report& report, std::function<void(std::uint32_t)> handler)
+{
+    if (m_leader.empty()) {
+        handler(0);
+        return;
+    }
+    wire::envelope message;
+    *message.mutable_crash() = report;
+    m_network.call(m_leader, std::move(message), planTimeout, [handler = std::move(handler)](const wire::envelope* reply) {
+        handler(reply && reply->has_crash_reply() ? reply->crash_reply().crashes() : 0);
+    });
+}
+
+request_block control_link::blockOf(std::uint64_t fingerprint) const
+{
+    auto found = m_blocked.find(fingerprint);
+    if (found == m_blocked.end())
+        return request_block::None;
+    return found->second ? request_block::Certain : request_block::Suspected;
+}
+
 void control_link::sayGoodbye()
 {
     if (m_leader.empty())
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -29,6 +29,14 @@
     std::vector<std::string> refused;
 };
 
+/// Whether requests with a fingerprint are refused because endpoints crash while running them.
+enum class request_block {
+    None,
+    /// Connections to endpoints broke while they ran the request; whether the endpoints crashed is not known yet.
+    Suspected,
+    Certain,
+};
+
 /// A try at a model call that has ended.
 struct ended_try {
     std::uint64_t callId = 0;
@@ -68,6 +76,11 @@
     void release(const ended_try& ended);
     /// Tells the leader that an endpoint could not be reached.
     void tellUnreachable(const std::string& endpoint, std::uint64_t born);
+    /// Tells the leader that the connection to an endpoint broke while it ran a request. The handler gets the number of
+    /// crashes that the leader counts against the request, or 0 if no leader is known or answers in time.
+    void tellCrash(const wire::crash_report& report, std::function<void(std::uint32_t crashes)> handler);
+    bool blocksRequests() const { return !m_blocked.empty(); }
+    request_block blockOf(std::uint64_t fingerprint) const;
     /// Tells the leader that this entry leaves, so that its shares go to the others.
     void sayGoodbye();
 
@@ -117,6 +130,8 @@
     std::uint64_t m_directorySource = 0;
     std::uint64_t m_directoryVersion = 0;
     unsigned m_entries = 1;
+    /// Fingerprints of blocked requests, each with whether its block is certain.
+    std::map<std::uint64_t, bool> m_blocked;
     bool m_leaving = false;
     bool m_suspecting = false;
     std::uint64_t m_lastPlan = 0;
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -23,6 +23,7 @@
     , m_settings(settings)
     , m_decode(std::move(decode))
     , m_directory(freshIncarnation(), settings.directory)
+    , m_blocks({ settings.directory.silentAfter })
     , m_pieceTimer(context)
     , m_planner(freshIncarnation())
     , m_planTimer(context)
@@ -60,7 +61,10 @@
     }
     for (auto* entry : silent)
         forgetEntry(entry);
-    if (m_directory.expire(now))
+    auto blocksBefore = m_blocks.version();
+    bool changed = m_directory.expire(now);
+    m_blocks.updateFromDirectory(m_directory, now);
+    if (changed || m_blocks.version() != blocksBefore)
         pushChanges();
     balanceStages();
 }
@@ -80,6 +84,9 @@
     case wire::envelope::kReportEndpoint:
         onReport(message, from);
         return true;
+    case wire::envelope::kCrash:
+        onCrash(message, from);
+        return true;
     case wire::envelope::kEndpointUnreachable:
         if (m_directory.doubt(message.endpoint_unreachable().id(), message.endpoint_unreachable().born_ms()))
             pushChanges();
@@ -125,6 +132,9 @@
         session.directorySource = sync.directory_source();
         session.directoryVersion = sync.directory_version();
         m_loads.replace(session.name, sync.load());
+        // A new leader starts without blocks; during its first lease period it adopts the certain blocks that entries hold.
+        if (m_clock.now() - m_leadsSince < m_settings.entryLease)
+            m_blocks.adopt(sync.blocked(), m_clock.now());
         m_planner.takeCalls(session.name, { sync.calls().begin(), sync.calls().end() }, m_clock.now());
         if (sync.leaving())
             forgetEntry(from.get());
@@ -157,6 +167,7 @@
     m_planned = 0;
     m_limits.reset();
     m_limited.clear();
+    m_blocks.clear();
     if (!leads)
         return;
     m_shelf.put(m_replica.document());
@@ -180,7 +191,7 @@
 
 void entry_coordinator::report(const wire::endpoint_report& report, std::function<void(bool)> handler)
 {
-    if (m_directory.take(report, m_clock.now()))
+    if (takeReport(report))
         pushChanges();
     bool leaves = report.state() != wire::ENDPOINT_SERVING;
     auto leader = m_replica.leaderAddress();
@@ -214,9 +225,35 @@
     });
 }
 
+bool entry_coordinator::takeReport(const wire::endpoint_report& report)
+{
+    auto now = m_clock.now();
+    auto blocksBefore = m_blocks.version();
+    bool changed = m_directory.take(report, now);
+    m_blocks.onReport(report, now);
+    if (changed)
+        m_blocks.updateFromDirectory(m_directory, now);
+    return changed || m_blocks.version() != blocksBefore;
+}
+
+void entry_coordinator::onCrash(const wire::envelope& message, const peer_network::peer& from)
+{
+    wire::envelope reply;
+    auto& answer = *reply.mutable_crash_reply();
+    if (m_replica.leads()) {
+        auto blocksBefore = m_blocks.version();
+        answer.set_crashes(m_blocks.suspect(message.crash(), m_clock.now()));
+        logEvent("crash_suspected", { { "request", message.crash().request_id() }, { "endpoint", message.crash().endpoint() }, { "fingerprint", message.crash().fingerprint() }, { "crashes", answer.crashes() } });
+        m_metrics.count("crash_suspected");
+        if (m_blocks.version() != blocksBefore)
+            pushChanges();
+    }
+    peer_network::reply(from, message, std::move(reply));
+}
+
 void entry_coordinator::onReport(const wire::envelope& message, const peer_network::peer& from)
 {
-    if (m_directory.take(message.report_endpoint().report(), m_clock.now()))
+    if (takeReport(message.report_endpoint().report()))
         pushChanges();
     if (message.call() == 0)
         return;
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 #include "coordination/document_shelf.h"
 #include "coordination/entry_loads.h"
+#include "coordination/request_blocks.h"
 #include "coordination/stage_orders.h"
 #include "coordination/transfer_pacer.h"
 #include "limits/limits.h"
@@ -77,6 +78,8 @@
         std::uint64_t documentVersion = 0;
         std::uint64_t directorySource = 0;
         std::uint64_t directoryVersion = 0;
+        /// The version of the request blocks last sent to it, if any.
+        std::optional<std::uint64_t> blocksVersion;
         time_point heardAt;
         /// Whether it asks for documents in pieces, and the piece that it asked for last.
         bool takesPieces = false;
@@ -94,6 +97,9 @@
     bool sendPiece(entry_session& session);
     void fillEndpoints(wire::entry_update& update, entry_session& session);
     void onReport(const wire::envelope& message, const peer_network::peer& from);
+    /// Applies an endpoint's report to the directory and the request blocks. Returns whether either changed.
+    bool takeReport(const wire::endpoint_report& report);
+    void onCrash(const wire::envelope& message, const peer_network::peer& from);
     void onPlanRequest(const wire::envelope& message, const peer_network::peer& from);
     void onRelease(const wire::envelope& message, const peer_network::peer& from);
     void answerPlans();
@@ -116,6 +122,7 @@
     coordinator_settings m_settings;
     configuration_decoder m_decode;
     endpoint_directory m_directory;
+    request_blocks m_blocks;
     std::map<peer_connection*, entry_session> m_entries;
     entry_loads m_loads;
     document_shelf m_shelf;
--- a/Source/coordination/entry_coordinator_state.cpp
+++ b/Source/coordination/entry_coordinator_state.cpp
@@ -26,6 +26,10 @@
         session.documentVersion = document.version();
     }
     fillEndpoints(update, session);
+    if (session.blocksVersion != m_blocks.version()) {
+        *update.mutable_blocked() = m_blocks.blocks();
+        session.blocksVersion = m_blocks.version();
+    }
     update.set_entries(static_cast<std::uint32_t>(m_entries.size()));
 }
 
@@ -49,7 +53,7 @@
         return;
     for (auto& [peer, session] : m_entries) {
         bool current = session.documentVersion >= m_replica.document().version() && session.directorySource == m_directory.source()
-            && session.directoryVersion == m_directory.version();
+            && session.directoryVersion == m_directory.version() && session.blocksVersion == m_blocks.version();
         if (current)
             continue;
         wire::envelope message;
--- /dev/null
+++ b/Source/coordination/request_blocks.cpp
@@ -0,0 +1,90 @@
+#include "coordination/request_blocks.h"
+
+#include <algorithm>
+
+namespace pistachiolatch {
+
+namespace {
+    /// Limits the certain blocks, and so the size of updates to entries. The blocks that expire first are evicted.
+    constexpr std::size_t mostBlocks = 1000;
+}
+
+std::uint32_t request_blocks::suspect(const wire::crash_report& report, time_point now)
+{
+    m_suspects.suspect(report, now);
+    refresh(now);
+    return m_suspects.countsByFingerprint()[report.fingerprint()].total();
+}
+
+void request_blocks::onReport(const wire::endpoint_report& report, time_point now)
+{
+    if (m_suspects.empty())
+        return;
+    if (report.state() == wire::ENDPOINT_GONE)
+        m_suspects.onFarewell(report.id());
+    else
+        m_suspects.onAnnounced(report.id(), report.born_ms(), now);
+    refresh(now);
+}
+
+void request_blocks::updateFromDirectory(const endpoint_directory& directory, time_point now)
+{
+    for (const auto& [id, suspectedAt] : m_suspects.suspectedEndpoints()) {
+        const auto* row = directory.find(id);
+        // A farewell removes the suspicion, so a suspected endpoint that is gone was replaced by another run.
+        bool gone = !row || row->report().state() == wire::ENDPOINT_GONE;
+        bool silent = row && row->silent() && now - suspectedAt > m_settings.silentAfter;
+        if (gone || silent)
+            m_suspects.onSilent(id);
+    }
+    m_suspects.expire(m_settings.crashLifetime, now);
+    if (!m_suspects.empty() || m_blocks.requests_size() > 0)
+        refresh(now);
+}
+
+void request_blocks::adopt(const wire::blocked_requests& held, time_point now)
+{
+    for (const auto& block : held.requests()) {
+        if (block.certain())
+            m_certain.try_emplace(block.fingerprint(), now + m_settings.blockLifetime);
+    }
+    refresh(now);
+}
+
+void request_blocks::clear()
+{
+    m_suspects = crash_suspects();
+    m_certain.clear();
+    refresh({});
+}
+
+void request_blocks::refresh(time_point now)
+{
+    auto counts = m_suspects.countsByFingerprint();
+    for (const auto& [fingerprint, count] : counts) {
+        if (count.certain >= crash_suspects::crashesToBlock)
+            m_certain.try_emplace(fingerprint, now + m_settings.blockLifetime);
+    }
+    std::erase_if(m_certain, [now](const auto& item) { return item.second < now; });
+    while (m_certain.size() > mostBlocks)
+        m_certain.erase(std::min_element(m_certain.begin(), m_certain.end(), [](const auto& a, const auto& b) { return a.second < b.second; }));
+
+    wire::blocked_requests blocks;
+    auto add = [&blocks](std::uint64_t fingerprint, bool certain) {
+        auto* block = blocks.add_requests();
+        block->set_fingerprint(fingerprint);
+        block->set_certain(certain);
+    };
+    for (const auto& [fingerprint, until] : m_certain)
+        add(fingerprint, true);
+    for (const auto& [fingerprint, count] : counts) {
+        if (count.total() >= crash_suspects::crashesToBlock && !m_certain.count(fingerprint))
+            add(fingerprint, false);
+    }
+    if (blocks.SerializeAsString() == m_blocks.SerializeAsString())
+        return;
+    m_blocks = std::move(blocks);
+    ++m_version;
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/coordination/request_blocks.h
@@ -0,0 +1,54 @@
+#pragma once
+#include "membership/membership.h"
+#include "scheduling/scheduling.h"
+#include <map>
+
+namespace pistachiolatch {
+
+struct block_settings {
+    /// Silence after which an endpoint whose connection broke counts as crashed.
+    milliseconds silentAfter { 4000 };
+    /// How long a crash counts against a request.
+    milliseconds crashLifetime { 60000 };
+    /// How long a certain block stays in force.
+    milliseconds blockLifetime { std::chrono::minutes(10) };
+};
+
+/// Decides which requests entries refuse because endpoints crash while running them. A request is blocked once connections
+/// to crash_suspects::crashesToBlock endpoints broke while they ran it. The block becomes certain when those endpoints have
+/// restarted or fallen silent. A suspicion is removed when the endpoint reports again from the same run, since then only the
+/// connection broke, or when it says farewell. Performs no I/O. Not thread-safe.
+class request_blocks {
+public:
+    explicit request_blocks(block_settings settings)
+        : m_settings(settings)
+    {
+    }
+
+    /// Records that the connection to an endpoint broke while it ran a request. Returns the number of crashes, certain or
+    /// suspected, that count against the request.
+    std::uint32_t suspect(const wire::crash_report& report, time_point now);
+    /// Confirms or removes suspicions against an endpoint according to its report.
+    void onReport(const wire::endpoint_report& report, time_point now);
+    /// Confirms the crashes of endpoints that are gone or silent in the directory, and drops expired crashes and blocks.
+    void updateFromDirectory(const endpoint_directory& directory, time_point now);
+    /// Adopts the certain blocks of an earlier leader that an entry still holds.
+    void adopt(const wire::blocked_requests& held, time_point now);
+    void clear();
+
+    /// Incremented with each change of blocks().
+    std::uint64_t version() const { return m_version; }
+    const wire::blocked_requests& blocks() const { return m_blocks; }
+
+private:
+    void refresh(time_point now);
+
+    block_settings m_settings;
+    crash_suspects m_suspects;
+    /// Expiry times of certain blocks, by fingerprint.
+    std::map<std::uint64_t, time_point> m_certain;
+    wire::blocked_requests m_blocks;
+    std::uint64_t m_version = 0;
+};
+
+} // namespace pistachiolatch
--- a/Source/forwarding/forward_call.h
+++ b/Source/forwarding/forward_call.h
@@ -75,6 +75,14 @@
     };
 
     std::optional<call_refusal> admit();
+    /// Returns the refusal if the request is blocked because endpoints crash while running it.
+    std::optional<call_refusal> refusedAsPoison();
+    /// Hash of the request's organisation, method, host, path and body, computed on first use.
+    std::uint64_t fingerprint();
+    /// Reports a broken connection of the last attempt, if any, to the leader and waits for the request's crash count.
+    task_of<void> reportCrash();
+    /// Records for reportCrash() that the connection to an endpoint broke while it had the request.
+    void noteBrokenConnection(const picked_endpoint& endpoint);
     task_of<token_verdict> takeTokens();
     task_of<void> runPlain();
     task_of<void> runModel();
@@ -187,6 +195,11 @@
     /// Whether the leader's last plan reported that all engines are full.
     bool m_enginesFull = false;
     bool m_endLogged = false;
+    std::optional<std::uint64_t> m_fingerprint;
+    /// The endpoint whose connection broke, until it is reported.
+    std::optional<picked_endpoint> m_brokenEndpoint;
+    unsigned m_crashReports = 0;
+    std::uint32_t m_crashes = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Source/forwarding/forward_call_answers.h
+++ b/Source/forwarding/forward_call_answers.h
@@ -37,6 +37,7 @@
     if (failed != call_failure::None) {
         if (!ended())
             judge(endpoint.id, endpoint_verdict::Lost);
+        noteBrokenConnection(endpoint);
         co_return attempt_end::MayHaveRun;
     }
     auto status = m_current->status();
@@ -99,6 +100,7 @@
     if (failed != call_failure::None) {
         if (!ended())
             judge(endpoint.id, endpoint_verdict::Failed);
+        noteBrokenConnection(endpoint);
         co_return attempt_end::MayHaveRun;
     }
     if (status < 500)
--- a/Source/forwarding/forward_call_model.h
+++ b/Source/forwarding/forward_call_model.h
@@ -63,6 +63,7 @@
         m_shared.link.release({ m_callId, std::exchange(m_figures, {}), std::exchange(m_outcomes, {}) });
         if (end == attempt_end::Answered)
             co_return;
+        co_await reportCrash();
         why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed
                                                                                                   : reason::EndpointFailed;
         if (ended())
@@ -272,6 +273,7 @@
         connection->close();
         if (!ended())
             judge(endpoint.id, endpoint_verdict::Lost);
+        noteBrokenConnection(endpoint);
         co_return prefill_try { std::nullopt, true };
     }
     auto status = connection->status();
--- a/Source/forwarding/forward_call_steps.h
+++ b/Source/forwarding/forward_call_steps.h
@@ -2,6 +2,7 @@
 // The steps that all calls share and those of calls to plain services. Included by forward_call.h alone.
 #include "forwarding/forward_call.h"
 #include <boost/asio.hpp>
+#include <xxhash.h>
 
 namespace pistachiolatch {
 
@@ -21,6 +22,8 @@
     constexpr int tokenPatienceShare = 3;
     /// When callers are told to come back: with no endpoint or configuration, things change within a second or so.
     constexpr milliseconds comeBackSoon { 700 };
+    /// Retry-After for a request suspected of crashing endpoints: endpoints that are still running have reported by then.
+    constexpr milliseconds suspicionRetryAfter { 2000 };
     /// The least that a caller over its rate is told to wait.
     constexpr milliseconds leastRateWait { 200 };
     /// When a call's tokens are not stated, it counts the organisation's figure for plain calls.
@@ -122,11 +125,66 @@
         if (!m_organisation)
             return refusal(reason::UnknownKey);
     }
+    if (auto refused = refusedAsPoison())
+        return refused;
     m_endsAt = std::min(m_endsAt, m_receivedAt + m_route->timeout);
     m_tokens = m_head.tokens ? m_head.tokens->prompt + m_head.tokens->output : 0;
     return std::nullopt;
 }
 
+template <call_dialect Dialect>
+std::optional<call_refusal> forward_call<Dialect>::refusedAsPoison()
+{
+    if (!m_shared.link.blocksRequests())
+        return std::nullopt;
+    switch (m_shared.link.blockOf(fingerprint())) {
+    case request_block::None:
+        return std::nullopt;
+    case request_block::Suspected:
+        return call_refusal { reason::SuspectedPoison, httpStatus(reason::SuspectedPoison), forwarding_detail::suspicionRetryAfter };
+    case request_block::Certain:
+        break;
+    }
+    return call_refusal { reason::PoisonRequest, httpStatus(reason::PoisonRequest), std::nullopt };
+}
+
+template <call_dialect Dialect>
+std::uint64_t forward_call<Dialect>::fingerprint()
+{
+    if (!m_fingerprint) {
+        auto toView = [this](boost::beast::string_view text) { return std::string_view(text.data(), text.size()); };
+        auto identity = fmt::format("{}\n{}\n{}\n{}\n", m_organisation ? m_organisation->name : std::string(), toView(m_request.method_string()), toView(m_request[boost::beast::http::field::host]), toView(m_request.target()));
+        m_fingerprint = XXH3_64bits_withSeed(m_request.body().data(), m_request.body().size(), XXH3_64bits(identity.data(), identity.size()));
+    }
+    return *m_fingerprint;
+}
+
+template <call_dialect Dialect>
+void forward_call<Dialect>::noteBrokenConnection(const picked_endpoint& endpoint)
+{
+    // A connection closed by this entry is no evidence of a crash.
+    if (!ended() && !m_attemptExpired)
+        m_brokenEndpoint = endpoint;
+}
+
+template <call_dialect Dialect>
+task_of<void> forward_call<Dialect>::reportCrash()
+{
+    auto endpoint = std::exchange(m_brokenEndpoint, std::nullopt);
+    if (!endpoint || ended())
+        co_return;
+    wire::crash_report report;
+    report.set_fingerprint(fingerprint());
+    report.set_endpoint(endpoint->id);
+    report.set_endpoint_incarnation(endpoint->born);
+    report.set_request_id(m_head.id);
+    report.set_attempt(m_crashReports++);
+    pending_reply<std::uint32_t> reply(m_shared.context.get_executor());
+    m_shared.link.tellCrash(report, reply.completer());
+    auto crashes = co_await reply.wait(timeLeft());
+    m_crashes = std::max<std::uint32_t>(crashes.value_or(0), m_crashReports);
+}
+
 template <call_dialect Dialect>
 task_of<token_verdict> forward_call<Dialect>::takeTokens()
 {
@@ -232,6 +290,7 @@
         auto end = co_await sendTo(*endpoint, std::move(orders));
         if (end == attempt_end::Answered)
             co_return;
+        co_await reportCrash();
         why = end == attempt_end::RefusedUnrun ? reason::NoCapacity : end == attempt_end::NotSent ? reason::ConnectFailed
                                                                                                   : reason::EndpointFailed;
         if (ended() || !tryAgainAfter(end, endpoint->id))
@@ -245,6 +304,8 @@
 {
     m_tried.insert(endpointId);
     m_noRetryReason = noRetryReasonAfter({ end, m_route->kind, m_route->resumable, m_mayHaveRunAt, m_route->mostEndpoints, timeLeft() });
+    if (m_crashes >= crash_suspects::crashesToBlock)
+        m_noRetryReason = no_retry_reason::Poison;
     // A send that never left is no burden on any endpoint, so it needs no budget.
     bool needsBudget = m_noRetryReason == no_retry_reason::None && end != attempt_end::NotSent;
     if (needsBudget && !m_shared.budget.tryAgain(m_service->name, m_shared.link.entries(), m_shared.clock.now()))
--- a/Source/forwarding/forward_call_streams.h
+++ b/Source/forwarding/forward_call_streams.h
@@ -137,6 +137,7 @@
         if (failed != call_failure::None) {
             if (!ended())
                 judge(endpoint.id, m_leftLive ? endpoint_verdict::Refused : endpoint_verdict::Lost);
+            noteBrokenConnection(endpoint);
             co_return attempt_end::MayHaveRun;
         }
         m_longestPause = std::max(m_longestPause, std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_quietSince));
--- a/Source/forwarding/repeat_policy.h
+++ b/Source/forwarding/repeat_policy.h
@@ -49,13 +49,15 @@
     RetryBudgetSpent,
     /// No endpoint had capacity for the call in time.
     NoEndpoint,
+    /// The crashes, certain or suspected, that count against the request have reached the limit.
+    Poison,
 };
 
 /// The reason's name in logs. Thread safety: any thread.
 std::string_view noRetryReasonName(no_retry_reason value);
 
 /// Why the call may not be sent again after this failure, or None if it may. Does not consider the retry budget or the
-/// availability of endpoints, so it never returns RetryBudgetSpent or NoEndpoint. Pure. Thread safety: any thread.
+/// availability of endpoints, so it never returns RetryBudgetSpent, NoEndpoint or Poison. Pure. Thread safety: any thread.
 no_retry_reason noRetryReasonAfter(const failed_send& failed);
 
 /// What to do after a failed send. A call that must not run twice is sent again only after proof that it has not run:
--- a/Source/kernel/reason.cpp
+++ b/Source/kernel/reason.cpp
@@ -38,6 +38,7 @@
         reason_row { reason::DeadlineUnreachable, "deadline_unreachable", 503, "The pool can't start this in time; come back after Retry-After." },
         reason_row { reason::DeadlinePassed, "deadline_passed", 504, "No answer came in time; the request may have run." },
         reason_row { reason::PoisonRequest, "poison_request", 422, "Endpoints crashed on this request; don't send it again unchanged." },
+        reason_row { reason::SuspectedPoison, "suspected_poison", 503, "Connections to endpoints broke while they ran this request; come back after Retry-After." },
         reason_row { reason::ShuttingDown, "shutting_down", 503, "This VM is shutting down; send the request again." },
         reason_row { reason::TooManyConnections, "too_many_connections", 503, "This VM has too many connections; come back after Retry-After." },
         reason_row { reason::LedgerUnavailable, "ledger_unavailable", 503, "The at-most-once ledger has no quorum; come back after Retry-After." },
--- a/Source/kernel/reason.h
+++ b/Source/kernel/reason.h
@@ -32,6 +32,7 @@
     DeadlineUnreachable,
     DeadlinePassed,
     PoisonRequest,
+    SuspectedPoison,
     ShuttingDown,
     TooManyConnections,
     LedgerUnavailable,
--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -148,6 +148,12 @@
     return rows;
 }
 
+const wire::endpoint_row* endpoint_directory::find(const std::string& id) const
+{
+    auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? nullptr : &found->second.row;
+}
+
 directory_page endpoint_directory::pageSince(std::uint64_t version, std::size_t mostRows) const
 {
     std::vector<const known_endpoint*> changed;
--- a/Source/membership/endpoint_directory.h
+++ b/Source/membership/endpoint_directory.h
@@ -51,6 +51,8 @@
     /// The first so many of them, in the order in which they changed.
     directory_page pageSince(std::uint64_t version, std::size_t mostRows) const;
     std::size_t size() const { return m_endpoints.size(); }
+    /// The row of an endpoint, or null if it is unknown.
+    const wire::endpoint_row* find(const std::string& id) const;
 
 private:
     struct known_endpoint {
--- a/Source/scheduling/crash_suspects.cpp
+++ b/Source/scheduling/crash_suspects.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace pistachiolatch {
 
@@ -60,6 +61,16 @@
     return certain;
 }
 
+void crash_suspects::onFarewell(const std::string& endpoint)
+{
+    std::erase_if(m_suspicions, [&](const suspicion& one) { return !one.certain && one.report.endpoint() == endpoint; });
+}
+
+void crash_suspects::expire(milliseconds lifetime, time_point now)
+{
+    std::erase_if(m_suspicions, [&](const suspicion& one) { return now - one.at > lifetime; });
+}
+
 std::uint32_t crash_suspects::crashes(std::uint64_t fingerprint) const
 {
     std::set<std::string> attempts;
@@ -73,4 +84,29 @@
     return static_cast<std::uint32_t>(attempts.size());
 }
 
+std::map<std::string, time_point> crash_suspects::suspectedEndpoints() const
+{
+    std::map<std::string, time_point> endpoints;
+    for (const auto& one : m_suspicions) {
+        if (!one.certain)
+            endpoints[one.report.endpoint()] = std::max(endpoints[one.report.endpoint()], one.at);
+    }
+    return endpoints;
+}
+
+std::map<std::uint64_t, crash_count> crash_suspects::countsByFingerprint() const
+{
+    std::map<std::uint64_t, crash_count> counts;
+    std::set<std::tuple<std::uint64_t, std::string, std::uint64_t>> counted;
+    for (const auto& one : m_suspicions) {
+        const auto& report = one.report;
+        // A run of an endpoint crashes at most once, so several broken connections to it count as one crash.
+        if (!counted.emplace(report.fingerprint(), report.endpoint(), report.endpoint_incarnation()).second)
+            continue;
+        auto& count = counts[report.fingerprint()];
+        ++(one.certain ? count.certain : count.suspected);
+    }
+    return counts;
+}
+
 } // namespace pistachiolatch
--- a/Source/scheduling/crash_suspects.h
+++ b/Source/scheduling/crash_suspects.h
@@ -8,6 +8,13 @@
 
 namespace pistachiolatch {
 
+/// Crashes that count against a request, one for each run of an endpoint.
+struct crash_count {
+    std::uint32_t suspected = 0;
+    std::uint32_t certain = 0;
+    std::uint32_t total() const { return suspected + certain; }
+};
+
 /// Remembers which requests were running on endpoints that broke off, by fingerprint (organisation, model, body).
 /// A suspicion becomes certain when the endpoint restarts or falls silent, and is dropped when the same
 /// incarnation announces itself later on: then only the connection broke, and the request is no poison.
@@ -24,8 +31,17 @@
     std::vector<wire::crash_report> onAnnounced(const std::string& endpoint, std::uint64_t incarnation, time_point now);
     /// Tells that an endpoint fell silent. Returns the reports that became certain.
     std::vector<wire::crash_report> onSilent(const std::string& endpoint);
+    /// Drops the suspicions that are not certain against an endpoint that shut down in an orderly way.
+    void onFarewell(const std::string& endpoint);
+    /// Drops suspicions, certain or not, that are older than the lifetime.
+    void expire(milliseconds lifetime, time_point now);
     /// Crashes, certain or suspected, that count against a fingerprint.
     std::uint32_t crashes(std::uint64_t fingerprint) const;
+    /// Endpoints with suspicions that are not certain, each with the time of the latest one.
+    std::map<std::string, time_point> suspectedEndpoints() const;
+    /// Crashes by fingerprint, counted from reports alone; the marks given to learn() are not included.
+    std::map<std::uint64_t, crash_count> countsByFingerprint() const;
+    bool empty() const { return m_suspicions.empty(); }
 
 private:
     struct suspicion {
--- /dev/null
+++ b/Tests/Coordination/RequestBlocksTest.cpp
@@ -0,0 +1,120 @@
+#include "coordination/coordination.h"
+#include <catch2/catch.hpp>
+
+using namespace pistachiolatch;
+
+namespace {
+constexpr std::uint64_t request = 7;
+constexpr std::uint64_t firstRun = 100;
+
+wire::crash_report crashAt(const std::string& endpoint, const std::string& attempt)
+{
+    wire::crash_report report;
+    report.set_fingerprint(request);
+    report.set_endpoint(endpoint);
+    report.set_endpoint_incarnation(firstRun);
+    report.set_request_id(attempt);
+    return report;
+}
+
+wire::endpoint_report reportOf(const std::string& endpoint, std::uint64_t born, wire::endpoint_state state = wire::ENDPOINT_SERVING)
+{
+    wire::endpoint_report report;
+    report.set_id(endpoint);
+    report.set_born_ms(born);
+    report.set_state(state);
+    return report;
+}
+
+/// Blocks after the connections to two endpoints broke while they ran the same request.
+class two_crashes {
+public:
+    request_blocks blocks { block_settings {} };
+    time_point now { std::chrono::hours(1) };
+
+    two_crashes()
+    {
+        CHECK(blocks.suspect(crashAt("e1", "a"), now) == 1);
+        CHECK(blocks.blocks().requests_size() == 0);
+        CHECK(blocks.suspect(crashAt("e2", "b"), now) == 2);
+        REQUIRE(blocks.blocks().requests_size() == 1);
+        CHECK(blocks.blocks().requests(0).fingerprint() == request);
+        CHECK_FALSE(blocks.blocks().requests(0).certain());
+    }
+
+    bool certain() const { return blocks.blocks().requests_size() == 1 && blocks.blocks().requests(0).certain(); }
+    bool blocked() const { return blocks.blocks().requests_size() == 1; }
+};
+}
+
+// Guards against a request that keeps crashing endpoints because its block is missing or ends early.
+TEST_CASE("A request is blocked after connections to two endpoints broke, and the block is certain once both have restarted")
+{
+    two_crashes seen;
+    seen.now += std::chrono::seconds(2);
+    seen.blocks.onReport(reportOf("e1", firstRun + 1), seen.now);
+    CHECK_FALSE(seen.certain());
+    seen.blocks.onReport(reportOf("e2", firstRun + 1), seen.now);
+    CHECK(seen.certain());
+    seen.now += std::chrono::minutes(9);
+    seen.blocks.updateFromDirectory(endpoint_directory(1, {}), seen.now);
+    CHECK(seen.certain());
+    seen.now += std::chrono::minutes(2);
+    seen.blocks.updateFromDirectory(endpoint_directory(1, {}), seen.now);
+    CHECK_FALSE(seen.blocked());
+}
+
+// Guards against missing a crash when the endpoint restarts under another name or does not restart.
+TEST_CASE("An endpoint that is replaced at its address or stays silent counts as crashed")
+{
+    two_crashes seen;
+    endpoint_directory directory(1, {});
+    auto first = reportOf("e1", firstRun);
+    first.set_address("10.0.0.1:80");
+    directory.take(first, seen.now);
+    auto second = reportOf("e2", firstRun);
+    second.set_address("10.0.0.2:80");
+    directory.take(second, seen.now);
+    seen.blocks.updateFromDirectory(directory, seen.now);
+    CHECK_FALSE(seen.certain());
+    auto successor = reportOf("e3", firstRun + 5);
+    successor.set_address("10.0.0.1:80");
+    directory.take(successor, seen.now + std::chrono::seconds(3));
+    directory.expire(seen.now + std::chrono::seconds(5));
+    seen.blocks.updateFromDirectory(directory, seen.now + std::chrono::seconds(5));
+    CHECK(seen.certain());
+}
+
+// Guards against refusing a request when only the connections to its endpoints broke.
+TEST_CASE("A suspected block ends when an endpoint reports again from the same run or says farewell")
+{
+    two_crashes seen;
+    bool farewell = GENERATE(false, true);
+    seen.now += std::chrono::seconds(2);
+    seen.blocks.onReport(reportOf("e1", firstRun, farewell ? wire::ENDPOINT_GONE : wire::ENDPOINT_SERVING), seen.now);
+    CHECK_FALSE(seen.blocked());
+}
+
+// Guards against counting several broken connections to one endpoint as several crashes.
+TEST_CASE("One run of an endpoint counts once against a request")
+{
+    request_blocks blocks { block_settings {} };
+    time_point now { std::chrono::hours(1) };
+    CHECK(blocks.suspect(crashAt("e1", "a"), now) == 1);
+    CHECK(blocks.suspect(crashAt("e1", "b"), now) == 1);
+    CHECK(blocks.blocks().requests_size() == 0);
+}
+
+// Guards against losing certain blocks when the leader changes.
+TEST_CASE("A new leader adopts the certain blocks of entries but not the suspected ones")
+{
+    wire::blocked_requests held;
+    held.add_requests()->set_fingerprint(1);
+    auto* certain = held.add_requests();
+    certain->set_fingerprint(2);
+    certain->set_certain(true);
+    request_blocks blocks { block_settings {} };
+    blocks.adopt(held, time_point { std::chrono::hours(1) });
+    REQUIRE(blocks.blocks().requests_size() == 1);
+    CHECK(blocks.blocks().requests(0).fingerprint() == 2);
+}
--- /dev/null
+++ b/Tests/Platform/PoisonRequestTest.cpp
@@ -0,0 +1,163 @@
+#include "Platform/platform_fleet.h"
+#include "platform_names.h"
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <thread>
+
+using namespace pistachiolatch;
+using namespace pistachiolatch::test;
+
+namespace {
+constexpr int entries = 7;
+constexpr int engines = 6;
+constexpr milliseconds reportInterval { 300 };
+
+/// Seven entries and six decode engines. Each engine is reported periodically until it crashes.
+class crashing_fleet {
+public:
+    platform_fleet platform { 3, entries };
+
+    crashing_fleet()
+    {
+        platform.start();
+        REQUIRE(platform.submit(exampleConfiguration(7)) == 200);
+        for (int n = 1; n <= engines; ++n)
+            m_engines.push_back(std::make_unique<stand_in_runner>(fmt::format("decode-{}", n), platform.runnerAddress(n), "llm", "decode"));
+        m_reporter = std::thread([this] {
+            while (!m_stopped) {
+                reportAll();
+                std::this_thread::sleep_for(reportInterval);
+            }
+        });
+        for (int n = 1; n <= entries; ++n)
+            REQUIRE(eventually([&] { return platform.entryReady(n) && ask(n, "/report/x", "warm up").status == 200; }));
+    }
+
+    ~crashing_fleet()
+    {
+        m_stopped = true;
+        m_reporter.join();
+    }
+
+    simple_answer ask(int entry, const std::string& path, const std::string& body)
+    {
+        http_headers headers { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, fmt::format("id-{}", ++m_requests) },
+            { platform_names::tokenUsage, "500,432" }, { platform_names::deadlineMs, "5000" } };
+        return platform.call(platform.entryAddress(entry), "POST", path, headers, body);
+    }
+
+    int crashes()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_crashesBefore + static_cast<int>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& engine) { return engine->crashed(); }));
+    }
+
+    /// Restarts crashed engines, each under a new name at its old address.
+    void restartCrashed()
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto& engine : m_engines) {
+            if (!engine->crashed())
+                continue;
+            ++m_crashesBefore;
+            auto id = engine->id() + "-again";
+            auto address = engine->address();
+            engine.reset();
+            engine = std::make_unique<stand_in_runner>(id, address, "llm", "decode");
+            engine->setBorn(stand_in_runner::firstBorn + m_crashesBefore);
+        }
+    }
+
+    void setModes(runner_mode mode)
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto& engine : m_engines)
+            engine->setMode(mode);
+    }
+
+    /// The VM whose control process leads according to its log, or 0. Skips the VM whose process was killed, if given.
+    int leader(int killed = 0) const
+    {
+        for (int n = 1; n <= platform.controls(); ++n) {
+            if (n == killed)
+                continue;
+            auto log = readFile(fmt::format("{}/control-{}.out", platform.folder(), n));
+            auto gained = log.rfind("event=leadership_gained");
+            auto lost = log.rfind("event=leadership_lost");
+            if (gained != std::string::npos && (lost == std::string::npos || lost < gained))
+                return n;
+        }
+        return 0;
+    }
+
+private:
+    void reportAll()
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto& engine : m_engines) {
+            for (int control = 1; control <= platform.controls() && !engine->crashed(); ++control) {
+                if (platform.report(*engine, "ready", control).status == 200)
+                    break;
+            }
+        }
+    }
+
+    std::mutex m_mutex;
+    std::vector<std::unique_ptr<stand_in_runner>> m_engines;
+    std::atomic<bool> m_stopped { false };
+    std::atomic<int> m_requests { 0 };
+    int m_crashesBefore = 0;
+    std::thread m_reporter;
+};
+
+const std::string poison = "please CRASH-ENDPOINT now";
+}
+
+// Guards against entries that do not share crash reports, so that one request crashes further endpoints through each entry.
+TEST_CASE("A poison request sent through seven entries in turn crashes at most two endpoints", "[promise]")
+{
+    crashing_fleet fleet;
+    std::string path = GENERATE("/report/x", "/once/x");
+    for (int entry = 1; entry <= entries; ++entry) {
+        auto answer = fleet.ask(entry, path, poison);
+        INFO("entry " << entry << ": " << answer.status << " " << answer.body);
+        bool refused = answer.status == 503 || answer.status == 422;
+        CHECK((refused || fleet.crashes() <= 2));
+        if (answer.status == 503)
+            CHECK_FALSE(answer.header("Retry-After").empty());
+    }
+    CHECK(fleet.crashes() == 2);
+    // A reused connection that was opened before a crash may still break once.
+    CHECK(eventually([&] { return fleet.ask(1, path, "a good request").status == 200; }, std::chrono::seconds(5)));
+
+    // Endpoints that restart under new names make the crashes certain, which turns 503 into 422.
+    fleet.restartCrashed();
+    for (int entry = 1; entry <= entries; ++entry)
+        CHECK(eventually([&] { return fleet.ask(entry, path, poison).status == 422; }, std::chrono::seconds(10)));
+    CHECK(fleet.crashes() == 2);
+
+    // Guards against losing the blocks when the leader changes.
+    auto leader = fleet.leader();
+    REQUIRE(leader > 0);
+    fleet.platform.control(leader).kill();
+    for (int entry = 1; entry <= entries; ++entry)
+        CHECK(fleet.ask(entry, path, poison).status == 422);
+    CHECK(eventually([&] { return fleet.leader(leader) != 0; }));
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    for (int entry = 1; entry <= entries; ++entry)
+        CHECK(fleet.ask(entry, path, poison).status == 422);
+    CHECK(fleet.crashes() == 2);
+    CHECK(eventually([&] { return fleet.ask(1, path, "a good request").status == 200; }));
+}
+
+// Guards against refusing a request permanently when only connections broke while endpoints ran it.
+TEST_CASE("A request whose streams broke at running endpoints is served again", "[promise]")
+{
+    crashing_fleet fleet;
+    fleet.setModes(runner_mode::BreakMidway);
+    for (int entry = 1; entry <= 3; ++entry)
+        fleet.ask(entry, "/once/x", "the prompt");
+    fleet.setModes(runner_mode::Good);
+    CHECK(eventually([&] { return fleet.ask(4, "/once/x", "the prompt").status == 200; }, std::chrono::seconds(10)));
+}
--- a/Tests/Platform/stand_in_runner.cpp
+++ b/Tests/Platform/stand_in_runner.cpp
@@ -9,8 +9,6 @@
 namespace names = platform_names;
 
 namespace {
-    constexpr std::uint64_t bornMs = 1700000000000;
-
     std::uint64_t resumeFrom(const http_exchange& exchange)
     {
         auto last = exchange.header(names::lastEventId);
@@ -41,7 +39,7 @@
 std::string stand_in_runner::report(const std::string& state)
 {
     boost::json::object body { { "service", m_service }, { "address", m_announced }, { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", state },
-        { "coldRemainingMs", 0 }, { "born", bornMs }, { "sequence", ++m_sequence } };
+        { "coldRemainingMs", 0 }, { "born", m_born.load() }, { "sequence", ++m_sequence } };
     if (!m_stage.empty())
         body["stage"] = m_stage;
     return boost::json::serialize(body);
@@ -76,6 +74,12 @@
 
 task_of<void> stand_in_runner::handle(http_exchange& exchange)
 {
+    if (exchange.message().body().find(crashMark) != std::string::npos && !m_crashed.exchange(true))
+        m_server.stopAccepting();
+    if (m_crashed) {
+        exchange.abortStream();
+        co_return;
+    }
     auto id = exchange.header(names::requestId);
     auto mode = m_mode.load();
     http_headers headers { { names::requestId, id } };
--- a/Tests/Platform/stand_in_runner.h
+++ b/Tests/Platform/stand_in_runner.h
@@ -45,6 +45,13 @@
     const std::string& id() const { return m_id; }
     const std::string& address() const { return m_address; }
     static constexpr int eventsOfStream = 6;
+    /// A request whose body contains this simulates a crash: the stand-in stops accepting connections and aborts this and all
+    /// later calls.
+    static constexpr std::string_view crashMark = "CRASH-ENDPOINT";
+    bool crashed() const { return m_crashed; }
+    static constexpr std::uint64_t firstBorn = 1700000000000;
+    /// Sets the start time of its run, as stated in its reports.
+    void setBorn(std::uint64_t born) { m_born = born; }
 
 private:
     task_of<void> handle(http_exchange& exchange);
@@ -58,6 +65,8 @@
     std::string m_stage;
     std::atomic<runner_mode> m_mode { runner_mode::Good };
     std::atomic<milliseconds> m_pace { milliseconds(5) };
+    std::atomic<bool> m_crashed { false };
+    std::atomic<std::uint64_t> m_born { firstBorn };
     std::uint64_t m_sequence = 0;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_seen;
