Control: Keep running when the data folder can't be opened at startup

Effect on operators: with a damaged data folder, pistachiolatch-control exited with code 2 at every start, so a supervisor restarted it repeatedly; only a restart after emptying the folder brought it back. A process that is already running reopens a failed folder by itself.

Cause: startup opened the storage before it created the node, which can run without it.

The node now accepts the error in place of the replica. It does not take part in the log (no vote, no join), logs storage_unusable, and tries to open the folder again every second, as it does after a failure at run time. If the folder has been emptied, opening it creates a new replica, which joins.

A data folder in use by another process no longer causes an exit with code 2 either: the second process logs this every second and has no vote (not tried).

--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -19,12 +19,26 @@
     , m_wire(std::move(given.wire))
     , m_open(std::move(given.open))
 {
-    restore(std::move(given.replica));
-    m_metrics.gauge("storage_usable", 1);
+    m_metrics.gauge("storage_usable", given.replica ? 1 : 0);
+    if (!given.replica) {
+        logEvent("storage_unusable", { { "error", given.replica.error().message } });
+        m_storageFailed = true;
+        m_reopenAt = m_clock.now() + reopenPause;
+    }
+    restore(given.replica ? std::move(given.replica.value()) : placeholderReplica());
     if (given.bootstrap)
         core().bootstrap();
 }
 
+opened_replica control_node::placeholderReplica() const
+{
+    wire::replica_id self;
+    self.set_vm(m_wire.vm);
+    self.set_address(m_wire.advertise);
+    self.set_incarnation(freshIncarnation());
+    return { self, replica_store(memory_log_store()), {} };
+}
+
 void control_node::restore(opened_replica replica)
 {
     m_self = replica.self;
--- a/Source/control/control_node.h
+++ b/Source/control/control_node.h
@@ -65,8 +65,10 @@
         const clock_source& clock;
         metrics& counters;
         wire_settings wire;
-        opened_replica replica;
+        /// The stored replica, or the error from opening it. On an error the node runs without a vote and retries periodically.
+        result<opened_replica> replica;
         replica_opener open;
+        /// Precondition: if set, `replica` holds a value.
         bool bootstrap = false;
     };
     explicit control_node(parts given);
@@ -106,6 +108,8 @@
     raft_effects effects();
     void restore(opened_replica replica);
     void onStorageFailure(const std::string& why);
+    /// An empty in-memory replica, used without taking part in the log until the stored one can be opened.
+    opened_replica placeholderReplica() const;
     void reopenStorage();
     void propose(const wire::command& command, proposal_handler handler);
     void apply(const wire::log_entry& entry);
--- a/Source/control/main.cpp
+++ b/Source/control/main.cpp
@@ -35,12 +35,14 @@
 
         result<void> start()
         {
-            BOOST_OUTCOME_TRY(auto replica, openStorage(false));
-            if (bootstrap && !isEmpty(replica.restored))
+            auto opened = openStorage(false);
+            if (bootstrap && !opened)
+                return opened.error();
+            if (bootstrap && !isEmpty(opened.value().restored))
                 return failure { fmt::format("{}: already holds a log; start without --bootstrap", settings.dataFolder) };
             addCore("pistachiolatch-control", settings.wire, 1);
             auto& loop = registry.find<control_loop>(loopService);
-            m_node = std::make_unique<control_node>(control_node::parts { loop, clock, counters, settings.wire, std::move(replica), [this](bool afterFailure) { return openStorage(afterFailure); }, bootstrap });
+            m_node = std::make_unique<control_node>(control_node::parts { loop, clock, counters, settings.wire, std::move(opened), [this](bool afterFailure) { return openStorage(afterFailure); }, bootstrap });
             loop.onMessage([this](const wire::envelope& message) { m_node->onMessage(message); });
             loop.onTick([this] { m_node->tick(); });
             m_operators = std::make_unique<operator_api>(registry.find<traffic_threads>(trafficService), loop, *m_node, counters, settings.operators);
