Control: Log why an accepted change was not confirmed to be in force

The first apply returned "accepted as revision 1, accepted but not yet confirmed in force".

From the code, that answer has several causes: the leader lost leadership, its storage failed, or 10 s passed because a process that holds a lease did not apply the revision or leases of an earlier leader may still run.

The new event change_unconfirmed gives the cause and, on a timeout, the processes that are behind. A test fleet that fails to apply its records prints these lines from its control processes.

No test covers the other causes.

--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -216,8 +216,10 @@
     for (auto& [index, one] : pending)
         one.handler(nullptr);
     auto awaiting = std::exchange(m_awaiting, {});
-    for (auto& one : awaiting)
+    for (auto& one : awaiting) {
+        logEvent("change_unconfirmed", { { "revision", one.revision }, { "why", m_storageFailed ? "storage_failed" : "leadership_lost" } });
         one.answer(false);
+    }
 }
 
 void control_node::followLeadership()
--- a/Source/control/control_sessions.cpp
+++ b/Source/control/control_sessions.cpp
@@ -142,8 +142,13 @@
             due.push_back(std::move(one));
         return done;
     });
-    for (auto& one : due)
-        one.answer(m_sessions->inForce(one.revision, m_clock.now()));
+    for (auto& one : due) {
+        auto now = m_clock.now();
+        bool inForce = m_sessions->inForce(one.revision, now);
+        if (!inForce)
+            logEvent("change_unconfirmed", { { "revision", one.revision }, { "why", "timeout" }, { "behind", m_sessions->processesBehind(one.revision, now) }, { "settled", m_sessions->settled(now) ? 1 : 0 } });
+        one.answer(inForce);
+    }
 }
 
 void control_node::expireLedger()
--- a/Source/membership/session_table.cpp
+++ b/Source/membership/session_table.cpp
@@ -58,6 +58,16 @@
     });
 }
 
+std::string session_table::processesBehind(std::uint64_t revision, time_point now) const
+{
+    std::string behind;
+    for (const auto& [key, one] : m_sessions) {
+        if (one.appliedRevision < revision && now < one.expires)
+            behind += (behind.empty() ? "" : ",") + key;
+    }
+    return behind;
+}
+
 bool session_table::mayAct(const std::string& name, std::uint64_t incarnation, time_point now) const
 {
     for (const auto& [key, one] : m_sessions) {
--- a/Source/membership/session_table.h
+++ b/Source/membership/session_table.h
@@ -34,6 +34,9 @@
     /// Whether no process can still act on an older revision: each live one has applied it, and leases given
     /// by an earlier leader have run out.
     bool inForce(std::uint64_t revision, time_point now) const;
+    /// Returns the processes that hold a lease and have not applied the revision, as "entry/NAME" or "scheduler/NAME"
+    /// separated by commas.
+    std::string processesBehind(std::uint64_t revision, time_point now) const;
     /// Whether leases of an earlier leader may still run.
     bool settled(time_point now) const { return now >= m_settledAt; }
     /// Whether that process may still act under a lease.
--- a/Tests/Promises/ConfigTest.cpp
+++ b/Tests/Promises/ConfigTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
+#include <thread>
 
 using namespace pistachiolatch;
 using namespace pistachiolatch::test;
@@ -117,3 +118,33 @@
     CHECK(submitAs(where, frozen, "test-token", 2, 1).status == 503);
     CHECK(where.command({ "get", "limit", "alpha" }).out.find("rate = 900000") != std::string::npos);
 }
+
+// Guards against an accepted change that is left unconfirmed without a log line that gives the reason.
+TEST_CASE("The log says why an accepted change was not confirmed to be in force", "[promise]")
+{
+    fleet where({});
+    where.start();
+    int leader = where.leader();
+    REQUIRE(leader > 0);
+    auto before = where.status("revision");
+    // The change is not in force until the lease of this frozen entry expires.
+    where.entry(1).signal(SIGSTOP);
+    command_output applied;
+    std::thread operatorCommand([&] { applied = where.command({ "apply", limitFile(where, 1, 700000) }); });
+    auto log = [&] { return readFile(fmt::format("{}/control{}.out", where.folder(), leader)); };
+    CHECK(eventually([&] { return where.status("revision") != before; }, std::chrono::seconds(2)));
+    for (int n = 1; n <= 3; ++n) {
+        if (n != leader)
+            where.control(n).signal(SIGSTOP);
+    }
+    operatorCommand.join();
+    for (int n = 1; n <= 3; ++n) {
+        if (n != leader)
+            where.control(n).signal(SIGCONT);
+    }
+    where.entry(1).signal(SIGCONT);
+    INFO(applied.out << applied.err);
+    CHECK(applied.out.find("not yet confirmed in force") != std::string::npos);
+    CHECK(log().find("event=change_unconfirmed") != std::string::npos);
+    CHECK(log().find(" why=leadership_lost") != std::string::npos);
+}
--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -2,11 +2,13 @@
 
 #include "http/http_server.h"
 #include "http/sse_parser.h"
+#include <algorithm>
 #include <boost/json.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <sstream>
 #include <stdexcept>
 
 namespace pistachiolatch::test {
@@ -122,6 +124,20 @@
     return text;
 }
 
+std::string fleet::controlLogLines(const std::vector<std::string>& eventPrefixes) const
+{
+    std::string found;
+    for (int n = 1; n <= m_shape.controls; ++n) {
+        std::istringstream log(readFile(fmt::format("{}/control{}.out", m_folder, n)));
+        for (std::string line; std::getline(log, line);) {
+            bool wanted = std::any_of(eventPrefixes.begin(), eventPrefixes.end(), [&](const auto& prefix) { return line.find("event=" + prefix) != std::string::npos; });
+            if (wanted)
+                found += line + "\n";
+        }
+    }
+    return found;
+}
+
 void fleet::startEntry(int n)
 {
     auto path = file(fmt::format("entry{}.toml", n), common(n, 7101) + fmt::format("[admin]\nlisten = \"{0}:9101\"\n[callers]\nlisten = \"{0}:8080\"\nmax_body_bytes = 4000000\n[endpoints]\nlisten = \"{0}:8081\"\n", ip(n)));
@@ -195,7 +211,7 @@
     auto records = file("records.toml", m_shape.records.empty() ? defaultRecords : m_shape.records);
     auto applied = command({ "apply", records });
     if (applied.code != 0)
-        throw std::runtime_error("apply failed: " + applied.err + applied.out);
+        throw std::runtime_error("apply failed: " + applied.err + applied.out + controlLogLines({ "change_unconfirmed", "leadership_", "storage_" }));
     for (const char* organisation : { "alpha", "beta" })
         m_keys[organisation] = valueOf(command({ "key", "issue", organisation }).out, "key");
     bool up = eventually([&] {
--- a/Tests/Support/fleet.h
+++ b/Tests/Support/fleet.h
@@ -91,6 +91,8 @@
 
 private:
     std::string common(int vm, int port) const;
+    /// Returns the log lines of all control processes whose event name starts with one of the prefixes.
+    std::string controlLogLines(const std::vector<std::string>& eventPrefixes) const;
     void writeStandIn();
     void writeOne(const std::string& id, const std::string& role, const std::string& model, int number, std::string& text);
 
