Control, Entry: One memory replica and one bound on crashes

control_node made the same in-memory replica as the start of a diskless control process; memoryReplica() serves both. The entry had its own constant for the endpoints that a request may crash, which had to agree with crash_suspects::crashesToBlock; it uses that now. No behaviour changes.

--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -12,6 +12,15 @@
     constexpr std::size_t mostEventsKept = 1000;
 }
 
+opened_replica memoryReplica(const wire_settings& wire)
+{
+    wire::replica_id self;
+    self.set_vm(wire.vm);
+    self.set_address(wire.advertise);
+    self.set_incarnation(freshIncarnation());
+    return { self, replica_store(memory_log_store()), {} };
+}
+
 control_node::control_node(parts given)
     : m_loop(given.loop)
     , m_clock(given.clock)
@@ -25,20 +34,12 @@
         m_storageFailed = true;
         m_reopenAt = m_clock.now() + reopenPause;
     }
-    restore(given.replica ? std::move(given.replica.value()) : placeholderReplica());
+    // The placeholder takes no part in the log until the stored replica can be opened.
+    restore(given.replica ? std::move(given.replica.value()) : memoryReplica(m_wire));
     if (given.bootstrap)
         core().bootstrap();
 }
 
-opened_replica control_node::placeholderReplica() const
-{
-    wire::replica_id self;
-    self.set_vm(m_wire.vm);
-    self.set_address(m_wire.advertise);
-    self.set_incarnation(freshIncarnation());
-    return { self, replica_store(memory_log_store()), {} };
-}
-
 void control_node::restore(opened_replica replica)
 {
     m_self = replica.self;
--- a/Source/control/control_node.h
+++ b/Source/control/control_node.h
@@ -55,6 +55,9 @@
     bool inForce = false;
 };
 
+/// A new replica whose log is in memory only. Thread safety: any thread.
+opened_replica memoryReplica(const wire_settings& wire);
+
 /// One control VM: a replica of the log, and while it leads the sessions, shard owners and answers to operators. While its
 /// storage can't be used it takes no part in the log, and opens the storage again and again.
 /// Thread safety: everything happens on the control thread; other threads post to its loop.
@@ -108,8 +111,6 @@
     raft_effects effects();
     void restore(opened_replica replica);
     void onStorageFailure(const std::string& why);
-    /// An empty in-memory replica, used without taking part in the log until the stored one can be opened.
-    opened_replica placeholderReplica() const;
     void reopenStorage();
     void propose(const wire::command& command, proposal_handler handler);
     void apply(const wire::log_entry& entry);
--- a/Source/control/main.cpp
+++ b/Source/control/main.cpp
@@ -62,18 +62,17 @@
 
         result<opened_replica> openStorage(bool afterFailure) const
         {
-            wire::replica_id self;
-            self.set_vm(settings.wire.vm);
-            self.set_address(settings.wire.advertise);
             if (settings.dataFolder.empty()) {
                 if (bootstrap)
                     return failure { "--bootstrap needs control.data_folder: the first replica of a log must be on a disk" };
                 // Without a disk nothing of an earlier run is left, so this is a new replica.
-                self.set_incarnation(freshIncarnation());
-                return opened_replica { self, replica_store(memory_log_store()), {} };
+                return memoryReplica(settings.wire);
             }
             file_log_store files;
             BOOST_OUTCOME_TRY(auto stored, afterFailure ? files.openAfterFailure(settings.dataFolder) : files.open(settings.dataFolder));
+            wire::replica_id self;
+            self.set_vm(settings.wire.vm);
+            self.set_address(settings.wire.advertise);
             self.set_incarnation(stored.incarnation);
             if (stored.tornBytes > 0)
                 logEvent("log_end_repaired", { { "bytes", stored.tornBytes } });
--- a/Source/entry/model_call.cpp
+++ b/Source/entry/model_call.cpp
@@ -6,8 +6,6 @@
 
 namespace {
     constexpr std::uint32_t mostAttempts = 4;
-    /// Endpoints that one request may bring down before it counts as the cause.
-    constexpr unsigned mostCrashes = 2;
     constexpr std::size_t prefixBytes = 16UL * 1024;
     constexpr milliseconds retryLater { 1000 };
 
@@ -160,7 +158,7 @@
     if (end.callerGone)
         return caller_error { reason::CallerGone, run_state::MayHaveRun, milliseconds(0), "" };
     m_crashes += end.suspectedCrash ? 1 : 0;
-    if (m_crashes >= mostCrashes)
+    if (m_crashes >= crash_suspects::crashesToBlock)
         return caller_error { reason::PoisonRequest, run_state::MayHaveRun, milliseconds(0), "" };
     if (attempt + 1 >= mostAttempts || !isWorthAnotherAttempt(end.why))
         return caller_error { end.why, run_state::MayHaveRun, retryLater, "" };
