Test support: Empty the folder of a running control process without removing it

Cause: platform_fleet::eraseControlData removed the folder itself. The process opens its folder again each second and creates its lock file; where that fell between the removal of the files and that of the folder, the removal failed with 'Directory not empty'. Change: only what the folder holds is removed, which no later file can disturb.

--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -100,8 +100,9 @@
 void platform_fleet::eraseControlData(int n) const
 {
     auto folder = fmt::format("{}/control-{}", m_folder, n);
-    std::filesystem::remove_all(folder);
-    std::filesystem::create_directories(folder);
+    // The folder itself stays: a running process recreates its lock file, so that the folder may not be empty.
+    for (const auto& item : std::filesystem::directory_iterator(folder))
+        std::filesystem::remove_all(item.path());
 }
 
 simple_response platform_fleet::call(const std::string& address, const std::string& method, const std::string& target, const http_headers& headers,
