Coordination: Search the leader in rounds that ask every control process

Cause: entries that had lost their leader asked it, then the next address in order, a follower behind the same partition, which named the former leader; that one was asked again, and the position in the order was back where it began. Log lines of each sync in a scratch copy show 24 questions to these two and none to the other three. Change: leader_search asks every process once a round, named ones first.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -72,19 +72,7 @@
 
 void control_link::addControls(const std::vector<std::string>& addresses)
 {
-    m_controls.insert(addresses.begin(), addresses.end());
-}
-
-std::string control_link::selectControl()
-{
-    if (!m_leader.empty())
-        return m_leader;
-    if (!m_leaderHint.empty())
-        return std::exchange(m_leaderHint, {});
-    if (m_controls.empty())
-        return {};
-    auto next = m_controls.upper_bound(m_lastContacted);
-    return next == m_controls.end() ? *m_controls.begin() : *next;
+    m_search.addControls(addresses);
 }
 
 void control_link::scheduleSync(milliseconds delay)
@@ -100,12 +88,11 @@
 
 void control_link::sendSync(milliseconds timeout)
 {
-    auto address = selectControl();
+    auto address = m_leader.empty() ? m_search.next() : m_leader;
     if (address.empty()) {
         scheduleSync(syncInterval);
         return;
     }
-    m_lastContacted = address;
     wire::envelope message;
     auto& sync = *message.mutable_entry_sync();
     sync.set_document_version(m_fetch.document().version());
@@ -182,18 +169,18 @@
         scheduleSync(syncInterval);
         return;
     }
-    bool knowsLeader = !update.leader_address().empty() && update.leader_address() != request.address;
-    m_leaderHint = knowsLeader ? update.leader_address() : std::string();
-    scheduleSync(knowsLeader ? milliseconds(1) : leaderSearchInterval);
+    bool hasHint = m_search.onNotLeader(request.address, update.leader_address());
+    scheduleSync(hasHint ? milliseconds(1) : leaderSearchInterval);
 }
 
 void control_link::setLeader(const std::string& leader)
 {
     if (leader == m_leader)
         return;
-    logEvent(leader.empty() ? "control_lost" : "control_found", { { "leader", leader.empty() ? m_leader : leader }, { "known", m_controls.size() } });
+    logEvent(leader.empty() ? "control_lost" : "control_found", { { "leader", leader.empty() ? m_leader : leader }, { "known", m_search.size() } });
     m_metrics.count(leader.empty() ? "control_lost" : "control_found");
     m_leader = leader;
+    m_search.restart();
     failPlanRequests();
     m_fetch.onLeaderChanged();
     continueFetch();
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -3,6 +3,7 @@
 #include "coordination/document_fetch.h"
 #include "coordination/endpoint_listener.h"
 #include "coordination/entry_coordinator.h"
+#include "coordination/leader_search.h"
 #include "peering/peering.h"
 #include "routing/routing.h"
 #include "scheduling/scheduling.h"
@@ -100,7 +101,6 @@
     void applyDocument();
     void continueFetch();
     void setLeader(const std::string& leader);
-    std::string selectControl();
 
     peer_network& m_network;
     const clock_source& m_clock;
@@ -118,10 +118,8 @@
     std::uint64_t m_pendingSync = 0;
     /// Exponentially weighted average of sync round trips.
     milliseconds m_roundTrip { 0 };
-    std::set<std::string> m_controls;
+    leader_search m_search;
     std::string m_leader;
-    std::string m_leaderHint;
-    std::string m_lastContacted;
     std::shared_ptr<const route_table> m_table;
     std::uint64_t m_directorySource = 0;
     std::uint64_t m_directoryVersion = 0;
