Scheduling, Coordination: Place calls to busy plain services at one owner with a queue

Change: slot_planner holds one view of all slots, learns service times and failures, and says when a service is busy; the leader then lists it in its updates, and entries ask for a slot as they ask for engines. The queue of model calls serves both: placement_queue is a template over what chooses endpoints, fair between organisations by work. Callers that come back are recognised by the fingerprint of their request, and go first within the 0.3 of the work that their Retry-After times are spaced by. Without a leader, an answer or an endpoint that control reaches, entries choose alone as before.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -181,6 +181,7 @@
     m_metrics.count(leader.empty() ? "control_lost" : "control_found");
     m_leader = leader;
     m_search.restart();
+    m_queuedServices.clear();
     failPlanRequests();
     m_fetch.onLeaderChanged();
     continueFetch();
@@ -207,6 +208,7 @@
     auto acceptedAt = agesFrom - milliseconds(update.document_age_ms());
     m_lease.supersede(update.document_version(), acceptedAt + m_settings.changeBound * supersededShareQuarters / 4);
     continueFetch();
+    m_queuedServices = { update.queued_services().begin(), update.queued_services().end() };
     if (update.entries() > 0)
         m_entries = update.entries();
     if (update.has_blocked()) {
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -66,7 +66,7 @@
     const std::string& leader() const { return m_leader; }
     /// Entries in the fleet, including this one; at least 1.
     unsigned entryCount() const { return m_entries; }
-    /// Asks the leader where to place a model call. The handler receives nullopt if no leader replies in time.
+    /// Asks the leader where to place a call. The handler receives nullopt if no leader replies in time.
     void requestPlan(wire::engine_plan_request request, std::function<void(std::optional<wire::engine_plan_reply>)> handler);
     /// Checks at once whether the leader still replies, with a shorter timeout than a regular sync.
     void probeLeader();
@@ -76,6 +76,8 @@
     /// Reports that the connection to an endpoint broke while it ran a request. The handler receives the number of
     /// crashes that the leader counts against the request, or 0 if no leader is known or replies in time.
     void reportCrash(const wire::crash_report& report, std::function<void(std::uint32_t crashes)> handler);
+    /// Whether the leader places the calls to this service, which has no engines. False while no leader is known.
+    bool isQueued(const std::string& service) const { return m_queuedServices.count(service) > 0; }
     bool hasBlockedRequests() const { return !m_blocked.empty(); }
     request_block blockOf(std::uint64_t fingerprint) const;
     /// Tells the leader that this entry shuts down, so that its shares go to the others.
@@ -126,6 +128,7 @@
     unsigned m_entries = 1;
     /// Whether the block is certain, by fingerprint of the blocked request.
     std::map<std::uint64_t, bool> m_blocked;
+    std::set<std::string> m_queuedServices;
     bool m_leaving = false;
     bool m_probing = false;
     std::uint64_t m_lastPlan = 0;
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -26,7 +26,9 @@
     , m_blocks({ settings.directory.silentAfter })
     , m_pieceTimer(context)
     , m_planner(generateIncarnation())
+    , m_slotPlanner(generateIncarnation())
     , m_planTimer(context)
+    , m_slotTimer(context)
     , m_timer(context)
     , m_limitTimer(context)
 {
@@ -48,6 +50,7 @@
     m_timer.cancel();
     m_limitTimer.cancel();
     m_planTimer.cancel();
+    m_slotTimer.cancel();
     m_pieceTimer.cancel();
 }
 
@@ -67,6 +70,8 @@
     if (changed || m_blocks.version() != blocksBefore)
         pushChanges();
     balanceStages();
+    if (m_replica.isLeader())
+        updateQueuedServices();
 }
 
 bool entry_coordinator::onMessage(const wire::envelope& message, const peer_network::peer& from)
@@ -135,7 +140,11 @@
         // A new leader starts without blocks. During its first lease period it adopts the certain blocks of entries.
         if (m_clock.now() - m_leaderSince < m_settings.entryLease)
             m_blocks.adopt(sync.blocked(), m_clock.now());
-        m_planner.replaceCalls(session.name, { sync.calls().begin(), sync.calls().end() }, m_clock.now());
+        std::vector<wire::running_call> calls(sync.calls().begin(), sync.calls().end());
+        updatePlanner();
+        m_planner.replaceCalls(session.name, calls, m_clock.now());
+        m_slotPlanner.replaceCalls(session.name, calls, { sync.load().begin(), sync.load().end() }, m_clock.now());
+        updateQueuedServices();
         if (sync.leaving())
             removeEntry(from.get());
         update.set_leads(true);
@@ -163,6 +172,8 @@
     m_pendingLimits.clear();
     m_pendingPlans.clear();
     m_planQueue.clear();
+    m_slotQueue.clear();
+    m_slotPlanner = slot_planner(generateIncarnation());
     m_planner = engine_planner(generateIncarnation());
     m_plannerVersion = 0;
     m_limits.reset();
@@ -184,6 +195,8 @@
         return;
     m_planner.removeEntry(found->second.name);
     m_planQueue.removeEntry(found->second.name);
+    m_slotPlanner.removeEntry(found->second.name);
+    m_slotQueue.removeEntry(found->second.name);
     m_loads.remove(found->second.name);
     m_pacer.remove(entry);
     m_entries.erase(found);
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -9,6 +9,7 @@
 #include "replication/replication.h"
 #include "routing/routing.h"
 #include "scheduling/placement_queue.h"
+#include "scheduling/slot_planner.h"
 #include <functional>
 #include <optional>
 
@@ -80,6 +81,8 @@
         std::uint64_t directoryVersion = 0;
         /// The version of the request blocks that was sent last, if any.
         std::optional<std::uint64_t> blocksVersion;
+        /// The version of the list of queued services that was sent last.
+        std::uint64_t queuedServicesVersion = 0;
         time_point lastSyncAt;
         /// False for entries of an earlier version, which need whole documents.
         bool supportsPieces = false;
@@ -104,6 +107,12 @@
     void onPlanRequest(const wire::envelope& message, const peer_network::peer& from);
     void onRelease(const wire::envelope& message, const peer_network::peer& from);
     void processPlanQueue();
+    void processSlotQueue();
+    template <typename Planner>
+    void placeWaiting(placement_queue<Planner>& queue, Planner& planner);
+    static queued_request decodeQueuedRequest(const wire::engine_plan_request& request, time_point now);
+    /// Tells the entries if other services than before are queued.
+    void updateQueuedServices();
     void sendPlanReply(std::uint64_t ticket, const engine_placement& plan, milliseconds retryAfter);
     void removeEntry(peer_connection* entry);
     void updatePlanner();
@@ -139,10 +148,16 @@
     /// The directory version that the planner has.
     std::uint64_t m_plannerVersion = 0;
     std::uint64_t m_lastEntryNumber = 0;
-    placement_queue m_planQueue;
+    placement_queue<engine_planner> m_planQueue;
+    slot_planner m_slotPlanner;
+    placement_queue<slot_planner> m_slotQueue;
+    std::uint64_t m_queuedServicesVersion = 0;
+    time_point m_queuedServicesCheckedAt {};
     std::map<std::uint64_t, pending_request> m_pendingPlans;
     boost::asio::steady_timer m_planTimer;
     bool m_planTimerArmed = false;
+    boost::asio::steady_timer m_slotTimer;
+    bool m_slotTimerArmed = false;
     std::optional<rate_limiter> m_limits;
     /// Organisations that m_limits holds.
     std::set<std::string> m_limitedOrganisations;
--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -1,4 +1,4 @@
-// Placement of model calls.
+// Placement of model calls, and of other calls to busy services.
 #include "coordination/entry_coordinator.h"
 
 namespace pistachiolatch {
@@ -6,6 +6,10 @@
 namespace {
     /// How often calls that wait for engine memory are retried, besides whenever a call ends.
     constexpr milliseconds planInterval { 30 };
+    /// The same for calls that wait for a slot; their targets are shorter.
+    constexpr milliseconds slotInterval { 10 };
+    /// Shortest interval between two decisions on which services are queued; each walks all endpoints.
+    constexpr milliseconds queuedServicesInterval { 50 };
 
     placement_request decodeRequest(const wire::engine_plan_request& request)
     {
@@ -20,14 +24,27 @@
         ask.avoid = { request.avoid().begin(), request.avoid().end() };
         return ask;
     }
+
+    template <typename Planner>
+    void recordOutcomes(Planner& planner, const wire::engine_release& release, time_point now)
+    {
+        for (const auto& id : release.succeeded())
+            planner.recordSuccess(id);
+        for (const auto& id : release.failed())
+            planner.recordFailure(id, now);
+        for (const auto& id : release.refused())
+            planner.recordRefusal(id, now);
+    }
 }
 
 void entry_coordinator::updatePlanner()
 {
     if (m_plannerVersion == m_directory.version())
         return;
-    for (const auto& row : m_directory.changesSince(m_plannerVersion))
+    for (const auto& row : m_directory.changesSince(m_plannerVersion)) {
         m_planner.updateEndpoint(row);
+        m_slotPlanner.updateEndpoint(row);
+    }
     m_plannerVersion = m_directory.version();
 }
 
@@ -40,19 +57,38 @@
         return;
     }
     const auto& request = message.engine_plan_request();
-    auto now = m_clock.now();
-    auto ticket = ++m_lastTicket;
-    m_pendingPlans[ticket] = { from, message };
-    queued_request queued;
-    queued.ticket = ticket;
+    auto queued = decodeQueuedRequest(request, m_clock.now());
+    updatePlanner();
+    // Without an endpoint that control reaches, the entry may still know one that it reaches itself.
+    if (request.slot() && !m_slotPlanner.hasEndpoints(queued.request)) {
+        wire::envelope reply;
+        reply.mutable_engine_plan_reply()->set_unavailable(true);
+        peer_network::reply(from, message, std::move(reply));
+        return;
+    }
+    queued.ticket = ++m_lastTicket;
     queued.entry = m_entries[from.get()].name;
+    m_pendingPlans[queued.ticket] = { from, message };
+    if (request.slot()) {
+        m_slotQueue.add(std::move(queued), m_clock.now());
+        processSlotQueue();
+    } else {
+        m_planQueue.add(std::move(queued), m_clock.now());
+        processPlanQueue();
+    }
+}
+
+queued_request entry_coordinator::decodeQueuedRequest(const wire::engine_plan_request& request, time_point now)
+{
+    queued_request queued;
+    queued.organisation = request.organisation();
     queued.request = decodeRequest(request);
     queued.waitDeadline = now + milliseconds(request.patience_ms());
     // Entries of earlier versions don't send this field.
     queued.firstEventDeadline = request.target_left_ms() > 0 ? now + milliseconds(request.target_left_ms()) : time_point::max();
+    queued.fingerprint = request.fingerprint();
     queued.streamStarted = request.begun();
-    m_planQueue.add(std::move(queued));
-    processPlanQueue();
+    return queued;
 }
 
 void entry_coordinator::sendPlanReply(std::uint64_t ticket, const engine_placement& plan, milliseconds retryAfter)
@@ -73,11 +109,17 @@
     m_pendingPlans.erase(found);
 }
 
-void entry_coordinator::processPlanQueue()
+template <typename Planner>
+void entry_coordinator::placeWaiting(placement_queue<Planner>& queue, Planner& planner)
 {
     updatePlanner();
-    for (const auto& decision : m_planQueue.step(m_planner, m_clock.now()))
+    for (const auto& decision : queue.step(planner, m_clock.now()))
         sendPlanReply(decision.ticket, decision.placement, decision.retryAfter);
+}
+
+void entry_coordinator::processPlanQueue()
+{
+    placeWaiting(m_planQueue, m_planner);
     if (m_planQueue.empty() || m_planTimerArmed)
         return;
     m_planTimerArmed = true;
@@ -89,20 +131,50 @@
     });
 }
 
+void entry_coordinator::processSlotQueue()
+{
+    placeWaiting(m_slotQueue, m_slotPlanner);
+    if (m_slotQueue.empty() || m_slotTimerArmed)
+        return;
+    m_slotTimerArmed = true;
+    m_slotTimer.expires_after(slotInterval);
+    m_slotTimer.async_wait([this](boost::system::error_code error) {
+        m_slotTimerArmed = false;
+        if (!error)
+            processSlotQueue();
+    });
+}
+
+void entry_coordinator::updateQueuedServices()
+{
+    auto now = m_clock.now();
+    if (now - m_queuedServicesCheckedAt < queuedServicesInterval || now < m_planningStartsAt)
+        return;
+    m_queuedServicesCheckedAt = now;
+    updatePlanner();
+    if (!m_slotPlanner.updateQueued(now))
+        return;
+    ++m_queuedServicesVersion;
+    pushChanges();
+}
+
 void entry_coordinator::onRelease(const wire::envelope& message, const peer_network::peer& from)
 {
     auto session = m_entries.find(from.get());
     if (session == m_entries.end())
         return;
     const auto& release = message.engine_release();
+    const auto& entry = session->second.name;
+    auto now = m_clock.now();
+    if (m_slotPlanner.release(entry, release.call_id(), release.succeeded_size() > 0, now)) {
+        recordOutcomes(m_slotPlanner, release, now);
+        if (!m_slotQueue.empty())
+            processSlotQueue();
+        return;
+    }
     call_measurements measurements { release.generated(), milliseconds(release.generating_ms()), release.read_tokens(), milliseconds(release.reading_ms()), milliseconds(release.first_event_ms()) };
-    m_planner.release(session->second.name, release.call_id(), measurements);
-    for (const auto& id : release.succeeded())
-        m_planner.recordSuccess(id);
-    for (const auto& id : release.failed())
-        m_planner.recordFailure(id, m_clock.now());
-    for (const auto& id : release.refused())
-        m_planner.recordRefusal(id, m_clock.now());
+    m_planner.release(entry, release.call_id(), measurements);
+    recordOutcomes(m_planner, release, now);
     if (!m_planQueue.empty())
         processPlanQueue();
 }
--- a/Source/coordination/entry_coordinator_state.cpp
+++ b/Source/coordination/entry_coordinator_state.cpp
@@ -30,6 +30,9 @@
         *update.mutable_blocked() = m_blocks.blocks();
         session.blocksVersion = m_blocks.version();
     }
+    for (auto& service : m_slotPlanner.queuedServices())
+        update.add_queued_services(std::move(service));
+    session.queuedServicesVersion = m_queuedServicesVersion;
     update.set_entries(static_cast<std::uint32_t>(m_entries.size()));
 }
 
@@ -53,7 +56,8 @@
         return;
     for (auto& [peer, session] : m_entries) {
         bool current = session.documentVersion >= m_replica.document().version() && session.directorySource == m_directory.source()
-            && session.directoryVersion == m_directory.version() && session.blocksVersion == m_blocks.version();
+            && session.directoryVersion == m_directory.version() && session.blocksVersion == m_blocks.version()
+            && session.queuedServicesVersion == m_queuedServicesVersion;
         if (current)
             continue;
         wire::envelope message;
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -87,13 +87,17 @@
     void recordBrokenConnection(const selected_endpoint& endpoint);
     task_of<token_decision> acquireTokens();
     task_of<void> runServiceCall();
+    /// Chooses an endpoint of a service without engines: the leader does if the service is busy, else this entry.
+    task_of<std::optional<selected_endpoint>> awaitSlot();
+    /// Runs one attempt at an endpoint, and reports its end if the leader chose it.
+    task_of<attempt_outcome> attemptServiceCall(const selected_endpoint& endpoint);
     task_of<void> runModelCall();
     task_of<std::optional<model_placement>> awaitPlacement();
     task_of<std::optional<wire::engine_plan_reply>> requestPlan();
     endpoint_query makeDecodeQuery() const;
     std::uint64_t estimateOutputTokens() const;
     milliseconds placementTimeout() const;
-    wire::engine_plan_request makePlanRequest(std::uint64_t callId, milliseconds timeout) const;
+    wire::engine_plan_request makePlanRequest(std::uint64_t callId, milliseconds timeout);
     void countEvents(std::string_view chunk);
     idle_stream measureIdleTime(const std::string& endpointId) const;
     void scheduleStallCheck(selected_endpoint endpoint, milliseconds delay);
@@ -174,7 +178,7 @@
     unsigned m_status = 0;
     std::string m_outcome;
     milliseconds m_firstEventLatency { -1 };
-    /// Identifies the attempt to the planner.
+    /// Identifies the attempt to the planner; 0 if this entry chose the endpoint of a service without engines.
     std::uint64_t m_callId = 0;
     std::uint64_t m_eventsForwarded = 0;
     /// Events of the current attempt, and when its first one arrived.
@@ -195,7 +199,7 @@
     no_retry_reason m_noRetryReason = no_retry_reason::None;
     /// Duration of the last wait for endpoints.
     milliseconds m_endpointWait { 0 };
-    /// Whether the leader's last plan reported that all engines are full.
+    /// Whether the leader's last plan reported that all endpoints are full.
     bool m_enginesFull = false;
     bool m_endLogged = false;
     std::optional<std::uint64_t> m_fingerprint;
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -276,17 +276,15 @@
 {
     reason cause = reason::NoEndpoint;
     while (!isAborted()) {
-        endpoint_query query;
-        query.service = m_service->name;
-        query.exclude = m_triedEndpoints;
-        auto endpoint = m_shared.endpoints.select(query);
+        auto waitStartedAt = m_shared.clock.now();
+        auto endpoint = co_await awaitSlot();
+        m_endpointWait += std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - waitStartedAt);
         if (!endpoint) {
+            cause = m_enginesFull ? reason::NoCapacity : cause;
             m_noRetryReason = no_retry_reason::NoEndpoint;
             break;
         }
-        endpoint_reservation reservation(m_shared.endpoints, endpoint->id, 0);
-        auto options = makeAttemptOptions(*endpoint);
-        auto outcome = co_await sendAttempt(*endpoint, std::move(options));
+        auto outcome = co_await attemptServiceCall(*endpoint);
         if (outcome == attempt_outcome::Completed)
             co_return;
         co_await reportCrash();
@@ -298,6 +296,48 @@
     co_await finishUnanswered(cause);
 }
 
+template <call_codec Codec>
+task_of<std::optional<selected_endpoint>> call_forwarder<Codec>::awaitSlot()
+{
+    m_callId = 0;
+    m_enginesFull = false;
+    if (!m_service->engine && m_shared.link.isQueued(m_service->name)) {
+        m_callId = m_shared.endpoints.nextCallId();
+        auto plan = co_await requestPlan();
+        m_enginesFull = plan && plan->full();
+        if (m_enginesFull) {
+            m_retryAfter = milliseconds(plan->retry_after_ms());
+            co_return std::nullopt;
+        }
+        auto planned = plan ? m_shared.endpoints.find(plan->decode()) : std::nullopt;
+        if (planned)
+            co_return planned;
+        if (plan)
+            m_shared.link.reportFinished({ m_callId, {}, {} });
+        m_callId = 0;
+    }
+    endpoint_query query;
+    query.service = m_service->name;
+    query.exclude = m_triedEndpoints;
+    co_return m_shared.endpoints.select(query);
+}
+
+template <call_codec Codec>
+task_of<attempt_outcome> call_forwarder<Codec>::attemptServiceCall(const selected_endpoint& endpoint)
+{
+    endpoint_reservation reservation(m_shared.endpoints, endpoint.id, 0);
+    if (m_callId != 0)
+        m_shared.endpoints.addRunningCall(m_callId, endpoint.id, 0, 0);
+    auto options = makeAttemptOptions(endpoint);
+    auto outcome = co_await sendAttempt(endpoint, std::move(options));
+    if (m_callId != 0) {
+        m_shared.endpoints.removeRunningCall(m_callId);
+        m_shared.link.reportFinished({ m_callId, {}, std::exchange(m_outcomes, {}) });
+    }
+    m_outcomes = {};
+    co_return outcome;
+}
+
 template <call_codec Codec>
 bool call_forwarder<Codec>::prepareRetry(attempt_outcome outcome, const std::string& endpointId)
 {
@@ -382,7 +422,8 @@
         co_return;
     }
     auto cause = m_deadlinePassed ? reason::DeadlineUnreachable : failureCause;
-    error_response error { cause, httpStatus(cause), std::max(m_retryAfter, forwarding_detail::defaultRetryAfter) };
+    auto retryAfter = m_retryAfter > milliseconds(0) ? m_retryAfter : forwarding_detail::defaultRetryAfter;
+    error_response error { cause, httpStatus(cause), retryAfter };
     co_await sendErrorResponse(error);
 }
 
@@ -439,7 +480,7 @@
     if (std::exchange(m_endLogged, true))
         return;
     m_shared.counters.observe("call_seconds", age());
-    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "endpoints", m_endpointIds }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
+    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "endpoints", m_endpointIds }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "endpoint_wait_ms", m_endpointWait.count() }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -108,7 +108,7 @@
 }
 
 template <call_codec Codec>
-wire::engine_plan_request call_forwarder<Codec>::makePlanRequest(std::uint64_t callId, milliseconds timeout) const
+wire::engine_plan_request call_forwarder<Codec>::makePlanRequest(std::uint64_t callId, milliseconds timeout)
 {
     wire::engine_plan_request planRequest;
     planRequest.set_patience_ms(static_cast<std::uint32_t>(timeout.count()));
@@ -120,7 +120,12 @@
     planRequest.set_data_centre(m_shared.endpoints.dataCentre());
     planRequest.set_prompt_tokens(m_metadata.tokens ? m_metadata.tokens->prompt : 0);
     planRequest.set_output_tokens(estimateOutputTokens());
-    planRequest.set_memory_tokens(m_service->engine->memoryTokens);
+    planRequest.set_slot(!m_service->engine);
+    if (m_service->engine)
+        planRequest.set_memory_tokens(m_service->engine->memoryTokens);
+    if (m_organisation)
+        planRequest.set_organisation(m_organisation->name);
+    planRequest.set_fingerprint(fingerprint());
     for (const auto& id : m_shared.endpoints.unhealthyEndpoints(m_service->name))
         planRequest.add_avoid(id);
     for (const auto& id : m_triedEndpoints)
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -3,34 +3,16 @@
 #include "scheduling/circuit_breaker.h"
 #include "scheduling/engine_speed_model.h"
 #include "scheduling/memory_projection.h"
+#include "scheduling/placement_types.h"
 #include "scheduling/stage_balancer.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace pistachiolatch {
 
-/// A model call that needs engines.
-struct placement_request {
-    /// Unique within the entry.
-    std::uint64_t callId = 0;
-    std::string service;
-    /// Data centre of the requesting entry.
-    std::string dataCentre;
-    std::uint64_t promptTokens = 0;
-    /// Estimated output length in tokens.
-    std::uint64_t outputTokens = 0;
-    /// Memory of each endpoint of the service, in tokens.
-    std::uint64_t memoryTokens = 0;
-    /// Endpoints that this call has tried already.
-    std::set<std::string> exclude;
-    /// Endpoints that recently failed at this entry; used only if no other endpoint is available.
-    std::set<std::string> avoid;
-};
-
 /// Measurements of a completed call for the engine speed model. Fields that were not measured are zero.
 struct call_measurements {
     std::uint64_t generatedTokens = 0;
@@ -42,16 +24,6 @@
     milliseconds firstEventDelay { 0 };
 };
 
-/// The engines chosen for a model call. Without a prefill engine the decode engine prefills the prompt itself.
-struct engine_placement {
-    /// No engine can take the call now: either no memory is free, or no engine can prefill the prompt in time.
-    bool full = false;
-    std::string decode;
-    std::string prefill;
-    /// Set with `full` if memory is free and only the prefill engines are busy.
-    bool prefillBusy = false;
-};
-
 /// Places model calls with one view of all engines. Load pattern: bursts at twice the usual rate fill the engines'
 /// memory. Entries that choose independently by reports that are half a second old overfill some engines while others
 /// have room. An engine that runs out of memory preempts a request and prefills its whole prompt again, which costs as
@@ -60,6 +32,11 @@
 /// Pure; not thread-safe.
 class engine_planner {
 public:
+    /// The memory that one call frees is not always enough for the next.
+    static constexpr double completionsPerPlacement = 2;
+    /// About the duration of a call.
+    static constexpr milliseconds minRetryDelay { 1200 };
+
     explicit engine_planner(std::uint64_t seed)
         : m_random(seed)
     {
--- a/Source/scheduling/placement_queue.h
+++ b/Source/scheduling/placement_queue.h
@@ -1,19 +1,32 @@
 #pragma once
-#include "scheduling/engine_planner.h"
+#include "kernel/kernel.h"
+#include "scheduling/placement_types.h"
+#include <algorithm>
+#include <concepts>
 #include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
 
 namespace pistachiolatch {
 
-/// A model call that waits for placement.
+/// A call that waits for placement.
 struct queued_request {
     /// Identifies the request in its placement_result.
     std::uint64_t ticket = 0;
     std::string entry;
+    /// Empty if the call belongs to no organisation.
+    std::string organisation;
     placement_request request;
     /// When the entry stops waiting for a placement.
     time_point waitDeadline;
     /// When the first event is due by the latency target.
     time_point firstEventDeadline;
+    /// Hash of the caller's request, which recognises it when it comes back after a refusal; 0 if unknown.
+    std::uint64_t fingerprint = 0;
     /// Whether the caller has received part of the answer.
     bool streamStarted = false;
 };
@@ -22,33 +35,263 @@
 struct placement_result {
     std::uint64_t ticket = 0;
     engine_placement placement;
-    /// When the caller should retry; set only if the engines are full.
+    /// When the caller should retry; set only if the endpoints are full.
     milliseconds retryAfter { 0 };
 };
 
-/// Queue of calls that wait for engines with capacity. Load pattern: bursts of twice what the engines hold. A call
+/// Chooses endpoints for calls and predicts when they are free.
+template <typename T>
+concept placement_planner = requires(T& planner, const std::string& text, const placement_request& request, duration within, time_point now)
+{
+    {
+        planner.place(text, request, now)
+        } -> std::same_as<engine_placement>;
+    {
+        planner.timeToFirstEvent(request)
+        } -> std::same_as<duration>;
+    {
+        planner.expectedCompletions(text, within, now)
+        } -> std::same_as<double>;
+    {
+        T::completionsPerPlacement
+        } -> std::convertible_to<double>;
+    {
+        T::minRetryDelay
+        } -> std::convertible_to<milliseconds>;
+};
+
+/// Queue of calls that wait for endpoints with capacity. Load pattern: bursts of twice what the endpoints hold. A call
 /// that waits until its deadline in vain, or starts too late for its latency target, is of little use to its caller
 /// and takes the place of one that would be in time. So a call waits only while it can be expected to start in time,
 /// and is refused at once when the calls ahead of it use up all capacity that will be free by then. Refused callers
 /// get staggered retry times, at the rate at which calls complete: with equal retry times they would form the next
 /// burst.
+/// Started streams go first. Callers that come back after a refusal go before all others within a fixed share of the work,
+/// and after them beyond it: they have missed their targets, so serving them first would make every other call late too.
+/// Organisations share the rest fairly, by the work of their calls, so that one that floods a service lengthens only its
+/// own queue.
 /// Pure; not thread-safe.
+template <placement_planner Planner>
 class placement_queue {
 public:
-    void add(queued_request request) { m_waiting.push_back(std::move(request)); }
+    void add(queued_request request, time_point now);
     /// Places requests where there is capacity and refuses those that can't start in time.
-    std::vector<placement_result> step(engine_planner& planner, time_point now);
+    std::vector<placement_result> step(Planner& planner, time_point now);
     void removeEntry(const std::string& entry);
     void clear();
     bool empty() const { return m_waiting.empty(); }
 
 private:
-    bool canStartInTime(const queued_request& queued, bool prefillBusy, std::size_t waitingAhead, engine_planner& planner, time_point now) const;
-    milliseconds nextRetryDelay(const std::string& service, const engine_planner& planner, time_point now);
+    /// Progress of an organisation's calls to a service, in work.
+    struct flow {
+        double virtualTime = 0;
+        unsigned waiting = 0;
+    };
+    using flow_key = std::pair<std::string, std::string>;
+    static flow_key keyOf(const queued_request& queued) { return { queued.request.service, queued.organisation }; }
+    void sortWaiting();
+    /// Moves the first returning call of each service to the front if the share for returning calls has room for it.
+    void advanceReturning();
+    /// Charges the organisation for a call that was placed.
+    void recordPlacement(const queued_request& queued);
+    void removeIdleState(time_point now);
+    bool canStartInTime(const queued_request& queued, bool prefillBusy, std::size_t waitingAhead, Planner& planner, time_point now) const;
+    milliseconds nextRetryDelay(const std::string& service, const Planner& planner, time_point now);
 
-    std::deque<queued_request> m_waiting;
+    struct waiting_request {
+        queued_request queued;
+        bool returning = false;
+    };
+    std::deque<waiting_request> m_waiting;
+    std::map<flow_key, flow> m_flows;
+    /// By service: the virtual time of the call that was placed last.
+    std::map<std::string, double> m_virtualTimes;
+    /// By service: work that returning calls may take before others.
+    std::map<std::string, double> m_returningCredit;
+    /// When requests were refused, by fingerprint.
+    std::unordered_map<std::uint64_t, time_point> m_refusedAt;
     /// The latest retry time that was given to a caller, by service.
     std::map<std::string, time_point> m_lastRetryTimes;
 };
 
+namespace placement_queue_detail {
+    /// Longest retry delay; callers wait only a part of their deadline.
+    constexpr milliseconds maxRetryDelay { 4500 };
+    /// Share of the completions, and so of the work, that is left to callers who come back.
+    constexpr double retryShare = 0.3;
+    /// Upper bound of the credit of returning calls, in calls, so that they don't go first all at once after a calm period.
+    constexpr double maxReturningCredit = 4;
+    /// How long a refused request is remembered; callers that wait longer than the longest retry delay are rare.
+    constexpr milliseconds refusalMemory { 6000 };
+    constexpr std::size_t maxRefusals = 20'000;
+    /// Number of flows beyond which those without waiting calls are removed.
+    constexpr std::size_t maxIdleFlows = 1024;
+}
+
+template <placement_planner Planner>
+void placement_queue<Planner>::add(queued_request request, time_point now)
+{
+    auto& organisation = m_flows[keyOf(request)];
+    // An organisation that was idle has neither credit nor debt from the past.
+    if (organisation.waiting++ == 0)
+        organisation.virtualTime = std::max(organisation.virtualTime, m_virtualTimes[request.request.service]);
+    auto refused = m_refusedAt.find(request.fingerprint);
+    bool returning = refused != m_refusedAt.end() && now - refused->second <= placement_queue_detail::refusalMemory;
+    if (refused != m_refusedAt.end())
+        m_refusedAt.erase(refused);
+    m_waiting.push_back({ std::move(request), returning });
+}
+
+template <placement_planner Planner>
+void placement_queue<Planner>::sortWaiting()
+{
+    if (m_waiting.size() < 2)
+        return;
+    struct position {
+        /// Started streams 0, on-time calls 1, returning calls 2.
+        int rank;
+        double tag;
+        waiting_request* waiting;
+    };
+    std::vector<position> order;
+    order.reserve(m_waiting.size());
+    std::map<flow_key, double> workAhead;
+    for (auto& waiting : m_waiting) {
+        auto key = keyOf(waiting.queued);
+        auto& work = workAhead[key];
+        work += waiting.queued.request.cost();
+        int rank = waiting.queued.streamStarted ? 0 : waiting.returning ? 2
+                                                                        : 1;
+        order.push_back({ rank, m_flows[key].virtualTime + work, &waiting });
+    }
+    std::stable_sort(order.begin(), order.end(), [](const position& left, const position& right) {
+        return std::tie(left.rank, left.tag) < std::tie(right.rank, right.tag);
+    });
+    std::deque<waiting_request> sorted;
+    for (const auto& item : order)
+        sorted.push_back(std::move(*item.waiting));
+    m_waiting = std::move(sorted);
+    advanceReturning();
+}
+
+template <placement_planner Planner>
+void placement_queue<Planner>::advanceReturning()
+{
+    std::set<std::string> seen;
+    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
+        if (!it->returning || it->queued.streamStarted || !seen.insert(it->queued.request.service).second)
+            continue;
+        if (m_returningCredit[it->queued.request.service] < it->queued.request.cost())
+            continue;
+        auto firstOther = std::find_if(m_waiting.begin(), it, [](const auto& waiting) { return !waiting.queued.streamStarted; });
+        std::rotate(firstOther, it, std::next(it));
+    }
+}
+
+template <placement_planner Planner>
+void placement_queue<Planner>::recordPlacement(const queued_request& queued)
+{
+    const auto& service = queued.request.service;
+    auto& organisation = m_flows[keyOf(queued)];
+    organisation.virtualTime += queued.request.cost();
+    m_virtualTimes[service] = std::max(m_virtualTimes[service], organisation.virtualTime);
+}
+
+template <placement_planner Planner>
+std::vector<placement_result> placement_queue<Planner>::step(Planner& planner, time_point now)
+{
+    using namespace placement_queue_detail;
+    std::vector<placement_result> results;
+    sortWaiting();
+    // Waiting calls by service. Later calls must not overtake the first one that waits, or small prompts would starve a
+    // large one.
+    std::map<std::string, std::size_t> waitingAhead;
+    std::erase_if(m_waiting, [&](const auto& waiting) {
+        const auto& queued = waiting.queued;
+        const auto& service = queued.request.service;
+        auto& ahead = waitingAhead[service];
+        auto placement = ahead > 0 ? engine_placement { .full = true, .decode = {}, .prefill = {} } : planner.place(queued.entry, queued.request, now);
+        if (placement.full && canStartInTime(queued, placement.prefillBusy, ahead, planner, now)) {
+            ++ahead;
+            return false;
+        }
+        --m_flows[keyOf(queued)].waiting;
+        auto& credit = m_returningCredit[service];
+        auto cost = queued.request.cost();
+        if (!placement.full) {
+            recordPlacement(queued);
+            credit = waiting.returning ? std::max(0.0, credit - cost) : std::min(credit + cost * retryShare / (1 - retryShare), cost * maxReturningCredit);
+        } else if (queued.fingerprint != 0) {
+            m_refusedAt[queued.fingerprint] = now;
+        }
+        auto retryAfter = placement.full ? nextRetryDelay(service, planner, now) : milliseconds(0);
+        results.push_back({ queued.ticket, std::move(placement), retryAfter });
+        return true;
+    });
+    removeIdleState(now);
+    return results;
+}
+
+template <placement_planner Planner>
+bool placement_queue<Planner>::canStartInTime(const queued_request& queued, bool prefillBusy, std::size_t waitingAhead, Planner& planner, time_point now) const
+{
+    if (now >= queued.waitDeadline)
+        return false;
+    if (queued.streamStarted)
+        return true;
+    auto startBy = std::min(queued.waitDeadline, queued.firstEventDeadline - planner.timeToFirstEvent(queued.request));
+    if (now >= startBy)
+        return false;
+    // Prefills take tenths of a second, so the prefill queue may be short again in time.
+    if (prefillBusy)
+        return true;
+    return planner.expectedCompletions(queued.request.service, startBy - now, now) >= Planner::completionsPerPlacement * static_cast<double>(waitingAhead + 1);
+}
+
+template <placement_planner Planner>
+milliseconds placement_queue<Planner>::nextRetryDelay(const std::string& service, const Planner& planner, time_point now)
+{
+    using namespace placement_queue_detail;
+    constexpr std::chrono::seconds second { 1 };
+    auto completionsPerSecond = std::max(1.0, planner.expectedCompletions(service, second, now));
+    auto pause = std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / (retryShare * completionsPerSecond)));
+    auto& last = m_lastRetryTimes[service];
+    last = std::clamp<time_point>(last + pause, now + Planner::minRetryDelay, now + maxRetryDelay);
+    return std::chrono::duration_cast<milliseconds>(last - now);
+}
+
+template <placement_planner Planner>
+void placement_queue<Planner>::removeEntry(const std::string& entry)
+{
+    std::erase_if(m_waiting, [&](const auto& waiting) {
+        if (waiting.queued.entry != entry)
+            return false;
+        --m_flows[keyOf(waiting.queued)].waiting;
+        return true;
+    });
+}
+
+template <placement_planner Planner>
+void placement_queue<Planner>::removeIdleState(time_point now)
+{
+    using namespace placement_queue_detail;
+    if (m_flows.size() > maxIdleFlows)
+        std::erase_if(m_flows, [](const auto& item) { return item.second.waiting == 0; });
+    if (m_refusedAt.size() > maxRefusals)
+        std::erase_if(m_refusedAt, [now](const auto& item) { return now - item.second > refusalMemory; });
+    if (m_refusedAt.size() > maxRefusals)
+        m_refusedAt.clear();
+}
+
+template <placement_planner Planner>
+void placement_queue<Planner>::clear()
+{
+    m_waiting.clear();
+    m_flows.clear();
+    m_virtualTimes.clear();
+    m_returningCredit.clear();
+    m_refusedAt.clear();
+    m_lastRetryTimes.clear();
+}
+
 } // namespace pistachiolatch
--- a/Source/scheduling/scheduling.h
+++ b/Source/scheduling/scheduling.h
@@ -6,3 +6,4 @@
 #include "scheduling/placement_queue.h"
 #include "scheduling/poison_list.h"
 #include "scheduling/pool.h"
+#include "scheduling/slot_planner.h"
--- /dev/null
+++ b/Source/scheduling/slot_planner.cpp
@@ -0,0 +1,308 @@
+#include "scheduling/slot_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pistachiolatch {
+
+namespace {
+    /// Loads, as shares of all slots, at which a service becomes queued and ceases to be.
+    constexpr double queuedAbove = 0.6;
+    constexpr double calmBelow = 0.4;
+    /// How long the load must stay low before entries choose by themselves again.
+    constexpr milliseconds calmPeriod { 2000 };
+    /// Calls at an endpoint beyond its slots, so that it has work until the message that frees a slot arrives.
+    constexpr unsigned callsAhead = 1;
+    /// A call placed more recently than this may not be in its entry's list yet.
+    constexpr milliseconds maxPlacementDelay { 80 };
+    /// Service time of a service without completed calls.
+    constexpr double defaultServiceMs = 50;
+    constexpr double minSampleWeight = 0.02;
+    /// Nearly all calls end within this multiple of the mean service time.
+    constexpr int tailFactor = 2;
+    constexpr double failureSmoothing = 0.05;
+    /// An endpoint that fails all its calls is used only if all others are full.
+    constexpr double failureCost = 4;
+    constexpr double remoteCost = 0.02;
+    /// Backoff after a refusal, in mean service times, doubled with each further one.
+    constexpr unsigned maxBackoffDoublings = 3;
+
+    double toMs(duration time)
+    {
+        return std::chrono::duration<double, std::milli>(time).count();
+    }
+}
+
+void slot_planner::updateEndpoint(const wire::endpoint_row& row)
+{
+    const auto& report = row.report();
+    if (report.state() == wire::ENDPOINT_GONE) {
+        m_endpoints.erase(report.id());
+        m_breaker.reset(report.id());
+        return;
+    }
+    if (report.stage() != wire::STAGE_ANY || report.slots() == 0)
+        return;
+    auto& updated = m_endpoints[report.id()];
+    if (updated.row.report().born_ms() != report.born_ms()) {
+        updated.failureRate = 0;
+        updated.refusals = 0;
+        updated.backoffUntil = {};
+        m_breaker.reset(report.id());
+    }
+    updated.row = row;
+}
+
+bool slot_planner::isUsable(const endpoint& candidate, const std::string& service) const
+{
+    const auto& report = candidate.row.report();
+    return report.service() == service && report.state() == wire::ENDPOINT_SERVING && !candidate.row.silent();
+}
+
+unsigned slot_planner::capacityOf(const endpoint& candidate)
+{
+    return candidate.row.report().slots() + callsAhead;
+}
+
+duration slot_planner::meanServiceTime(const std::string& service) const
+{
+    auto found = m_services.find(service);
+    auto ms = found == m_services.end() || found->second.samples == 0 ? defaultServiceMs : found->second.meanServiceMs;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+double slot_planner::loadOf(const endpoint& candidate, time_point now) const
+{
+    double placed = candidate.placed;
+    double unplaced = candidate.unplaced;
+    const auto& service = candidate.row.report().service();
+    auto found = m_services.find(service);
+    // Once entries ask here, what they had placed before completes within about twice the service time.
+    if (found != m_services.end() && found->second.queued)
+        unplaced *= std::clamp(1 - toMs(now - found->second.queuedSince) / (tailFactor * toMs(meanServiceTime(service))), 0.0, 1.0);
+    return placed + unplaced;
+}
+
+std::vector<slot_planner::endpoint*> slot_planner::candidates(const placement_request& request, time_point now)
+{
+    std::vector<endpoint*> healthy;
+    std::vector<endpoint*> failing;
+    std::vector<endpoint*> avoided;
+    for (auto& [id, candidate] : m_endpoints) {
+        if (!isUsable(candidate, request.service) || request.exclude.count(id) || now < candidate.backoffUntil)
+            continue;
+        if (request.avoid.count(id))
+            avoided.push_back(&candidate);
+        else
+            (m_breaker.allows(id, now) ? healthy : failing).push_back(&candidate);
+    }
+    // If most endpoints fail, the cause is elsewhere, and the remaining ones would be overloaded.
+    if (failing.size() > healthy.size())
+        healthy.insert(healthy.end(), failing.begin(), failing.end());
+    return healthy.empty() ? avoided : healthy;
+}
+
+bool slot_planner::hasEndpoints(const placement_request& request) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+        return isUsable(item.second, request.service) && !request.exclude.count(item.first);
+    });
+}
+
+engine_placement slot_planner::place(const std::string& entry, const placement_request& request, time_point now)
+{
+    endpoint* best = nullptr;
+    double bestCost = 0;
+    for (auto* candidate : candidates(request, now)) {
+        const auto& report = candidate->row.report();
+        auto load = loadOf(*candidate, now);
+        if (load + 1 > capacityOf(*candidate))
+            continue;
+        double tieBreak = std::uniform_real_distribution<double>(0, 0.01)(m_random);
+        double cost = load / report.slots() + failureCost * candidate->failureRate + (report.data_centre() == request.dataCentre ? 0 : remoteCost) + tieBreak;
+        if (best && cost >= bestCost)
+            continue;
+        best = candidate;
+        bestCost = cost;
+    }
+    if (!best)
+        return { .full = true, .decode = {}, .prefill = {} };
+    const auto& id = best->row.report().id();
+    ++best->placed;
+    m_breaker.onSent(id, now);
+    m_entries[entry].placed[request.callId] = { id, now };
+    return { .decode = id, .prefill = {} };
+}
+
+void slot_planner::untrack(const placed_call& call)
+{
+    auto found = m_endpoints.find(call.endpoint);
+    // The endpoint may have restarted since, which resets its counters.
+    if (found != m_endpoints.end())
+        found->second.placed -= std::min(found->second.placed, 1U);
+}
+
+void slot_planner::clearEntry(entry_calls& calls)
+{
+    for (const auto& [id, call] : calls.placed)
+        untrack(call);
+    for (const auto& [id, count] : calls.unplaced) {
+        auto found = m_endpoints.find(id);
+        if (found != m_endpoints.end())
+            found->second.unplaced -= std::min(found->second.unplaced, count);
+    }
+}
+
+void slot_planner::replaceCalls(const std::string& entry, const std::vector<wire::running_call>& calls, const std::vector<wire::endpoint_load>& load, time_point now)
+{
+    auto& tracked = m_entries[entry];
+    entry_calls current;
+    std::map<std::string, unsigned> listed;
+    for (const auto& call : calls) {
+        if (!m_endpoints.count(call.endpoint()))
+            continue;
+        auto before = tracked.placed.find(call.id());
+        current.placed[call.id()] = { call.endpoint(), before == tracked.placed.end() ? now : before->second.placedAt };
+        ++listed[call.endpoint()];
+    }
+    for (const auto& [id, call] : tracked.placed) {
+        if (now - call.placedAt <= maxPlacementDelay)
+            current.placed.emplace(id, call);
+    }
+    for (const auto& row : load) {
+        auto known = listed[row.id()];
+        if (m_endpoints.count(row.id()) && row.requests() > known)
+            current.unplaced[row.id()] = row.requests() - known;
+    }
+    clearEntry(tracked);
+    tracked = std::move(current);
+    for (const auto& [id, call] : tracked.placed)
+        ++m_endpoints[call.endpoint].placed;
+    for (const auto& [id, count] : tracked.unplaced)
+        m_endpoints[id].unplaced += count;
+}
+
+bool slot_planner::release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now)
+{
+    auto calls = m_entries.find(entry);
+    if (calls == m_entries.end())
+        return false;
+    auto ended = calls->second.placed.find(callId);
+    if (ended == calls->second.placed.end())
+        return false;
+    auto call = ended->second;
+    calls->second.placed.erase(ended);
+    untrack(call);
+    m_breaker.onInconclusive(call.endpoint);
+    auto found = m_endpoints.find(call.endpoint);
+    if (!succeeded || found == m_endpoints.end())
+        return true;
+    auto& service = m_services[found->second.row.report().service()];
+    auto weight = std::max(minSampleWeight, 1.0 / ++service.samples);
+    service.meanServiceMs += weight * (toMs(now - call.placedAt) - service.meanServiceMs);
+    return true;
+}
+
+void slot_planner::recordSuccess(const std::string& id)
+{
+    auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    m_breaker.onSuccess(id);
+    found->second.failureRate -= failureSmoothing * found->second.failureRate;
+    found->second.refusals = 0;
+}
+
+void slot_planner::recordFailure(const std::string& id, time_point now)
+{
+    auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    m_breaker.onFailure(id, now);
+    found->second.failureRate += failureSmoothing * (1 - found->second.failureRate);
+}
+
+void slot_planner::recordRefusal(const std::string& id, time_point now)
+{
+    auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || now < found->second.backoffUntil)
+        return;
+    auto doublings = std::min(found->second.refusals++, maxBackoffDoublings);
+    found->second.backoffUntil = now + meanServiceTime(found->second.row.report().service()) * (1 << doublings);
+}
+
+void slot_planner::removeEntry(const std::string& entry)
+{
+    auto found = m_entries.find(entry);
+    if (found == m_entries.end())
+        return;
+    clearEntry(found->second);
+    m_entries.erase(found);
+}
+
+bool slot_planner::isQueued(const std::string& service) const
+{
+    auto found = m_services.find(service);
+    return found != m_services.end() && found->second.queued;
+}
+
+bool slot_planner::updateQueued(time_point now)
+{
+    struct service_load {
+        double requests = 0;
+        double slots = 0;
+    };
+    std::map<std::string, service_load> loads;
+    for (const auto& [id, candidate] : m_endpoints) {
+        const auto& report = candidate.row.report();
+        auto& load = loads[report.service()];
+        load.requests += loadOf(candidate, now);
+        if (isUsable(candidate, report.service()))
+            load.slots += report.slots();
+    }
+    bool changed = false;
+    for (const auto& [name, load] : loads) {
+        auto& service = m_services[name];
+        bool busy = load.slots > 0 && load.requests > queuedAbove * load.slots;
+        bool calm = load.slots == 0 || load.requests < calmBelow * load.slots;
+        if (!calm)
+            service.calmSince = {};
+        else if (service.calmSince == time_point {})
+            service.calmSince = now;
+        bool queued = service.queued ? load.slots > 0 && (!calm || now - service.calmSince < calmPeriod) : busy;
+        if (queued == service.queued)
+            continue;
+        logEvent(queued ? "service_queued" : "service_unqueued", { { "service", name }, { "requests", std::lround(load.requests) }, { "slots", std::lround(load.slots) }, { "service_ms", std::lround(toMs(meanServiceTime(name))) } });
+        service.queued = queued;
+        service.queuedSince = now;
+        changed = true;
+    }
+    return changed;
+}
+
+std::vector<std::string> slot_planner::queuedServices() const
+{
+    std::vector<std::string> queued;
+    for (const auto& [name, service] : m_services) {
+        if (service.queued)
+            queued.push_back(name);
+    }
+    return queued;
+}
+
+duration slot_planner::timeToFirstEvent(const placement_request& request) const
+{
+    return meanServiceTime(request.service) * tailFactor;
+}
+
+double slot_planner::expectedCompletions(const std::string& service, duration within, time_point now) const
+{
+    double busySlots = 0;
+    for (const auto& [id, candidate] : m_endpoints) {
+        if (isUsable(candidate, service))
+            busySlots += std::min(loadOf(candidate, now), static_cast<double>(candidate.row.report().slots()));
+    }
+    return busySlots * toMs(within) / toMs(meanServiceTime(service));
+}
+
+} // namespace pistachiolatch
--- a/Tests/Scheduling/PlacementQueueTest.cpp
+++ b/Tests/Scheduling/PlacementQueueTest.cpp
@@ -1,6 +1,7 @@
 // At twice the load that fits, calls used up their whole wait before they were refused, retried together a second
 // later and were refused again, while many of those served were late. Calls that can't start in time must be refused
 // at once, with staggered retry times, so that they don't take the place of calls that can.
+#include "scheduling/engine_planner.h"
 #include "scheduling/placement_queue.h"
 #include <catch2/catch.hpp>
 
@@ -51,7 +52,7 @@
         queued.waitDeadline = clock.now() + target * 7 / 10;
         queued.firstEventDeadline = clock.now() + target;
         submittedAt[queued.ticket] = clock.now();
-        queue.add(std::move(queued));
+        queue.add(std::move(queued), clock.now());
     }
 
     /// Completes the calls whose time is up and processes the queue.
@@ -75,7 +76,7 @@
 
     manual_clock_source clock;
     engine_planner planner { 7 };
-    placement_queue queue;
+    placement_queue<engine_planner> queue;
     std::uint64_t lastTicket = 0;
     std::map<std::uint64_t, time_point> submittedAt;
     std::map<std::uint64_t, time_point> running;
@@ -178,7 +179,7 @@
     stream.waitDeadline = engines.clock.now() + milliseconds(1000);
     stream.firstEventDeadline = engines.clock.now();
     stream.streamStarted = true;
-    engines.queue.add(stream);
+    engines.queue.add(stream, engines.clock.now());
     for (const auto& result : engines.step())
         CHECK(result.ticket != 1000);
     // When a call ends, the stream takes its place.
