Limits: Grant a call with the probability that an entry's share covers it

Cause: an entry's share of the fallback tokens, a hundred and ninety-fifth, was below the 200 tokens of one call, so that the fallback granted nothing at this size. Change: fallback_limiter grants a call with the probability that the share covers it and spends the share either way, so that the sum over all entries stays what it was on average.

--- a/Source/coordination/token_limiter.cpp
+++ b/Source/coordination/token_limiter.cpp
@@ -22,6 +22,7 @@
     , m_clock(clock)
     , m_link(link)
     , m_settings(settings)
+    , m_fallback(generateIncarnation())
 {
 }
 
@@ -78,16 +79,10 @@
 bool token_limiter::takeFallbackTokens(const token_request& request)
 {
     // Each entry has an equal share, so that all together stay within the fallback tokens and the rate.
-    auto entries = std::max(1U, m_link.entryCount());
-    auto rate = std::max<std::uint64_t>(1, request.rate / entries);
-    auto burst = m_settings.fallbackTokens / entries + rate / 4;
-    auto found = m_fallbackBuckets.find(request.organisation);
-    if (found == m_fallbackBuckets.end()) {
-        found = m_fallbackBuckets.emplace(request.organisation, token_bucket(rate, burst, m_clock.now())).first;
-        found->second.refund(burst, m_clock.now());
-    }
-    found->second.configure(rate, burst, m_clock.now());
-    return found->second.tryConsume(request.tokens, m_clock.now());
+    auto entries = static_cast<double>(std::max(1U, m_link.entryCount()));
+    auto rate = static_cast<double>(request.rate) / entries;
+    auto burst = static_cast<double>(m_settings.fallbackTokens) / entries + rate / 4;
+    return m_fallback.tryTake(request.organisation, rate, burst, request.tokens, m_clock.now());
 }
 
 } // namespace pistachiolatch
--- a/Source/coordination/token_limiter.h
+++ b/Source/coordination/token_limiter.h
@@ -47,7 +47,7 @@
     token_limiter_settings m_settings;
     /// The owner is not asked until then, since it did not reply.
     time_point m_skipOwnerUntil {};
-    std::map<std::string, token_bucket> m_fallbackBuckets;
+    fallback_limiter m_fallback;
 };
 
 } // namespace pistachiolatch
--- /dev/null
+++ b/Source/limits/fallback_limiter.h
@@ -0,0 +1,34 @@
+#pragma once
+#include "kernel/kernel.h"
+#include <map>
+#include <random>
+#include <string>
+
+namespace pistachiolatch {
+
+/// An entry's equal share of the organisations' limits while the limits have no owner. Load pattern: with hundreds of
+/// entries a share is smaller than one call, and a share that must cover a whole call grants nothing at all. So a call is
+/// granted with the probability that the share covers it, and the share is spent either way: all entries together then
+/// grant the sum of their shares on average.
+/// Not thread-safe.
+class fallback_limiter {
+public:
+    explicit fallback_limiter(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    /// Takes tokens from the organisation's share, which refills at `rate` tokens a second and holds `burst` tokens at first
+    /// and at most. Returns whether the call is granted.
+    bool tryTake(const std::string& organisation, double rate, double burst, std::uint64_t tokens, time_point now);
+
+private:
+    struct share {
+        double level = 0;
+        time_point refilledAt {};
+    };
+    std::mt19937_64 m_random;
+    std::map<std::string, share> m_shares;
+};
+
+} // namespace pistachiolatch
