Membership: Find endpoints by address and by change, not by walking all

Cause: each heartbeat compared its address with those of all endpoints, at each control process, and each entry's request for changes walked all rows, so that the work at control grew with the square of the fleet. Change: indexes by address and by the version of the last change.

--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -48,11 +48,39 @@
     return now - endpoint.reportingSince < m_settings.restartConfirmation;
 }
 
+void endpoint_directory::markChanged(known_endpoint& endpoint)
+{
+    m_byChangedVersion.erase(endpoint.changedVersion);
+    endpoint.changedVersion = ++m_version;
+    m_byChangedVersion.emplace(endpoint.changedVersion, &endpoint);
+}
+
+void endpoint_directory::updateAddressIndex(known_endpoint& endpoint, const std::string& address)
+{
+    if (endpoint.indexedAddress == address)
+        return;
+    auto [begin, end] = m_byAddress.equal_range(endpoint.indexedAddress);
+    auto listed = std::find_if(begin, end, [&](const auto& item) { return item.second == &endpoint; });
+    if (listed != end)
+        m_byAddress.erase(listed);
+    endpoint.indexedAddress = address;
+    if (!address.empty())
+        m_byAddress.emplace(address, &endpoint);
+}
+
+void endpoint_directory::removeFromIndexes(known_endpoint& endpoint)
+{
+    m_byChangedVersion.erase(endpoint.changedVersion);
+    updateAddressIndex(endpoint, {});
+}
+
 bool endpoint_directory::resolveAddressConflict(const wire::endpoint_report& report)
 {
-    for (auto& [id, other] : m_endpoints) {
+    auto [begin, end] = m_byAddress.equal_range(report.address());
+    for (auto it = begin; it != end; ++it) {
+        auto& other = *it->second;
         auto& known = *other.row.mutable_report();
-        if (id == report.id() || known.address() != report.address() || isGone(known))
+        if (known.id() == report.id() || isGone(known))
             continue;
         // A delayed report of an earlier incarnation; another endpoint has taken over the address.
         if (known.born_ms() > report.born_ms())
@@ -98,6 +126,7 @@
     auto& endpoint = found == m_endpoints.end() ? m_endpoints[report.id()] : found->second;
     bool changed = found == m_endpoints.end() || endpoint.row.silent() || !isEquivalentForReaders(report, endpoint.row.report());
     *endpoint.row.mutable_report() = report;
+    updateAddressIndex(endpoint, report.address());
     endpoint.goneWithoutIncarnation = false;
     endpoint.row.set_silent(false);
     endpoint.lastReportAt = now;
@@ -123,7 +152,12 @@
         auto& endpoint = it->second;
         auto silence = now - endpoint.lastReportAt;
         if (isGone(endpoint.row.report())) {
-            it = silence > m_settings.goneRetention ? m_endpoints.erase(it) : std::next(it);
+            if (silence <= m_settings.goneRetention) {
+                ++it;
+                continue;
+            }
+            removeFromIndexes(endpoint);
+            it = m_endpoints.erase(it);
             continue;
         }
         if (silence > m_settings.goneAfter) {
@@ -141,10 +175,8 @@
 std::vector<wire::endpoint_row> endpoint_directory::changesSince(std::uint64_t version) const
 {
     std::vector<wire::endpoint_row> rows;
-    for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint.changedVersion > version)
-            rows.push_back(endpoint.row);
-    }
+    for (auto it = m_byChangedVersion.upper_bound(version); it != m_byChangedVersion.end(); ++it)
+        rows.push_back(it->second->row);
     return rows;
 }
 
@@ -156,19 +188,16 @@
 
 directory_page endpoint_directory::pageSince(std::uint64_t version, std::size_t maxRows) const
 {
-    std::vector<const known_endpoint*> changed;
-    for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint.changedVersion > version)
-            changed.push_back(&endpoint);
-    }
-    std::sort(changed.begin(), changed.end(), [](const auto* left, const auto* right) { return left->changedVersion < right->changedVersion; });
     directory_page page;
-    page.more = changed.size() > maxRows;
-    if (page.more)
-        changed.resize(maxRows);
-    page.version = page.more ? changed.back()->changedVersion : m_version;
-    for (const auto* endpoint : changed)
-        page.rows.push_back(endpoint->row);
+    page.version = m_version;
+    for (auto it = m_byChangedVersion.upper_bound(version); it != m_byChangedVersion.end(); ++it) {
+        page.more = page.rows.size() == maxRows;
+        if (page.more) {
+            page.version = page.rows.empty() ? version : std::prev(it)->first;
+            break;
+        }
+        page.rows.push_back(it->second->row);
+    }
     return page;
 }
 
--- a/Source/membership/endpoint_directory.h
+++ b/Source/membership/endpoint_directory.h
@@ -3,6 +3,7 @@
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pistachiolatch {
@@ -36,6 +37,8 @@
 public:
     /// `source` distinguishes the versions of this directory from those of others.
     endpoint_directory(std::uint64_t source, directory_settings settings);
+    endpoint_directory(const endpoint_directory&) = delete;
+    endpoint_directory& operator=(const endpoint_directory&) = delete;
 
     /// Applies a report. Returns whether any endpoint changed.
     bool applyReport(const wire::endpoint_report& report, time_point now);
@@ -59,6 +62,8 @@
         wire::endpoint_row row;
         time_point lastReportAt;
         std::uint64_t changedVersion = 0;
+        /// The address under which m_byAddress lists the endpoint; empty if it does not.
+        std::string indexedAddress;
         /// Whether its GONE report named no incarnation.
         bool goneWithoutIncarnation = false;
         /// The incarnation that reported after such a GONE report, and since when.
@@ -70,12 +75,17 @@
     bool isOlder(const wire::endpoint_report& report, const wire::endpoint_report& known) const;
     /// Marks endpoints with the same address as gone unless they started later. Returns true if one started later.
     bool resolveAddressConflict(const wire::endpoint_report& report);
-    void markChanged(known_endpoint& endpoint) { endpoint.changedVersion = ++m_version; }
+    void markChanged(known_endpoint& endpoint);
+    void updateAddressIndex(known_endpoint& endpoint, const std::string& address);
+    void removeFromIndexes(known_endpoint& endpoint);
 
     std::uint64_t m_source;
     directory_settings m_settings;
     std::uint64_t m_version = 0;
     std::map<std::string, known_endpoint> m_endpoints;
+    /// Each report and each entry's request looks for a few endpoints among thousands, so both go by an index.
+    std::map<std::uint64_t, known_endpoint*> m_byChangedVersion;
+    std::unordered_multimap<std::string, known_endpoint*> m_byAddress;
 };
 
 } // namespace pistachiolatch
--- a/Tests/Membership/EndpointDirectoryTest.cpp
+++ b/Tests/Membership/EndpointDirectoryTest.cpp
@@ -1,5 +1,7 @@
 #include "membership/membership.h"
 #include <catch2/catch.hpp>
+#include <ctime>
+#include <functional>
 
 using namespace pistachiolatch;
 
@@ -149,3 +151,70 @@
     CHECK(directory.applyReport(goneReport, clock.now()));
     CHECK(directory.applyReport(reportOf("d1", 30, 1), clock.now()));
 }
+
+namespace {
+/// Processor time of one heartbeat, and of one request for changes by a reader that is up to date.
+struct directory_cost {
+    double report = 0;
+    double request = 0;
+};
+
+directory_cost measureCost(int endpoints)
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    auto report = [&](int i, std::uint64_t sequence) {
+        directory.applyReport(reportOf("e" + std::to_string(i), 1, sequence, "10.0." + std::to_string(i / 200) + "." + std::to_string(i % 200) + ":80"), clock.now());
+    };
+    auto processorTime = [](const std::function<void()>& work) {
+        auto begin = std::clock();
+        work();
+        return static_cast<double>(std::clock() - begin);
+    };
+    for (int i = 0; i < endpoints; ++i)
+        report(i, 1);
+    constexpr int repetitions = 6000;
+    directory_cost cost;
+    cost.report = processorTime([&] {
+        for (int i = 0; i < repetitions; ++i)
+            report(i % endpoints, 2 + static_cast<std::uint64_t>(i / endpoints));
+    });
+    cost.request = processorTime([&] {
+        for (int i = 0; i < repetitions; ++i)
+            directory.pageSince(directory.version(), 100);
+    });
+    return cost;
+}
+}
+
+// Guards against control processes that are saturated by heartbeats: each walked all endpoints, so that the work grew with
+// their square.
+TEST_CASE("Heartbeats and requests for changes cost about the same for thirty and three thousand endpoints")
+{
+    constexpr double maxGrowth = 10;
+    auto few = measureCost(30);
+    auto many = measureCost(3000);
+    CHECK(many.report < maxGrowth * std::max(few.report, 1.0));
+    CHECK(many.request < maxGrowth * std::max(few.request, 1000.0));
+}
+
+TEST_CASE("An address that moves between endpoints is found under its new owner")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    directory.applyReport(reportOf("a", 1, 1, "10.0.0.1:80"), clock.now());
+    directory.applyReport(reportOf("b", 2, 1, "10.0.0.2:80"), clock.now());
+    // b moves away, c takes over its former address, then a's.
+    directory.applyReport(reportOf("b", 2, 2, "10.0.0.3:80"), clock.now());
+    directory.applyReport(reportOf("c", 3, 1, "10.0.0.2:80"), clock.now());
+    CHECK(directory.find("b")->report().state() == wire::ENDPOINT_SERVING);
+    directory.applyReport(reportOf("c", 3, 2, "10.0.0.1:80"), clock.now());
+    CHECK(directory.find("a")->report().state() == wire::ENDPOINT_GONE);
+    CHECK(directory.find("b")->report().state() == wire::ENDPOINT_SERVING);
+    clock.advance(directory_settings().goneRetention + std::chrono::milliseconds(1));
+    directory.applyReport(reportOf("b", 2, 3, "10.0.0.3:80"), clock.now());
+    directory.applyReport(reportOf("c", 3, 3, "10.0.0.1:80"), clock.now());
+    directory.expire(clock.now());
+    CHECK_FALSE(directory.find("a"));
+    CHECK(directory.changesSince(0).size() == 2);
+}
