Scheduling: Prefer endpoints that are no longer slow after their start

Cause: the owner of a plain service's slots ignored that a new endpoint is slow at first, which entries weigh when they choose alone. Change: the same weight for the owner. SlotPlannerTest fails without it.

--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -24,6 +24,8 @@
     /// An endpoint that fails all its calls is used only if all others are full.
     constexpr double failureCost = 4;
     constexpr double remoteCost = 0.02;
+    /// An endpoint that has just started and is still slow is used only if the others are nearly full.
+    constexpr double coldCost = 1;
     /// Backoff after a refusal, in mean service times, doubled with each further one.
     constexpr unsigned maxBackoffDoublings = 3;
 
@@ -119,7 +121,9 @@
         if (load + 1 > capacityOf(*candidate))
             continue;
         double tieBreak = std::uniform_real_distribution<double>(0, 0.01)(m_random);
-        double cost = load / report.slots() + failureCost * candidate->failureRate + (report.data_centre() == request.dataCentre ? 0 : remoteCost) + tieBreak;
+        double cost = load / report.slots() + failureCost * candidate->failureRate + tieBreak;
+        cost += report.data_centre() == request.dataCentre ? 0 : remoteCost;
+        cost += report.cold_ms() > 0 ? coldCost : 0;
         if (best && cost >= bestCost)
             continue;
         best = candidate;
--- a/Tests/Scheduling/SlotPlannerTest.cpp
+++ b/Tests/Scheduling/SlotPlannerTest.cpp
@@ -221,3 +221,15 @@
         CHECK(planner.place("a", makeRequest(++id), clock.now()).decode == "good");
     CHECK(planner.place("a", makeRequest(++id), clock.now()).decode != "good");
 }
+
+TEST_CASE("An endpoint that is still slow after its start gets calls only when the others are nearly full")
+{
+    manual_clock_source clock;
+    slot_planner planner(1);
+    auto cold = makeRow("cold", 4);
+    cold.mutable_report()->set_cold_ms(2000);
+    planner.updateEndpoint(cold);
+    planner.updateEndpoint(makeRow("warm", 4));
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        CHECK(planner.place("a", makeRequest(id), clock.now()).decode == "warm");
+}
