--- a/Tests/Coordination/EntryLoadsTest.cpp
+++ b/Tests/Coordination/EntryLoadsTest.cpp
@@ -17,7 +17,7 @@
     return loads;
 }
 
-std::map<std::string, std::uint32_t> othersOf(const entry_loads& all, const std::string& entry)
+std::map<std::string, std::uint32_t> othersOf(entry_loads& all, const std::string& entry)
 {
     entry_loads::loads others;
     all.fillOthers(entry, others);
@@ -73,3 +73,36 @@
         REQUIRE(othersOf(all, "entry-0") == expected);
     }
 }
+
+// Guards against answers to entries that grow with the number of endpoints: the leader's traffic then grows with its product
+// with the number of entries.
+TEST_CASE("An entry receives the load of the busiest endpoints only, if there are thousands")
+{
+    constexpr unsigned entries = 300;
+    constexpr unsigned endpoints = 3000;
+    entry_loads all;
+    for (unsigned entry = 0; entry < entries; ++entry) {
+        std::map<std::string, std::uint32_t> requests;
+        for (unsigned i = 0; i < endpoints / entries; ++i)
+            requests["d" + std::to_string(entry * (endpoints / entries) + i)] = 1;
+        // All entries use these too.
+        for (unsigned i = 0; i < 10; ++i)
+            requests["busy" + std::to_string(i)] = 1;
+        all.replace("e" + std::to_string(entry), loadsOf(requests));
+    }
+    auto others = othersOf(all, "e7");
+    CHECK(others.size() <= entry_loads::maxRows);
+    for (unsigned i = 0; i < 10; ++i)
+        CHECK(others["busy" + std::to_string(i)] == entries - 1);
+    entry_loads::loads rows;
+    all.fillOthers("e7", rows);
+    wire::entry_update update;
+    *update.mutable_load() = rows;
+    // Two answers a second within a quarter of the 16 KB/s that a VM may spend on control.
+    constexpr std::size_t bytesPerAnswer = 2048;
+    CHECK(update.ByteSizeLong() <= bytesPerAnswer);
+    // Endpoints that become busy are listed soon.
+    for (unsigned entry = 0; entry < entries; ++entry)
+        all.replace("e" + std::to_string(entry), loadsOf({ { "new", 2 } }));
+    CHECK(othersOf(all, "e7")["new"] == 2 * (entries - 1));
+}
