Forwarding: Don't send a call whose caller left while it waited for a slot

What callers saw: nothing, but a booking could be made for a caller who had left, since the call waits for the owner's answer now and was sent without another look. Change: the call ends and its slot is freed.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -91,6 +91,8 @@
     task_of<std::optional<selected_endpoint>> awaitSlot();
     /// Runs one attempt at an endpoint, and reports its end if the leader chose it.
     task_of<attempt_outcome> attemptServiceCall(const selected_endpoint& endpoint);
+    /// Frees the slot that the leader reserved, if it did, and reports the outcomes of its endpoint.
+    void reportPlacedCallEnded();
     task_of<void> runModelCall();
     task_of<std::optional<model_placement>> awaitPlacement();
     task_of<std::optional<wire::engine_plan_reply>> requestPlan();
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -284,6 +284,11 @@
             m_noRetryReason = no_retry_reason::NoEndpoint;
             break;
         }
+        // The caller may have left while the call waited for a slot.
+        if (isAborted()) {
+            reportPlacedCallEnded();
+            break;
+        }
         auto outcome = co_await attemptServiceCall(*endpoint);
         if (outcome == attempt_outcome::Completed)
             co_return;
@@ -313,7 +318,7 @@
         if (planned)
             co_return planned;
         if (plan)
-            m_shared.link.reportFinished({ m_callId, {}, {} });
+            reportPlacedCallEnded();
         m_callId = 0;
     }
     endpoint_query query;
@@ -330,14 +335,19 @@
         m_shared.endpoints.addRunningCall(m_callId, endpoint.id, 0, 0);
     auto options = makeAttemptOptions(endpoint);
     auto outcome = co_await sendAttempt(endpoint, std::move(options));
-    if (m_callId != 0) {
-        m_shared.endpoints.removeRunningCall(m_callId);
-        m_shared.link.reportFinished({ m_callId, {}, std::exchange(m_outcomes, {}) });
-    }
-    m_outcomes = {};
+    m_shared.endpoints.removeRunningCall(m_callId);
+    reportPlacedCallEnded();
     co_return outcome;
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::reportPlacedCallEnded()
+{
+    auto outcomes = std::exchange(m_outcomes, {});
+    if (m_callId != 0)
+        m_shared.link.reportFinished({ m_callId, {}, std::move(outcomes) });
+}
+
 template <call_codec Codec>
 bool call_forwarder<Codec>::prepareRetry(attempt_outcome outcome, const std::string& endpointId)
 {
--- a/Tests/Platform/BusyServiceTest.cpp
+++ b/Tests/Platform/BusyServiceTest.cpp
@@ -3,6 +3,7 @@
 #include "Platform/platform_fleet.h"
 #include "platform_names.h"
 #include <catch2/catch.hpp>
+#include <sstream>
 #include <thread>
 
 using namespace pistachiolatch;
@@ -73,6 +74,43 @@
     std::vector<std::thread> m_callers;
 };
 
+/// Callers that leave long before a call that waits is refused. They leave again and again until the object is destroyed.
+class impatient_callers {
+public:
+    static constexpr milliseconds patience { 60 };
+
+    explicit impatient_callers(platform_fleet& fleet)
+    {
+        for (int i = 0; i < 6; ++i) {
+            m_threads.emplace_back([this, &fleet, i] {
+                for (int n = 0; !m_stopped; ++n) {
+                    http_headers headers { { "Host", "h.example" }, { platform_names::requestId, fmt::format("left-{}-{}", i, n) }, { platform_names::deadlineMs, "5000" }, { platform_names::authorization, "Token key-1" } };
+                    fleet.call(fleet.entryAddress(1), "POST", "/book/x", headers, "left", patience);
+                }
+            });
+        }
+    }
+    ~impatient_callers()
+    {
+        m_stopped = true;
+        for (auto& thread : m_threads)
+            thread.join();
+    }
+    impatient_callers(const impatient_callers&) = delete;
+    impatient_callers& operator=(const impatient_callers&) = delete;
+
+private:
+    std::atomic<bool> m_stopped { false };
+    std::vector<std::thread> m_threads;
+};
+
+/// The number in a log line after the field's name; -1 if it has none.
+int fieldOf(const std::string& line, const std::string& name)
+{
+    auto at = line.find(" " + name + "=");
+    return at == std::string::npos ? -1 : std::stoi(line.substr(at + name.size() + 2));
+}
+
 /// A control process whose output has the event; 0 if none has.
 int controlWithEvent(const platform_fleet& fleet, const std::string& event)
 {
@@ -84,6 +122,34 @@
 }
 }
 
+namespace {
+/// Sends the reports of endpoints to all control processes in turn until it is destroyed.
+class reporter {
+public:
+    reporter(platform_fleet& fleet, std::vector<fake_endpoint*> endpoints)
+        : m_thread([this, &fleet, endpoints = std::move(endpoints)] {
+            for (int control = 1; !m_stopped; control = control % fleet.controls() + 1) {
+                for (auto* endpoint : endpoints)
+                    fleet.sendReport(*endpoint, "ready", control);
+                std::this_thread::sleep_for(std::chrono::milliseconds(200));
+            }
+        })
+    {
+    }
+    ~reporter()
+    {
+        m_stopped = true;
+        m_thread.join();
+    }
+    reporter(const reporter&) = delete;
+    reporter& operator=(const reporter&) = delete;
+
+private:
+    std::atomic<bool> m_stopped { false };
+    std::thread m_thread;
+};
+}
+
 TEST_CASE("Calls to a busy service are placed by one owner, and go on when it or an entry is killed")
 {
     platform_fleet fleet(3, 2);
@@ -93,14 +159,7 @@
     app2.setDelay(serviceTime);
     fleet.start();
     REQUIRE(fleet.submitConfiguration(exampleConfiguration(7, 10'000'000)) == 200);
-    std::atomic<bool> reporting { true };
-    std::thread reporter([&] {
-        for (int control = 1; reporting; control = control % 3 + 1) {
-            fleet.sendReport(app1, "ready", control);
-            fleet.sendReport(app2, "ready", control);
-            std::this_thread::sleep_for(std::chrono::milliseconds(200));
-        }
-    });
+    reporter reports(fleet, { &app1, &app2 });
     CHECK(eventually([&] { return fleet.isEntryReady(1) && fleet.isEntryReady(2); }));
     {
         booking_load load(fleet);
@@ -128,6 +187,35 @@
         for (const auto& id : load.notRun())
             CHECK(runs.count(id) == 0);
     }
-    reporting = false;
-    reporter.join();
+}
+
+// Guards against bookings that are made for callers who left while their calls waited for a slot.
+TEST_CASE("A call whose caller left while it waited is not sent")
+{
+    platform_fleet fleet(3, 2);
+    fake_endpoint app("app-1", fleet.endpointAddress(1), "app", "");
+    app.setDelay(serviceTime);
+    fleet.start();
+    REQUIRE(fleet.submitConfiguration(exampleConfiguration(7, 10'000'000)) == 200);
+    reporter reports(fleet, { &app });
+    REQUIRE(eventually([&] { return fleet.isEntryReady(1) && fleet.isEntryReady(2); }));
+    auto callsLeft = [&] {
+        int left = 0;
+        std::istringstream lines(readFile(fleet.folder() + "/entry-1.out"));
+        for (std::string line; std::getline(lines, line);) {
+            if (line.find("event=call_ended") == std::string::npos || fieldOf(line, "endpoint_wait_ms") < 2 * impatient_callers::patience.count() || line.find("request=left-") == std::string::npos)
+                continue;
+            ++left;
+            CHECK(fieldOf(line, "sends") == 0);
+        }
+        return left;
+    };
+    {
+        booking_load load(fleet);
+        REQUIRE(eventually([&] { return controlWithEvent(fleet, "service_queued") != 0; }));
+        impatient_callers callers(fleet);
+        auto answeredBefore = load.answered();
+        CHECK(eventually([&] { return load.answered() > answeredBefore + 100; }));
+    }
+    CHECK(callsLeft() > 0);
 }
