Scheduling, Coordination: One choice by health for both planners, one timer for both queues

The planners for engines and for slots sorted their candidates by health in the same way, and both queues armed their timers alike. No change of behaviour; SchedulingTest and BusyServiceTest pass.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -27,8 +27,8 @@
     , m_pieceTimer(context)
     , m_planner(generateIncarnation())
     , m_slotPlanner(generateIncarnation())
-    , m_planTimer(context)
-    , m_slotTimer(context)
+    , m_planTimer { boost::asio::steady_timer(context) }
+    , m_slotTimer { boost::asio::steady_timer(context) }
     , m_timer(context)
     , m_limitTimer(context)
 {
@@ -49,8 +49,8 @@
 {
     m_timer.cancel();
     m_limitTimer.cancel();
-    m_planTimer.cancel();
-    m_slotTimer.cancel();
+    m_planTimer.timer.cancel();
+    m_slotTimer.timer.cancel();
     m_pieceTimer.cancel();
 }
 
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -94,6 +94,12 @@
         wire::envelope message;
     };
 
+    /// Retries the calls of a queue while any wait.
+    struct queue_timer {
+        boost::asio::steady_timer timer;
+        bool armed = false;
+    };
+
     void onSync(const wire::envelope& message, const peer_network::peer& from);
     void onDocumentRequest(const wire::document_ask& request, const peer_network::peer& from);
     void onDirectoryRequest(const wire::directory_ask& request, const peer_network::peer& from);
@@ -108,6 +114,7 @@
     void onRelease(const wire::envelope& message, const peer_network::peer& from);
     void processPlanQueue();
     void processSlotQueue();
+    void armQueueTimer(queue_timer& timer, milliseconds interval, void (entry_coordinator::*process)());
     template <typename Planner>
     void placeWaiting(placement_queue<Planner>& queue, Planner& planner);
     static queued_request decodeQueuedRequest(const wire::engine_plan_request& request, time_point now);
@@ -154,10 +161,8 @@
     std::uint64_t m_queuedServicesVersion = 0;
     time_point m_queuedServicesCheckedAt {};
     std::map<std::uint64_t, pending_request> m_pendingPlans;
-    boost::asio::steady_timer m_planTimer;
-    bool m_planTimerArmed = false;
-    boost::asio::steady_timer m_slotTimer;
-    bool m_slotTimerArmed = false;
+    queue_timer m_planTimer;
+    queue_timer m_slotTimer;
     std::optional<rate_limiter> m_limits;
     /// Organisations that m_limits holds.
     std::set<std::string> m_limitedOrganisations;
--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -1,6 +1,8 @@
 // Placement of model calls, and of other calls to busy services.
 #include "coordination/entry_coordinator.h"
 
+#include <utility>
+
 namespace pistachiolatch {
 
 namespace {
@@ -117,32 +119,30 @@
         sendPlanReply(decision.ticket, decision.placement, decision.retryAfter);
 }
 
-void entry_coordinator::processPlanQueue()
+void entry_coordinator::armQueueTimer(queue_timer& timer, milliseconds interval, void (entry_coordinator::*process)())
 {
-    placeWaiting(m_planQueue, m_planner);
-    if (m_planQueue.empty() || m_planTimerArmed)
+    if (std::exchange(timer.armed, true))
         return;
-    m_planTimerArmed = true;
-    m_planTimer.expires_after(planInterval);
-    m_planTimer.async_wait([this](boost::system::error_code error) {
-        m_planTimerArmed = false;
+    timer.timer.expires_after(interval);
+    timer.timer.async_wait([this, &timer, process](boost::system::error_code error) {
+        timer.armed = false;
         if (!error)
-            processPlanQueue();
+            (this->*process)();
     });
 }
 
+void entry_coordinator::processPlanQueue()
+{
+    placeWaiting(m_planQueue, m_planner);
+    if (!m_planQueue.empty())
+        armQueueTimer(m_planTimer, planInterval, &entry_coordinator::processPlanQueue);
+}
+
 void entry_coordinator::processSlotQueue()
 {
     placeWaiting(m_slotQueue, m_slotPlanner);
-    if (m_slotQueue.empty() || m_slotTimerArmed)
-        return;
-    m_slotTimerArmed = true;
-    m_slotTimer.expires_after(slotInterval);
-    m_slotTimer.async_wait([this](boost::system::error_code error) {
-        m_slotTimerArmed = false;
-        if (!error)
-            processSlotQueue();
-    });
+    if (!m_slotQueue.empty())
+        armQueueTimer(m_slotTimer, slotInterval, &entry_coordinator::processSlotQueue);
 }
 
 void entry_coordinator::updateQueuedServices()
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/engine_planner.h"
 
+#include "scheduling/candidate_groups.h"
 #include "scheduling/output_estimator.h"
 #include <algorithm>
 #include <cmath>
@@ -62,22 +63,12 @@
 
 std::vector<engine_planner::engine*> engine_planner::candidates(const placement_request& request, wire::endpoint_stage stage, time_point now)
 {
-    std::vector<engine*> healthy;
-    std::vector<engine*> failing;
-    std::vector<engine*> avoided;
+    candidate_groups<engine> groups;
     for (auto& [id, candidate] : m_engines) {
-        if (!isEligible(candidate, request, stage) || isChangingStage(candidate, now) || now < candidate.backoffUntil)
-            continue;
-        if (request.avoid.count(id))
-            avoided.push_back(&candidate);
-        else
-            (m_breaker.allows(id, now) ? healthy : failing).push_back(&candidate);
+        if (isEligible(candidate, request, stage) && !isChangingStage(candidate, now) && now >= candidate.backoffUntil)
+            groups.add(candidate, id, request.avoid, m_breaker, now);
     }
-    // If most engines fail, the cause is elsewhere, and the remaining ones would be overloaded.
-    if (failing.size() > healthy.size())
-        healthy.insert(healthy.end(), failing.begin(), failing.end());
-    // Avoided engines are used only if there is no other; otherwise the call waits for a healthy engine.
-    return healthy.empty() ? avoided : healthy;
+    return groups.preferred();
 }
 
 const engine_speed_model& engine_planner::speedModelOf(const std::string& endpoint) const
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/slot_planner.h"
 
+#include "scheduling/candidate_groups.h"
 #include <algorithm>
 #include <cmath>
 
@@ -87,21 +88,12 @@
 
 std::vector<slot_planner::endpoint*> slot_planner::candidates(const placement_request& request, time_point now)
 {
-    std::vector<endpoint*> healthy;
-    std::vector<endpoint*> failing;
-    std::vector<endpoint*> avoided;
+    candidate_groups<endpoint> groups;
     for (auto& [id, candidate] : m_endpoints) {
-        if (!isUsable(candidate, request.service) || request.exclude.count(id) || now < candidate.backoffUntil)
-            continue;
-        if (request.avoid.count(id))
-            avoided.push_back(&candidate);
-        else
-            (m_breaker.allows(id, now) ? healthy : failing).push_back(&candidate);
+        if (isUsable(candidate, request.service) && !request.exclude.count(id) && now >= candidate.backoffUntil)
+            groups.add(candidate, id, request.avoid, m_breaker, now);
     }
-    // If most endpoints fail, the cause is elsewhere, and the remaining ones would be overloaded.
-    if (failing.size() > healthy.size())
-        healthy.insert(healthy.end(), failing.begin(), failing.end());
-    return healthy.empty() ? avoided : healthy;
+    return groups.preferred();
 }
 
 bool slot_planner::hasEndpoints(const placement_request& request) const
