Limits: Let a share cover a call in part only if even a full share can't, and at most half of it

Cause: the owner changes twice in the window, which leaves half a second of the rate as margin on average. Change: with few entries a share is counted exactly, as before; a call of more than twice a full share is refused, as before.

--- a/Source/limits/fallback_limiter.cpp
+++ b/Source/limits/fallback_limiter.cpp
@@ -4,6 +4,11 @@
 
 namespace pistachiolatch {
 
+namespace {
+    /// Largest call that a share may cover in part, as a multiple of the share.
+    constexpr double maxCallShares = 2;
+}
+
 bool fallback_limiter::tryTake(const std::string& organisation, double rate, double burst, std::uint64_t tokens, time_point now)
 {
     auto [found, isNew] = m_shares.try_emplace(organisation, share { burst, now });
@@ -16,6 +21,9 @@
         own.level -= needed;
         return true;
     }
+    // A full share covers the call: it is granted once the share has refilled.
+    if (needed <= burst || needed > maxCallShares * burst)
+        return false;
     bool granted = std::uniform_real_distribution<double>(0, needed)(m_random) < own.level;
     own.level = 0;
     return granted;
--- a/Source/limits/fallback_limiter.h
+++ b/Source/limits/fallback_limiter.h
@@ -7,9 +7,10 @@
 namespace pistachiolatch {
 
 /// An entry's equal share of the organisations' limits while the limits have no owner. Load pattern: with hundreds of
-/// entries a share is smaller than one call, and a share that must cover a whole call grants nothing at all. So a call is
-/// granted with the probability that the share covers it, and the share is spent either way: all entries together then
-/// grant the sum of their shares on average.
+/// entries a full share is smaller than one call, and would grant nothing at all. Then a call is granted with the
+/// probability that the share covers it, and the share is spent either way: all entries together then grant the sum of
+/// their shares on average. A call of more than twice the full share is refused: a few entries that each grant one by
+/// chance would exceed the organisation's limit by far.
 /// Not thread-safe.
 class fallback_limiter {
 public:
--- a/Tests/Limits/FallbackLimiterTest.cpp
+++ b/Tests/Limits/FallbackLimiterTest.cpp
@@ -14,10 +14,11 @@
 /// The limits of an organisation at all entries, without an owner.
 class fallback_fleet {
 public:
-    fallback_fleet()
+    explicit fallback_fleet(unsigned entries = entryCount, std::uint64_t seed = 7)
+        : m_random(seed)
     {
-        for (unsigned i = 0; i < entryCount; ++i)
-            m_entries.emplace_back(i + 1);
+        for (unsigned i = 0; i < entries; ++i)
+            m_entries.emplace_back(seed * 1000 + i);
     }
 
     /// Sends calls to random entries for the given time. Returns the tokens granted.
@@ -27,8 +28,9 @@
         auto calls = static_cast<unsigned>(callsPerSecond * std::chrono::duration<double>(time).count());
         for (unsigned i = 0; i < calls; ++i) {
             clock.advance(std::chrono::duration_cast<duration>(time) / calls);
-            auto& entry = m_entries[m_random() % entryCount];
-            if (entry.tryTake("org", rate / entryCount, burst / entryCount, tokens, clock.now()))
+            auto entries = static_cast<double>(m_entries.size());
+            auto& entry = m_entries[m_random() % m_entries.size()];
+            if (entry.tryTake("org", rate / entries, burst / entries, tokens, clock.now()))
                 granted += static_cast<double>(tokens);
         }
         return granted;
@@ -37,7 +39,7 @@
     manual_clock_source clock;
 
 private:
-    std::mt19937_64 m_random { 7 };
+    std::mt19937_64 m_random;
     std::vector<fallback_limiter> m_entries;
 };
 }
@@ -64,6 +66,20 @@
     }
 }
 
+// Guards against an organisation that exceeds its limit while owners change: a few entries that each grant one large call by
+// chance spend several times their shares.
+TEST_CASE("No fleet grants much more than the limit, however few its entries and large the calls")
+{
+    for (unsigned entries : { 7U, 40U, 195U }) {
+        for (std::uint64_t tokens : { 200U, 3000U, 14'000U }) {
+            for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+                fallback_fleet fleet(entries, seed);
+                CHECK(fleet.send(10 * rate / static_cast<double>(tokens), tokens, std::chrono::seconds(1)) <= 1.1 * (burst + rate));
+            }
+        }
+    }
+}
+
 TEST_CASE("A share that covers a call grants it and keeps the rest")
 {
     manual_clock_source clock;
