Coordination: Tell entries of endpoints that serve together, each 50 ms

Cause: each endpoint's first report went to each entry in a message of its own: 900,000 at 300 entries and 2,997 endpoints, at the start and after all VMs lost power. Change: entries are told of serving endpoints in batches; one that leaves is announced at once, before its leaving is confirmed. One class of timer serves this and the queues. StateTransferTest "Endpoints that report together…" gets 1,000 updates for 1,000 endpoints without it.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry_coordinator.h"
 
+#include <utility>
+
 namespace pistachiolatch {
 
 namespace {
@@ -11,6 +13,8 @@
     constexpr milliseconds electionDuration { 1500 };
     /// Timeout of the leader's confirmation that an endpoint leaves. Endpoints try the next VM after a second.
     constexpr milliseconds confirmTimeout { 700 };
+    /// Delay before entries are told of endpoints that serve, so that many of them go in one message.
+    constexpr milliseconds announcementDelay { 50 };
 }
 
 entry_coordinator::entry_coordinator(boost::asio::io_context& context, peer_network& network, document_replica& replica, const clock_source& clock,
@@ -29,6 +33,7 @@
     , m_slotPlanner(generateIncarnation())
     , m_planTimer { boost::asio::steady_timer(context) }
     , m_slotTimer { boost::asio::steady_timer(context) }
+    , m_announcementTimer { boost::asio::steady_timer(context) }
     , m_timer(context)
     , m_limitTimer(context)
 {
@@ -51,9 +56,22 @@
     m_limitTimer.cancel();
     m_planTimer.timer.cancel();
     m_slotTimer.timer.cancel();
+    m_announcementTimer.timer.cancel();
     m_pieceTimer.cancel();
 }
 
+void entry_coordinator::armTimer(one_shot_timer& timer, milliseconds delay, void (entry_coordinator::*action)())
+{
+    if (std::exchange(timer.armed, true))
+        return;
+    timer.timer.expires_after(delay);
+    timer.timer.async_wait([this, &timer, action](boost::system::error_code error) {
+        timer.armed = false;
+        if (!error)
+            (this->*action)();
+    });
+}
+
 void entry_coordinator::onTimer()
 {
     auto now = m_clock.now();
@@ -205,7 +223,7 @@
 void entry_coordinator::handleReport(const wire::endpoint_report& report, std::function<void(bool)> handler)
 {
     if (applyReport(report))
-        pushChanges();
+        pushReported(report);
     bool isLeaving = report.state() != wire::ENDPOINT_SERVING;
     auto leader = m_replica.leaderAddress();
     bool isLeader = m_replica.isLeader();
@@ -238,6 +256,15 @@
     });
 }
 
+void entry_coordinator::pushReported(const wire::endpoint_report& report)
+{
+    // An endpoint expects no new work once its leaving is confirmed.
+    if (report.state() == wire::ENDPOINT_SERVING)
+        armTimer(m_announcementTimer, announcementDelay, &entry_coordinator::pushChanges);
+    else
+        pushChanges();
+}
+
 bool entry_coordinator::applyReport(const wire::endpoint_report& report)
 {
     auto now = m_clock.now();
@@ -267,7 +294,7 @@
 void entry_coordinator::onReport(const wire::envelope& message, const peer_network::peer& from)
 {
     if (applyReport(message.report_endpoint().report()))
-        pushChanges();
+        pushReported(message.report_endpoint().report());
     if (message.call() == 0)
         return;
     wire::envelope reply;
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -94,8 +94,8 @@
         wire::envelope message;
     };
 
-    /// Retries the calls of a queue while any wait.
-    struct queue_timer {
+    /// Runs an action once after a delay; arming it again meanwhile changes nothing.
+    struct one_shot_timer {
         boost::asio::steady_timer timer;
         bool armed = false;
     };
@@ -114,7 +114,7 @@
     void onRelease(const wire::envelope& message, const peer_network::peer& from);
     void processPlanQueue();
     void processSlotQueue();
-    void armQueueTimer(queue_timer& timer, milliseconds interval, void (entry_coordinator::*process)());
+    void armTimer(one_shot_timer& timer, milliseconds delay, void (entry_coordinator::*action)());
     template <typename Planner>
     void placeWaiting(placement_queue<Planner>& queue, Planner& planner);
     static queued_request decodeQueuedRequest(const wire::engine_plan_request& request, time_point now);
@@ -127,6 +127,8 @@
     void onLimitRequest(const wire::envelope& message, const peer_network::peer& from);
     void fillUpdate(wire::entry_update& update, entry_session& session);
     void pushChanges();
+    /// Tells the entries of an endpoint whose report changed something: at once if it leaves, else together with others.
+    void pushReported(const wire::endpoint_report& report);
     void processLimitRequests();
     void configureLimits();
     void onTimer();
@@ -161,8 +163,9 @@
     std::uint64_t m_queuedServicesVersion = 0;
     time_point m_queuedServicesCheckedAt {};
     std::map<std::uint64_t, pending_request> m_pendingPlans;
-    queue_timer m_planTimer;
-    queue_timer m_slotTimer;
+    one_shot_timer m_planTimer;
+    one_shot_timer m_slotTimer;
+    one_shot_timer m_announcementTimer;
     std::optional<rate_limiter> m_limits;
     /// Organisations that m_limits holds.
     std::set<std::string> m_limitedOrganisations;
--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -1,8 +1,6 @@
 // Placement of model calls, and of other calls to busy services.
 #include "coordination/entry_coordinator.h"
 
-#include <utility>
-
 namespace pistachiolatch {
 
 namespace {
@@ -119,30 +117,18 @@
         sendPlanReply(decision.ticket, decision.placement, decision.retryAfter);
 }
 
-void entry_coordinator::armQueueTimer(queue_timer& timer, milliseconds interval, void (entry_coordinator::*process)())
-{
-    if (std::exchange(timer.armed, true))
-        return;
-    timer.timer.expires_after(interval);
-    timer.timer.async_wait([this, &timer, process](boost::system::error_code error) {
-        timer.armed = false;
-        if (!error)
-            (this->*process)();
-    });
-}
-
 void entry_coordinator::processPlanQueue()
 {
     placeWaiting(m_planQueue, m_planner);
     if (!m_planQueue.empty())
-        armQueueTimer(m_planTimer, planInterval, &entry_coordinator::processPlanQueue);
+        armTimer(m_planTimer, planInterval, &entry_coordinator::processPlanQueue);
 }
 
 void entry_coordinator::processSlotQueue()
 {
     placeWaiting(m_slotQueue, m_slotPlanner);
     if (!m_slotQueue.empty())
-        armQueueTimer(m_slotTimer, slotInterval, &entry_coordinator::processSlotQueue);
+        armTimer(m_slotTimer, slotInterval, &entry_coordinator::processSlotQueue);
 }
 
 void entry_coordinator::updateQueuedServices()
--- a/Tests/Coordination/StateTransferTest.cpp
+++ b/Tests/Coordination/StateTransferTest.cpp
@@ -97,3 +97,45 @@
         },
         recoveryBound));
 }
+
+// Guards against a leader that is saturated after a restart of all VMs: it told each entry of each endpoint's first report in a
+// message of its own, and served nobody until all were sent.
+TEST_CASE("Endpoints that report together reach the entries in few messages, and one that leaves at once")
+{
+    slow_fleet fleet(7);
+    fleet.submit(5, "small");
+    fleet.startEntries(10);
+    REQUIRE(runUntil(
+        fleet.context, [&] { return fleet.allServe(5); }, recoveryBound));
+    constexpr std::size_t many = 1000;
+    wire::endpoint_report report;
+    for (std::size_t i = 0; i < many; ++i) {
+        report.set_id(fmt::format("i-{:08x}", i));
+        report.set_born_ms(1000);
+        report.set_sequence(1);
+        report.set_service("engines");
+        report.set_address(fmt::format("10.{}.{}.1:8080", i / 250, i % 250));
+        fleet.leader->coordinator().handleReport(report, [](bool) {});
+        // Reports arrive one by one.
+        fleet.context.poll();
+    }
+    auto& entry = *fleet.entries.front();
+    REQUIRE(runUntil(
+        fleet.context, [&] { return entry.endpointCount() == many; }, recoveryBound));
+    CHECK(entry.endpointUpdates() < many / 10);
+    // The entries are told before the leaving is confirmed.
+    auto updatesBefore = entry.endpointUpdates();
+    report.set_state(wire::ENDPOINT_LEAVING);
+    report.set_sequence(2);
+    bool confirmed = false;
+    fleet.leader->coordinator().handleReport(report, [&](bool taken) { confirmed = taken; });
+    CHECK(confirmed);
+    // What the leader sends to an entry arrives in order, so the update must be there before the reply to a later request.
+    bool answered = false;
+    wire::envelope message;
+    message.mutable_limit()->set_organisation("none");
+    entry.network().call(entry.link().leader(), std::move(message), recoveryBound, [&](const wire::envelope*) { answered = true; });
+    REQUIRE(runUntil(
+        fleet.context, [&] { return answered; }, recoveryBound));
+    CHECK(entry.endpointUpdates() > updatesBefore);
+}
--- a/Tests/Coordination/coordination_fleet.cpp
+++ b/Tests/Coordination/coordination_fleet.cpp
@@ -102,6 +102,7 @@
 {
     if (everything)
         m_endpoints.clear();
+    m_endpointUpdates += rows.empty() ? 0 : 1;
     for (const auto& row : rows)
         m_endpoints.insert(row.report().id());
 }
--- a/Tests/Coordination/coordination_fleet.h
+++ b/Tests/Coordination/coordination_fleet.h
@@ -45,6 +45,8 @@
     control_link& link() { return m_link; }
     peer_network& network() { return m_network; }
     std::size_t endpointCount() const { return m_endpoints.size(); }
+    /// Updates that contained endpoints.
+    std::size_t endpointUpdates() const { return m_endpointUpdates; }
 
     void onEndpoints(const google::protobuf::RepeatedPtrField<wire::endpoint_row>& rows, bool everything) override;
     void onLoad(const google::protobuf::RepeatedPtrField<wire::endpoint_load>&) override { }
@@ -57,6 +59,7 @@
     peer_network m_network;
     control_link m_link;
     std::set<std::string> m_endpoints;
+    std::size_t m_endpointUpdates = 0;
 };
 
 /// Runs the context until the condition holds or the timeout expires. Returns whether it held.
