Tests: Print the answer and control's elections where known failures lacked them

Cause: two entries of KNOWN-RED.txt could not be traced from what their tests print. Change: LeavingTest prints the answer after the kill, ConfigTest what control logged of elections, peers and storage. No check changes.

--- a/Tests/Promises/ConfigTest.cpp
+++ b/Tests/Promises/ConfigTest.cpp
@@ -51,7 +51,7 @@
     int isolated = testFleet.leader();
     testFleet.proxy().isolate(testFleet.ip(isolated), true);
     auto applied = testFleet.command({ "apply", writeLimitFile(testFleet, 1, 700000) });
-    INFO(applied.out << applied.err);
+    INFO(applied.out << applied.err << testFleet.controlLogLines({ "leadership_", "peer_", "storage_" }));
     CHECK(applied.code == 0);
     CHECK(submitLimit(testFleet, isolated, "test-token", 2, 1).status == 503);
     auto read = testFleet.call(testFleet.operatorAddress(isolated), "GET", "/v1/records", { { "Authorization", "Bearer test-token" } }, "");
--- a/Tests/Promises/LeavingTest.cpp
+++ b/Tests/Promises/LeavingTest.cpp
@@ -82,7 +82,9 @@
     testFleet.startScheduler(owner);
     REQUIRE(eventually([&] { return testFleet.isReady(testFleet.schedulerAdminAddress(owner)); }));
     testFleet.scheduler(testFleet.owner("model:advisor-llm")).kill();
-    CHECK(testFleet.complete(3, "after the kill", 5).status == 200);
+    auto afterKill = testFleet.complete(3, "after the kill", 5);
+    INFO(afterKill.body);
+    CHECK(afterKill.status == 200);
     caller.readAll();
     CHECK(caller.text() == expectedText(prompt, 100));
 }
--- a/Tests/Support/fleet.h
+++ b/Tests/Support/fleet.h
@@ -91,11 +91,11 @@
     child_process& control(int n) { return m_controls[n]; }
     child_process& standIn() { return m_standIn; }
     fault_proxy& proxy() { return *m_proxy; }
+    /// Returns the log lines of all control processes whose event name starts with one of the prefixes.
+    std::string controlLogLines(const std::vector<std::string>& eventPrefixes) const;
 
 private:
     std::string commonSettings(int vm, int port) const;
-    /// Returns the log lines of all control processes whose event name starts with one of the prefixes.
-    std::string controlLogLines(const std::vector<std::string>& eventPrefixes) const;
     void writeStandInSettings();
     void addEndpoint(const std::string& id, const std::string& role, const std::string& model, int number, std::string& text);
 
