Scheduling: Forget the calls of an endpoint that is gone, and keep shared pieces once

Found on reading the change: a call tracked at an endpoint that had gone made an empty record of it with the next list of its entry, and took a slot from the endpoint when it came back; a late release then freed the slot of another call. Change: calls end with their endpoint, so that counts need no bounds when they are taken off. SlotPlannerTest "An endpoint that was gone returns with all its slots" fails at two checks without it. Beside it, without a change of behaviour: both planners share the delay within which a placement may be missing from a list and the conversions between times and milliseconds; BusyServiceTest builds its headers in one place.

--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -2,15 +2,13 @@
 
 #include "scheduling/candidate_groups.h"
 #include "scheduling/output_estimator.h"
+#include "scheduling/time_units.h"
 #include <algorithm>
 #include <cmath>
 
 namespace pistachiolatch {
 
 namespace {
-    /// A call placed more recently than this may not be in its entry's list yet: the placement takes a few
-    /// milliseconds to arrive.
-    constexpr milliseconds maxPlacementDelay { 80 };
     /// Penalty for another data centre, as a share of memory and as time: transfers between data centres take twice as
     /// long.
     constexpr double remoteMemoryCost = 0.03;
@@ -29,11 +27,6 @@
     /// Failures within this time count once: connections that are reset together have one cause, possibly not the
     /// engine.
     constexpr milliseconds failureMergeWindow { 50 };
-
-    double toMs(duration time)
-    {
-        return std::chrono::duration<double, std::milli>(time).count();
-    }
 }
 
 void engine_planner::updateEndpoint(const wire::endpoint_row& row)
--- a/Source/scheduling/engine_speed_model.cpp
+++ b/Source/scheduling/engine_speed_model.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/engine_speed_model.h"
 
+#include "scheduling/time_units.h"
 #include <algorithm>
 
 namespace pistachiolatch {
@@ -23,11 +24,6 @@
         ++count;
         return std::max(minSampleWeight, 1.0 / count);
     }
-
-    duration fromMs(double ms)
-    {
-        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
-    }
 }
 
 void engine_speed_model::recordPrefill(std::uint64_t tokens, milliseconds took)
--- a/Source/scheduling/placement_types.h
+++ b/Source/scheduling/placement_types.h
@@ -7,6 +7,10 @@
 
 namespace pistachiolatch {
 
+/// A call placed more recently than this may not be in its entry's list of running calls yet: the placement takes a few
+/// milliseconds to arrive.
+constexpr milliseconds maxPlacementDelay { 80 };
+
 /// A call that needs an endpoint.
 struct placement_request {
     /// Unique within the entry.
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/slot_planner.h"
 
 #include "scheduling/candidate_groups.h"
+#include "scheduling/time_units.h"
 #include <algorithm>
 #include <cmath>
 
@@ -14,8 +15,6 @@
     constexpr milliseconds calmPeriod { 2000 };
     /// Calls at an endpoint beyond its slots, so that it has work until the message that frees a slot arrives.
     constexpr unsigned callsAhead = 1;
-    /// A call placed more recently than this may not be in its entry's list yet.
-    constexpr milliseconds maxPlacementDelay { 80 };
     /// Service time of a service without completed calls.
     constexpr double defaultServiceMs = 50;
     constexpr double minSampleWeight = 0.02;
@@ -29,19 +28,13 @@
     constexpr double coldCost = 1;
     /// Backoff after a refusal, in mean service times, doubled with each further one.
     constexpr unsigned maxBackoffDoublings = 3;
-
-    double toMs(duration time)
-    {
-        return std::chrono::duration<double, std::milli>(time).count();
-    }
 }
 
 void slot_planner::updateEndpoint(const wire::endpoint_row& row)
 {
     const auto& report = row.report();
     if (report.state() == wire::ENDPOINT_GONE) {
-        m_endpoints.erase(report.id());
-        m_breaker.reset(report.id());
+        removeEndpoint(report.id());
         return;
     }
     if (report.stage() != wire::STAGE_ANY || report.slots() == 0)
@@ -56,6 +49,18 @@
     updated.row = row;
 }
 
+void slot_planner::removeEndpoint(const std::string& id)
+{
+    if (m_endpoints.erase(id) == 0)
+        return;
+    m_breaker.reset(id);
+    // Otherwise its calls would take slots from an endpoint that returns under the same id.
+    for (auto& [entry, calls] : m_entries) {
+        std::erase_if(calls.placed, [&](const auto& item) { return item.second.endpoint == id; });
+        calls.unplaced.erase(id);
+    }
+}
+
 bool slot_planner::isUsable(const endpoint& candidate, const std::string& service) const
 {
     const auto& report = candidate.row.report();
@@ -71,7 +76,7 @@
 {
     auto found = m_services.find(service);
     auto ms = found == m_services.end() || found->second.samples == 0 ? defaultServiceMs : found->second.meanServiceMs;
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+    return fromMs(ms);
 }
 
 double slot_planner::loadOf(const endpoint& candidate, time_point now) const
@@ -130,23 +135,20 @@
     return { .decode = id, .prefill = {} };
 }
 
-void slot_planner::untrack(const placed_call& call)
+void slot_planner::untrack(const entry_calls& calls)
 {
-    auto found = m_endpoints.find(call.endpoint);
-    // The endpoint may have restarted since, which resets its counters.
-    if (found != m_endpoints.end())
-        found->second.placed -= std::min(found->second.placed, 1U);
+    for (const auto& [id, call] : calls.placed)
+        --m_endpoints[call.endpoint].placed;
+    for (const auto& [id, count] : calls.unplaced)
+        m_endpoints[id].unplaced -= count;
 }
 
-void slot_planner::clearEntry(entry_calls& calls)
+void slot_planner::track(const entry_calls& calls)
 {
     for (const auto& [id, call] : calls.placed)
-        untrack(call);
-    for (const auto& [id, count] : calls.unplaced) {
-        auto found = m_endpoints.find(id);
-        if (found != m_endpoints.end())
-            found->second.unplaced -= std::min(found->second.unplaced, count);
-    }
+        ++m_endpoints[call.endpoint].placed;
+    for (const auto& [id, count] : calls.unplaced)
+        m_endpoints[id].unplaced += count;
 }
 
 void slot_planner::replaceCalls(const std::string& entry, const std::vector<wire::running_call>& calls, const std::vector<wire::endpoint_load>& load, time_point now)
@@ -170,12 +172,9 @@
         if (m_endpoints.count(row.id()) && row.requests() > known)
             current.unplaced[row.id()] = row.requests() - known;
     }
-    clearEntry(tracked);
+    untrack(tracked);
     tracked = std::move(current);
-    for (const auto& [id, call] : tracked.placed)
-        ++m_endpoints[call.endpoint].placed;
-    for (const auto& [id, count] : tracked.unplaced)
-        m_endpoints[id].unplaced += count;
+    track(tracked);
 }
 
 bool slot_planner::release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now)
@@ -188,12 +187,12 @@
         return false;
     auto call = ended->second;
     calls->second.placed.erase(ended);
-    untrack(call);
+    auto& endpoint = m_endpoints[call.endpoint];
+    --endpoint.placed;
     m_breaker.onInconclusive(call.endpoint);
-    auto found = m_endpoints.find(call.endpoint);
-    if (!succeeded || found == m_endpoints.end())
+    if (!succeeded)
         return true;
-    auto& service = m_services[found->second.row.report().service()];
+    auto& service = m_services[endpoint.row.report().service()];
     auto weight = std::max(minSampleWeight, 1.0 / ++service.samples);
     service.meanServiceMs += weight * (toMs(now - call.placedAt) - service.meanServiceMs);
     return true;
@@ -232,7 +231,7 @@
     auto found = m_entries.find(entry);
     if (found == m_entries.end())
         return;
-    clearEntry(found->second);
+    untrack(found->second);
     m_entries.erase(found);
 }
 
--- a/Source/scheduling/slot_planner.h
+++ b/Source/scheduling/slot_planner.h
@@ -91,8 +91,10 @@
     duration meanServiceTime(const std::string& service) const;
     double loadOf(const endpoint& candidate, time_point now) const;
     std::vector<endpoint*> candidates(const placement_request& request, time_point now);
-    void untrack(const placed_call& call);
-    void clearEntry(entry_calls& calls);
+    void removeEndpoint(const std::string& id);
+    /// Adds an entry's calls to the counts of their endpoints, or takes them off. All tracked calls are at known endpoints.
+    void track(const entry_calls& calls);
+    void untrack(const entry_calls& calls);
 
     std::mt19937_64 m_random;
     std::map<std::string, endpoint> m_endpoints;
--- a/Tests/Platform/BusyServiceTest.cpp
+++ b/Tests/Platform/BusyServiceTest.cpp
@@ -15,6 +15,11 @@
 constexpr int callerCount = 40;
 constexpr milliseconds callTimeout { 8000 };
 
+http_headers makeHeaders(const std::string& id)
+{
+    return { { "Host", "h.example" }, { platform_names::requestId, id }, { platform_names::deadlineMs, "5000" }, { platform_names::authorization, "Token key-1" } };
+}
+
 /// Callers that send bookings to all entries in turn, each with an id of its own.
 class booking_load {
 public:
@@ -51,8 +56,7 @@
     {
         for (int i = 0; !m_stopped; ++i) {
             auto id = fmt::format("booking-{}-{}", caller, i);
-            http_headers headers { { "Host", "h.example" }, { platform_names::requestId, id }, { platform_names::deadlineMs, "5000" }, { platform_names::authorization, "Token key-1" } };
-            auto answer = m_fleet.call(m_fleet.entryAddress(1 + (caller + i) % m_fleet.entries()), "POST", "/book/x", headers, id, callTimeout);
+            auto answer = m_fleet.call(m_fleet.entryAddress(1 + (caller + i) % m_fleet.entries()), "POST", "/book/x", makeHeaders(id), id, callTimeout);
             if (answer.status == 200 && !answer.broken)
                 ++m_answered;
             if (answer.status != 503)
@@ -84,8 +88,7 @@
         for (int i = 0; i < 6; ++i) {
             m_threads.emplace_back([this, &fleet, i] {
                 for (int n = 0; !m_stopped; ++n) {
-                    http_headers headers { { "Host", "h.example" }, { platform_names::requestId, fmt::format("left-{}-{}", i, n) }, { platform_names::deadlineMs, "5000" }, { platform_names::authorization, "Token key-1" } };
-                    fleet.call(fleet.entryAddress(1), "POST", "/book/x", headers, "left", patience);
+                    fleet.call(fleet.entryAddress(1), "POST", "/book/x", makeHeaders(fmt::format("left-{}-{}", i, n)), "left", patience);
                 }
             });
         }
@@ -120,9 +123,7 @@
     }
     return 0;
 }
-}
 
-namespace {
 /// Sends the reports of endpoints to all control processes in turn until it is destroyed.
 class reporter {
 public:
--- a/Tests/Scheduling/SlotPlannerTest.cpp
+++ b/Tests/Scheduling/SlotPlannerTest.cpp
@@ -233,3 +233,23 @@
     for (std::uint64_t id = 1; id <= 4; ++id)
         CHECK(planner.place("a", makeRequest(id), clock.now()).decode == "warm");
 }
+
+TEST_CASE("An endpoint that was gone returns with all its slots")
+{
+    manual_clock_source clock;
+    slot_planner planner(1);
+    auto row = makeRow("e0", 1);
+    planner.updateEndpoint(row);
+    REQUIRE_FALSE(planner.place("a", makeRequest(1), clock.now()).full);
+    auto gone = row;
+    gone.mutable_report()->set_state(wire::ENDPOINT_GONE);
+    planner.updateEndpoint(gone);
+    // The call was placed just now, so a list without it doesn't end it.
+    planner.replaceCalls("a", {}, {}, clock.now());
+    planner.updateEndpoint(row);
+    CHECK_FALSE(planner.place("b", makeRequest(2), clock.now()).full);
+    CHECK_FALSE(planner.place("b", makeRequest(3), clock.now()).full);
+    // Its late release frees no slot of another call.
+    planner.release("a", 1, true, clock.now());
+    CHECK(planner.place("b", makeRequest(4), clock.now()).full);
+}
