Replication, Coordination, Forwarding: Evacuate data centres

The leader pushes the evacuations to all entries with their revision, and each answer to a sync carries them where the entry's are older, so that a lease never covers an older state. Entries keep them without a leader. Planners, the choice at entries, stage balancing and forecasts of queues leave out evacuated endpoints; a send is checked again once its connection is open. A service with no other endpoint is refused at once as "evacuated".

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -104,6 +104,7 @@
         block->set_fingerprint(fingerprint);
         block->set_certain(certain);
     }
+    sync.set_evacuation_revision(m_evacuations.revision());
     m_endpoints.fillLoad(*sync.mutable_load());
     m_endpoints.fillCalls(*sync.mutable_calls());
     sync_request request { ++m_lastSync, address, m_clock.now() };
@@ -219,6 +220,12 @@
             logEvent("blocks_updated", { { "blocked", blocked.size() } });
         m_blocked = std::move(blocked);
     }
+    if (update.has_evacuations() && m_evacuations.load(update.evacuations())) {
+        auto evacuated = m_evacuations.evacuated();
+        logEvent("evacuations_updated", { { "revision", m_evacuations.revision() }, { "evacuated", fmt::format("{}", fmt::join(evacuated, ",")) } });
+        m_metrics.gauge("data_centres_evacuated", static_cast<double>(evacuated.size()));
+        m_endpoints.onEvacuated(evacuated);
+    }
     if (update.directory_source() == 0)
         return;
     bool isNewSource = update.directory_source() != m_directorySource;
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -128,6 +128,8 @@
     unsigned m_entries = 1;
     /// Whether the block is certain, by fingerprint of the blocked request.
     std::map<std::uint64_t, bool> m_blocked;
+    /// Kept while no leader is known: an entry that is out of touch must not return work to an evacuated data centre.
+    evacuation_table m_evacuations;
     std::set<std::string> m_queuedServices;
     bool m_leaving = false;
     bool m_probing = false;
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -154,6 +154,7 @@
         session.supportsPieces = sync.takes_pieces();
         session.directorySource = sync.directory_source();
         session.directoryVersion = sync.directory_version();
+        session.evacuationRevision = sync.evacuation_revision();
         m_loads.replace(session.name, sync.load());
         // A new leader starts without blocks. During its first lease period it adopts the certain blocks of entries.
         if (m_clock.now() - m_leaderSince < m_settings.entryLease)
@@ -182,6 +183,20 @@
     pushChanges();
 }
 
+void entry_coordinator::onEvacuationsChanged()
+{
+    updateEvacuated();
+    pushChanges();
+}
+
+void entry_coordinator::updateEvacuated()
+{
+    auto evacuated = m_replica.evacuations().evacuated();
+    m_metrics.gauge("data_centres_evacuated", static_cast<double>(evacuated.size()));
+    m_planner.setEvacuated(evacuated);
+    m_slotPlanner.setEvacuated(std::move(evacuated));
+}
+
 void entry_coordinator::onLeadershipChanged(bool isLeader)
 {
     m_entries.clear();
@@ -194,6 +209,7 @@
     m_slotPlanner = slot_planner(generateIncarnation());
     m_planner = engine_planner(generateIncarnation());
     m_plannerVersion = 0;
+    updateEvacuated();
     m_limits.reset();
     m_limitedOrganisations.clear();
     m_blocks.clear();
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -66,10 +66,13 @@
     bool onMessage(const wire::envelope& message, const peer_network::peer& from);
     void onPeerLost(const peer_network::peer& lost);
     void onDocumentChanged();
+    void onEvacuationsChanged();
     void onLeadershipChanged(bool isLeader);
     /// Handles a report that an endpoint sent to this process. A report that the endpoint leaves is confirmed once the
     /// leader has it and has updated the entries: after the confirmation the endpoint expects no new work.
     void handleReport(const wire::endpoint_report& report, std::function<void(bool confirmed)> handler);
+    /// Whether any endpoint has reported from the data centre.
+    bool knowsDataCentre(const std::string& dataCentre) const { return m_directory.hasDataCentre(dataCentre); }
 
 private:
     struct entry_session {
@@ -83,6 +86,8 @@
         std::optional<std::uint64_t> blocksVersion;
         /// The version of the list of queued services that was sent last.
         std::uint64_t queuedServicesVersion = 0;
+        /// The revision of the evacuations that the entry has, or that was sent last.
+        std::uint64_t evacuationRevision = 0;
         time_point lastSyncAt;
         /// False for entries of an earlier version, which need whole documents.
         bool supportsPieces = false;
@@ -123,6 +128,7 @@
     void sendPlanReply(std::uint64_t ticket, const engine_placement& plan, milliseconds retryAfter);
     void removeEntry(peer_connection* entry);
     void updatePlanner();
+    void updateEvacuated();
     void balanceStages();
     void onLimitRequest(const wire::envelope& message, const peer_network::peer& from);
     void fillUpdate(wire::entry_update& update, entry_session& session);
--- a/Source/coordination/entry_coordinator_state.cpp
+++ b/Source/coordination/entry_coordinator_state.cpp
@@ -30,6 +30,10 @@
         *update.mutable_blocked() = m_blocks.blocks();
         session.blocksVersion = m_blocks.version();
     }
+    if (session.evacuationRevision != m_replica.evacuations().revision()) {
+        *update.mutable_evacuations() = m_replica.evacuations().encode();
+        session.evacuationRevision = m_replica.evacuations().revision();
+    }
     for (auto& service : m_slotPlanner.queuedServices())
         update.add_queued_services(std::move(service));
     session.queuedServicesVersion = m_queuedServicesVersion;
@@ -57,7 +61,7 @@
     for (auto& [peer, session] : m_entries) {
         bool current = session.documentVersion >= m_replica.document().version() && session.directorySource == m_directory.source()
             && session.directoryVersion == m_directory.version() && session.blocksVersion == m_blocks.version()
-            && session.queuedServicesVersion == m_queuedServicesVersion;
+            && session.queuedServicesVersion == m_queuedServicesVersion && session.evacuationRevision == m_replica.evacuations().revision();
         if (current)
             continue;
         wire::envelope message;
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -132,6 +132,8 @@
     void startAttemptTimer(milliseconds timeout);
     void cancelAttemptTimer();
     void closeCurrentConnection();
+    /// Returns a connection to the pool on which nothing was sent.
+    void releaseUnusedConnection(const std::string& endpointId);
     void releaseConnection(const std::string& endpointId, const response_metadata& response);
     void logCallEnded();
     /// Logs why a response that has started is cut off, with the inputs to that decision.
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -23,6 +23,9 @@
     constexpr milliseconds defaultRetryAfter { 700 };
     /// Retry-After for a request suspected of crashing endpoints: endpoints that are still running have reported by then.
     constexpr milliseconds suspicionRetryAfter { 2000 };
+    /// Retry-After while all endpoints of a service are evacuated. Operators take such an order back within seconds; none
+    /// of them says when.
+    constexpr milliseconds evacuatedRetryAfter { 2000 };
     /// Minimum Retry-After for a caller over its rate limit.
     constexpr milliseconds minRateRetryAfter { 200 };
     /// Returns the cost of a call against the organisation's limit; a call that declares no tokens costs plainTokens.
@@ -276,6 +279,11 @@
 {
     reason cause = reason::NoEndpoint;
     while (!isAborted()) {
+        if (m_shared.endpoints.isServiceEvacuated(m_service->name)) {
+            cause = reason::Evacuated;
+            m_noRetryReason = no_retry_reason::NoEndpoint;
+            break;
+        }
         auto waitStartedAt = m_shared.clock.now();
         auto endpoint = co_await awaitSlot();
         m_endpointWait += std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - waitStartedAt);
@@ -374,6 +382,11 @@
     auto connection = co_await openConnection(endpoint, isIdempotent());
     if (!connection)
         co_return isAborted() ? attempt_outcome::Stalled : attempt_outcome::NotSent;
+    // The data centre may have been evacuated after the endpoint was chosen, such as while the prompt was processed.
+    if (m_shared.endpoints.isEvacuated(endpoint.id)) {
+        releaseUnusedConnection(endpoint.id);
+        co_return attempt_outcome::NotSent;
+    }
     if (m_sendCount++ == 0)
         m_shared.retryBudget.recordFirstAttempt(m_service->name, m_shared.clock.now());
     ++m_possibleRuns;
@@ -433,6 +446,8 @@
     }
     auto cause = m_deadlinePassed ? reason::DeadlineUnreachable : failureCause;
     auto retryAfter = m_retryAfter > milliseconds(0) ? m_retryAfter : forwarding_detail::defaultRetryAfter;
+    if (cause == reason::Evacuated)
+        retryAfter = forwarding_detail::evacuatedRetryAfter;
     error_response error { cause, httpStatus(cause), retryAfter };
     co_await sendErrorResponse(error);
 }
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -118,6 +118,13 @@
     co_return attempt_outcome::Completed;
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::releaseUnusedConnection(const std::string& endpointId)
+{
+    // The endpoint's timeout is unknown here. Without one the pool keeps the connection for a short time.
+    m_shared.pool.release(endpointId, std::exchange(m_connection, nullptr), std::nullopt);
+}
+
 template <call_codec Codec>
 void call_forwarder<Codec>::releaseConnection(const std::string& endpointId, const response_metadata& response)
 {
--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -146,14 +146,40 @@
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
         const auto& report = item.second.report;
-        return report.service() == service && report.stage() == stage && report.state() == wire::ENDPOINT_SERVING;
+        return report.service() == service && report.stage() == stage && report.state() == wire::ENDPOINT_SERVING && !isEvacuated(item.second);
     });
 }
 
+void endpoint_registry::onEvacuated(const std::set<std::string>& dataCentres)
+{
+    m_evacuated = dataCentres;
+}
+
+bool endpoint_registry::isEvacuated(const std::string& id) const
+{
+    auto found = m_endpoints.find(id);
+    return found != m_endpoints.end() && isEvacuated(found->second);
+}
+
+bool endpoint_registry::isServiceEvacuated(const std::string& service) const
+{
+    if (m_evacuated.empty())
+        return false;
+    bool anyEvacuated = false;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.report.service() != service || endpoint.report.state() != wire::ENDPOINT_SERVING)
+            continue;
+        if (!isEvacuated(endpoint))
+            return false;
+        anyEvacuated = true;
+    }
+    return anyEvacuated;
+}
+
 bool endpoint_registry::isEligible(const endpoint_record& endpoint, const endpoint_query& query, time_point now) const
 {
     const auto& report = endpoint.report;
-    if (report.service() != query.service || report.stage() != query.stage || report.state() != wire::ENDPOINT_SERVING)
+    if (report.service() != query.service || report.stage() != query.stage || report.state() != wire::ENDPOINT_SERVING || isEvacuated(endpoint))
         return false;
     if (query.exclude.count(report.id()) || (endpoint.silent && now - endpoint.lastSuccessAt > recentSuccessPeriod))
         return false;
@@ -228,7 +254,7 @@
 std::optional<selected_endpoint> endpoint_registry::find(const std::string& id) const
 {
     auto found = m_endpoints.find(id);
-    if (found == m_endpoints.end() || found->second.report.state() != wire::ENDPOINT_SERVING)
+    if (found == m_endpoints.end() || found->second.report.state() != wire::ENDPOINT_SERVING || isEvacuated(found->second))
         return std::nullopt;
     const auto& report = found->second.report;
     return selected_endpoint { report.id(), report.address(), report.data_centre(), report.born_ms() };
--- a/Source/forwarding/endpoint_registry.h
+++ b/Source/forwarding/endpoint_registry.h
@@ -55,6 +55,7 @@
 
     void onEndpoints(const google::protobuf::RepeatedPtrField<wire::endpoint_row>& rows, bool complete) override;
     void onLoad(const google::protobuf::RepeatedPtrField<wire::endpoint_load>& others) override;
+    void onEvacuated(const std::set<std::string>& dataCentres) override;
     void fillLoad(google::protobuf::RepeatedPtrField<wire::endpoint_load>& own) const override;
     void fillCalls(google::protobuf::RepeatedPtrField<wire::running_call>& calls) const override;
 
@@ -66,7 +67,7 @@
 
     /// Selects an endpoint for a call; empty if none is eligible.
     std::optional<selected_endpoint> select(const endpoint_query& query);
-    /// Returns the endpoint with this id; empty if it is unknown or not serving.
+    /// Returns the endpoint with this id; empty if it is unknown, not serving or in an evacuated data centre.
     std::optional<selected_endpoint> find(const std::string& id) const;
     /// Ids of the service's endpoints for which isUnhealthy() holds.
     std::vector<std::string> unhealthyEndpoints(const std::string& service) const;
@@ -85,6 +86,10 @@
     time_point lastActivityAt(const std::string& id) const;
     void updateLoad(const std::string& id, const reported_load& load);
     std::size_t size() const { return m_endpoints.size(); }
+    /// Whether the endpoint with this id is known and in an evacuated data centre.
+    bool isEvacuated(const std::string& id) const;
+    /// Whether the service has serving endpoints, but all of them are in evacuated data centres.
+    bool isServiceEvacuated(const std::string& service) const;
 
 private:
     struct endpoint_record {
@@ -104,6 +109,7 @@
         time_point unconfirmedSince {};
     };
     bool isEligible(const endpoint_record& endpoint, const endpoint_query& query, time_point now) const;
+    bool isEvacuated(const endpoint_record& endpoint) const { return m_evacuated.count(endpoint.report.data_centre()) > 0; }
     bool isInBackoff(const endpoint_record& endpoint, time_point now) const;
     static double cost(const endpoint_record& endpoint, const endpoint_query& query);
     const endpoint_record* selectFromSample(const std::vector<const endpoint_record*>& candidates, const endpoint_query& query);
@@ -113,6 +119,7 @@
     std::string m_dataCentre;
     std::mt19937_64 m_random;
     std::map<std::string, endpoint_record> m_endpoints;
+    std::set<std::string> m_evacuated;
     std::uint64_t m_lastCallId = 0;
     std::map<std::uint64_t, wire::running_call> m_runningCalls;
 };
--- a/Source/http/http_exchange.cpp
+++ b/Source/http/http_exchange.cpp
@@ -101,6 +101,11 @@
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
 }
 
+bool http_exchange::isCallerGone() const
+{
+    return isPeerClosed(m_stream.socket().native_handle());
+}
+
 task_of<void> http_exchange::waitForDisconnect()
 {
     auto& socket = m_stream.socket();
--- a/Source/http/http_exchange.h
+++ b/Source/http/http_exchange.h
@@ -49,6 +49,8 @@
     task_of<bool> endStream();
     /// Closes the connection without the last chunk, so that the caller can detect the truncated response.
     void abortStream();
+    /// Whether the caller has closed the connection, so that no response would reach it.
+    bool isCallerGone() const;
     /// Completes when the caller closes the connection.
     task_of<void> waitForDisconnect();
 
--- a/Source/kernel/reason.h
+++ b/Source/kernel/reason.h
@@ -28,6 +28,7 @@
     NoConfig,
     NoScheduler,
     NoEndpoint,
+    Evacuated,
     NoCapacity,
     DeadlineUnreachable,
     DeadlinePassed,
--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -180,6 +180,14 @@
     return rows;
 }
 
+bool endpoint_directory::hasDataCentre(const std::string& dataCentre) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+        const auto& report = item.second.row.report();
+        return report.data_centre() == dataCentre && !isGone(report);
+    });
+}
+
 const wire::endpoint_row* endpoint_directory::find(const std::string& id) const
 {
     auto found = m_endpoints.find(id);
--- a/Source/membership/endpoint_directory.h
+++ b/Source/membership/endpoint_directory.h
@@ -54,6 +54,8 @@
     /// At most `maxRows` of these endpoints, in the order in which they changed.
     directory_page pageSince(std::uint64_t version, std::size_t maxRows) const;
     std::size_t size() const { return m_endpoints.size(); }
+    /// Whether any endpoint that isn't gone reports from the data centre.
+    bool hasDataCentre(const std::string& dataCentre) const;
     /// The row of an endpoint, or null if it is unknown.
     const wire::endpoint_row* find(const std::string& id) const;
 
--- a/Source/records/control_state.cpp
+++ b/Source/records/control_state.cpp
@@ -35,8 +35,9 @@
     case wire::command::kCrash:
         outcome.crashes = recordCrash(command.crash());
         break;
-    // Documents belong to another state machine, so their commands never reach this one.
+    // These belong to another state machine, so they never reach this one.
     case wire::command::kDocument:
+    case wire::command::kEvacuate:
     case wire::command::BODY_NOT_SET:
         break;
     }
--- a/Source/replication/document_replica.cpp
+++ b/Source/replication/document_replica.cpp
@@ -6,8 +6,6 @@
 
 namespace {
     constexpr milliseconds joinInterval { 300 };
-    /// Timeout of a submission or read that is forwarded to the leader. Callers try the next VM after a second.
-    constexpr milliseconds forwardTimeout { 800 };
     /// 10 Mbit/s. The timeout is extended by the transfer time, since otherwise a follower could never forward a large
     /// document.
     constexpr std::size_t bytesPerMillisecond = 1250;
@@ -66,13 +64,15 @@
     effects.send = [this](const wire::raft_message& message) {
         wire::envelope envelope;
         *envelope.mutable_raft() = message;
+        envelope.mutable_raft()->set_supports_evacuations(true);
         m_network.send(message.to().address(), std::move(envelope));
     };
     effects.apply = [this](const wire::log_entry& entry) { apply(entry); };
     effects.restore = [this](const wire::raft_snapshot& snapshot) {
         loadSnapshot(snapshot);
-        logEvent("snapshot_installed", { { "index", snapshot.index() }, { "version", m_document.version() } });
+        logEvent("snapshot_installed", { { "index", snapshot.index() }, { "version", m_document.version() }, { "evacuation_revision", m_evacuations.revision() } });
         m_events.documentChanged();
+        m_events.evacuationsChanged();
     };
     effects.completeRead = [this](std::uint64_t id, bool done) {
         auto found = m_reads.find(id);
@@ -91,13 +91,15 @@
     if (snapshot.index() == 0)
         return;
     // The snapshot's checksum was verified, so undecodable content is a broken invariant.
-    wire::document document;
-    if (!document.ParseFromString(snapshot.state()))
+    wire::replicated_state state;
+    if (!state.ParseFromString(snapshot.state()))
         std::abort();
-    // Files that are reopened may hold an older document than this process has already published.
-    if (document.version() <= m_document.version())
+    // Files that are reopened may hold an older state than this process has already published.
+    m_evacuations.load(state.evacuations());
+    if (state.version() <= m_document.version())
         return;
-    m_document = std::move(document);
+    m_document.set_version(state.version());
+    m_document.set_body(std::move(*state.mutable_body()));
     m_documentSince = m_clock.now();
 }
 
@@ -115,16 +117,20 @@
         // Only this program writes commands, so an undecodable one is a broken invariant.
         if (!command.ParseFromString(entry.data()))
             std::abort();
-        setDocument(std::move(*command.mutable_document()));
+        if (command.has_document())
+            setDocument(std::move(*command.mutable_document()));
+        else if (command.has_evacuate())
+            applyEvacuation(command.evacuate());
+        else
+            logEvent("command_unknown", { { "index", entry.index() }, { "term", entry.term() } });
     }
     auto found = m_pending.find(entry.index());
     if (found == m_pending.end())
         return;
     auto pending = std::move(found->second);
     m_pending.erase(found);
-    // Another leader's entry was committed at this index. The document may still be committed from another replica's copy.
-    bool lost = pending.term != entry.term();
-    pending.handler({ lost, m_document.version() });
+    // If another leader's entry was committed at this index, the command may still be committed from another replica's copy.
+    pending.handler(pending.term != entry.term());
 }
 
 void document_replica::setDocument(wire::document document)
@@ -196,6 +202,7 @@
             recordLeader(message.raft());
             return true;
         }
+        recordSupport(message.raft());
         core().step(message.raft(), m_clock.now());
         processEffects();
         return true;
@@ -211,6 +218,13 @@
             peer_network::reply(from, message, std::move(reply));
         });
         return true;
+    case wire::envelope::kEvacuationSubmit:
+        proposeEvacuation(message.evacuation_submit().order(), [from, message](wire::evacuation_result outcome) {
+            wire::envelope reply;
+            reply.mutable_evacuation_submit_reply()->set_result(outcome);
+            peer_network::reply(from, message, std::move(reply));
+        });
+        return true;
     case wire::envelope::kDocumentRead:
         readLocally([from, message](const wire::document* newest) {
             wire::envelope reply;
@@ -255,7 +269,7 @@
     }
     wire::envelope message;
     *message.mutable_document_submit()->mutable_document() = std::move(document);
-    auto timeout = forwardTimeout + transferTime(message.document_submit().document());
+    auto timeout = leaderCallTimeout + transferTime(message.document_submit().document());
     m_network.call(leader, std::move(message), timeout, [handler = std::move(handler)](const wire::envelope* reply) {
         if (!reply || !reply->has_document_submit_reply())
             handler({ true, 0 });
@@ -277,12 +291,17 @@
     }
     wire::command command;
     *command.mutable_document() = document;
+    proposeCommand(command, [this, handler = std::move(handler)](bool lost) { handler({ lost, lost ? 0 : m_document.version() }); });
+}
+
+void document_replica::proposeCommand(const wire::command& command, std::function<void(bool)> handler)
+{
     auto position = core().propose(command.SerializeAsString());
     if (!position) {
-        handler({ true, 0 });
+        handler(true);
         return;
     }
-    m_pending[position->index] = { position->term, document.version(), std::move(handler) };
+    m_pending[position->index] = { position->term, std::move(handler) };
     processEffects();
 }
 
@@ -296,7 +315,7 @@
     }
     wire::envelope message;
     message.mutable_document_read()->set_held_version(m_document.version());
-    m_network.call(leader, std::move(message), forwardTimeout, [this, handler = std::move(handler)](const wire::envelope* reply) {
+    m_network.call(leader, std::move(message), leaderCallTimeout, [this, handler = std::move(handler)](const wire::envelope* reply) {
         bool known = reply && reply->has_document_read_reply() && !reply->document_read_reply().unavailable();
         if (!known)
             handler(nullptr);
@@ -388,7 +407,7 @@
 {
     auto pending = std::exchange(m_pending, {});
     for (auto& [index, one] : pending)
-        one.handler({ true, 0 });
+        one.handler(true);
     auto reads = std::exchange(m_reads, {});
     for (auto& [id, handler] : reads)
         handler(nullptr);
@@ -400,7 +419,11 @@
     if (!tooLong)
         return true;
     m_bytesSinceSnapshot = 0;
-    auto compacted = m_host->compact(m_applied, m_document.SerializeAsString());
+    wire::replicated_state state;
+    state.set_version(m_document.version());
+    state.set_body(m_document.body());
+    *state.mutable_evacuations() = m_evacuations.encode();
+    auto compacted = m_host->compact(m_applied, state.SerializeAsString());
     if (!compacted)
         onStorageFailure(compacted.error().message);
     return m_storageUsable;
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -47,18 +47,18 @@
         updated.targetStage = wire::STAGE_ANY;
 }
 
-bool engine_planner::isEligible(const engine& candidate, const placement_request& request, wire::endpoint_stage stage)
+bool engine_planner::isUsable(const engine& candidate, const std::string& service) const
 {
     const auto& report = candidate.row.report();
-    return report.service() == request.service && report.stage() == stage && report.state() == wire::ENDPOINT_SERVING && !candidate.row.silent()
-        && !request.exclude.count(report.id());
+    return report.service() == service && report.state() == wire::ENDPOINT_SERVING && !candidate.row.silent() && !m_evacuated.count(report.data_centre());
 }
 
 std::vector<engine_planner::engine*> engine_planner::candidates(const placement_request& request, wire::endpoint_stage stage, time_point now)
 {
     candidate_groups<engine> groups;
     for (auto& [id, candidate] : m_engines) {
-        if (isEligible(candidate, request, stage) && !isChangingStage(candidate, now) && now >= candidate.backoffUntil)
+        bool eligible = isUsable(candidate, request.service) && candidate.row.report().stage() == stage && !request.exclude.count(id);
+        if (eligible && !isChangingStage(candidate, now) && now >= candidate.backoffUntil)
             groups.add(candidate, id, request.avoid, m_breaker, now);
     }
     return groups.preferred();
@@ -83,7 +83,8 @@
     for (const auto& [entry, calls] : m_calls) {
         for (const auto& [id, call] : calls) {
             auto engine = m_engines.find(call.endpoint);
-            if (engine == m_engines.end() || engine->second.row.report().service() != service)
+            // An endpoint that leaves or is evacuated ends its calls, but takes no others in their place.
+            if (engine == m_engines.end() || !isUsable(engine->second, service))
                 continue;
             auto remainingMs = static_cast<double>(memoryOf(call, now).remaining) / speedModelOf(call.endpoint).generatedTokensPerMs();
             completions += 1 - std::exp(-toMs(within) / std::max(remainingMs, 1.0));
@@ -240,8 +241,7 @@
     std::vector<engine_stage_load> engines;
     for (const auto& [id, candidate] : m_engines) {
         const auto& report = candidate.row.report();
-        bool eligible = report.service() == service && report.stage() != wire::STAGE_ANY && report.state() == wire::ENDPOINT_SERVING && !candidate.row.silent();
-        if (!eligible)
+        if (!isUsable(candidate, service) || report.stage() == wire::STAGE_ANY)
             continue;
         auto stage = isChangingStage(candidate, now) ? candidate.targetStage : report.stage();
         auto calls = callsByEndpoint.find(id);
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -8,6 +8,7 @@
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
 
     /// Applies an endpoint's row of the directory.
     void updateEndpoint(const wire::endpoint_row& row);
+    /// Sets the data centres whose engines get no new calls. Their running calls go on and still count.
+    void setEvacuated(std::set<std::string> dataCentres) { m_evacuated = std::move(dataCentres); }
     /// Chooses engines for a call and reserves them for the entry.
     engine_placement place(const std::string& entry, const placement_request& request, time_point now);
     /// Replaces the calls tracked for an entry by the list of its running calls.
@@ -72,7 +75,7 @@
     const wire::endpoint_report* findReport(const std::string& engine) const;
     /// Expected time from placement to the first event if no prompts are queued ahead.
     duration timeToFirstEvent(const placement_request& request);
-    /// Expected number of calls of the service that complete, and free their memory, within that time.
+    /// Expected number of calls of the service that complete, and free memory for others, within that time.
     double expectedCompletions(const std::string& service, duration within, time_point now) const;
     /// Projected peak of the tokens held by the calls placed on an endpoint.
     std::uint64_t projectedTokens(const std::string& endpoint, time_point now) const;
@@ -110,7 +113,8 @@
     static bool isChangingStage(const engine& candidate, time_point now) { return candidate.targetStage != wire::STAGE_ANY && now < candidate.stageChangeDeadline; }
     std::vector<engine_stage_load> stageLoads(const std::string& service, time_point now) const;
     void recordCallCost(const placement_request& request);
-    static bool isEligible(const engine& candidate, const placement_request& request, wire::endpoint_stage stage);
+    /// Whether the engine may get new calls of the service, apart from its load and health.
+    bool isUsable(const engine& candidate, const std::string& service) const;
     std::vector<engine*> candidates(const placement_request& request, wire::endpoint_stage stage, time_point now);
     engine* chooseDecode(const placement_request& request, time_point now);
     /// Whether a decode engine may prefill the prompt itself while the prefill engines are busy.
@@ -119,6 +123,7 @@
 
     std::mt19937_64 m_random;
     std::map<std::string, engine> m_engines;
+    std::set<std::string> m_evacuated;
     circuit_breaker m_breaker;
     /// By entry and call id.
     std::map<std::string, std::map<std::uint64_t, placed_call>> m_calls;
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -64,7 +64,7 @@
 bool slot_planner::isUsable(const endpoint& candidate, const std::string& service) const
 {
     const auto& report = candidate.row.report();
-    return report.service() == service && report.state() == wire::ENDPOINT_SERVING && !candidate.row.silent();
+    return report.service() == service && report.state() == wire::ENDPOINT_SERVING && !candidate.row.silent() && !m_evacuated.count(report.data_centre());
 }
 
 unsigned slot_planner::capacityOf(const endpoint& candidate)
--- a/Source/scheduling/slot_planner.h
+++ b/Source/scheduling/slot_planner.h
@@ -5,6 +5,7 @@
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
 
     /// Applies an endpoint's row of the directory. Rows of engines are ignored.
     void updateEndpoint(const wire::endpoint_row& row);
+    /// Sets the data centres whose endpoints get no new calls. Their running calls go on.
+    void setEvacuated(std::set<std::string> dataCentres) { m_evacuated = std::move(dataCentres); }
     /// Chooses an endpoint with a free slot and reserves the slot for the entry.
     engine_placement place(const std::string& entry, const placement_request& request, time_point now);
     /// Replaces the calls tracked for an entry by its list of running calls. The load is that of all its requests; the part
@@ -98,6 +101,7 @@
 
     std::mt19937_64 m_random;
     std::map<std::string, endpoint> m_endpoints;
+    std::set<std::string> m_evacuated;
     std::map<std::string, entry_calls> m_entries;
     std::map<std::string, service_state> m_services;
     circuit_breaker m_breaker;
--- a/Tests/Coordination/coordination_fleet.cpp
+++ b/Tests/Coordination/coordination_fleet.cpp
@@ -44,6 +44,7 @@
     std::filesystem::create_directories(m_folder);
     replica_events events;
     events.documentChanged = [this] { m_coordinator->onDocumentChanged(); };
+    events.evacuationsChanged = [this] { m_coordinator->onEvacuationsChanged(); };
     events.leadershipChanged = [this](bool leads) { m_coordinator->onLeadershipChanged(leads); };
     m_replica = std::make_unique<document_replica>(context, m_network, clock, m_metrics, replica_settings { m_folder, { address, { address }, true } }, std::move(events));
     m_coordinator = std::make_unique<entry_coordinator>(context, m_network, *m_replica, clock, m_metrics, coordinator_settings {}, decodeVersion);
--- a/Tests/Coordination/coordination_fleet.h
+++ b/Tests/Coordination/coordination_fleet.h
@@ -50,6 +50,8 @@
 
     void onEndpoints(const google::protobuf::RepeatedPtrField<wire::endpoint_row>& rows, bool everything) override;
     void onLoad(const google::protobuf::RepeatedPtrField<wire::endpoint_load>&) override { }
+    void onEvacuated(const std::set<std::string>& dataCentres) override { m_evacuated = dataCentres; }
+    const std::set<std::string>& evacuated() const { return m_evacuated; }
     void fillLoad(google::protobuf::RepeatedPtrField<wire::endpoint_load>&) const override { }
     void fillCalls(google::protobuf::RepeatedPtrField<wire::running_call>&) const override { }
 
@@ -60,6 +62,7 @@
     control_link m_link;
     std::set<std::string> m_endpoints;
     std::size_t m_endpointUpdates = 0;
+    std::set<std::string> m_evacuated;
 };
 
 /// Runs the context until the condition holds or the timeout expires. Returns whether it held.
--- a/Tests/Platform/fake_endpoint.cpp
+++ b/Tests/Platform/fake_endpoint.cpp
@@ -38,8 +38,8 @@
 
 std::string fake_endpoint::makeReport(const std::string& state)
 {
-    boost::json::object body { { "service", m_service }, { "address", m_reportedAddress }, { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", state },
-        { "coldRemainingMs", 0 }, { "born", m_startTime.load() }, { "sequence", ++m_sequence } };
+    boost::json::object body { { "service", m_service }, { "address", m_reportedAddress }, { "zone", m_dataCentre }, { "version", "v1" }, { "slots", 4 }, { "state", state },
+        { "coldRemainingMs", m_coldTime.load().count() }, { "born", m_startTime.load() }, { "sequence", ++m_sequence } };
     if (!m_stage.empty())
         body["stage"] = m_stage;
     return boost::json::serialize(body);
--- a/Tests/Platform/fake_endpoint.h
+++ b/Tests/Platform/fake_endpoint.h
@@ -34,6 +34,10 @@
     /// Sets the address stated in its reports, such as that of a proxy in front of it.
     void setReportedAddress(const std::string& address) { m_reportedAddress = address; }
     void setMode(fake_endpoint_mode mode) { m_mode = mode; }
+    /// Sets the data centre stated in its reports.
+    void setDataCentre(const std::string& dataCentre) { m_dataCentre = dataCentre; }
+    /// Sets how long its next reports say that it stays cold.
+    void setColdTime(milliseconds remaining) { m_coldTime = remaining; }
     /// Sets the duration of a plain request and of each stream event.
     void setDelay(milliseconds delay) { m_delay = delay; }
     /// The body of its next status report.
@@ -63,6 +67,8 @@
     std::string m_reportedAddress;
     std::string m_service;
     std::string m_stage;
+    std::string m_dataCentre = "a";
+    std::atomic<milliseconds> m_coldTime { milliseconds(0) };
     std::atomic<fake_endpoint_mode> m_mode { fake_endpoint_mode::Normal };
     std::atomic<milliseconds> m_delay { milliseconds(5) };
     std::atomic<bool> m_crashed { false };
