Records, Scheduler, Command: Evacuate data centres through the own interface

Operators of the own interface had no way to keep work away from a data centre. An evacuation is a record named after its data centre; its schema is new, so that it is accepted only once every process follows it, and it is in force everywhere or nowhere as any record. Pools place nothing on the endpoints there, and refuse waiting and new requests at once as "evacuated" if there are no others. "pistachiolatch evacuate DC [--withdraw]" and "pistachiolatch evacuations" order, withdraw and list them.

CommandSessionTest has them in its transcript; it and RecordsTest and SchedulingTest pass.

--- a/Source/command/main.cpp
+++ b/Source/command/main.cpp
@@ -15,6 +15,8 @@
         std::string organisation;
         std::string keyId;
         std::string requestId;
+        std::string dataCentre;
+        bool withdraw = false;
     };
 
     void addCommands(CLI::App& app, command_arguments& arguments)
@@ -29,6 +31,10 @@
         auto* remove = app.add_subcommand("remove", "remove a record");
         remove->add_option("kind", arguments.kind, "kind of the record")->required();
         remove->add_option("name", arguments.name, "name of the record")->required();
+        auto* evacuate = app.add_subcommand("evacuate", "keep new work away from the endpoints of a data centre");
+        evacuate->add_option("data-centre", arguments.dataCentre, "name of the data centre")->required();
+        evacuate->add_flag("--withdraw", arguments.withdraw, "use the data centre again");
+        app.add_subcommand("evacuations", "list the evacuated data centres");
         auto* key = app.add_subcommand("key", "issue and withdraw API keys of callers");
         key->require_subcommand(1);
         key->add_subcommand("issue", "generate a key, store its digest and print the key once")->add_option("organisation", arguments.organisation, "organisation that the key is for")->required();
@@ -70,6 +76,10 @@
             return commandApply(client, arguments.file);
         if (app.got_subcommand("remove"))
             return commandRemove(client, arguments.kind, arguments.name);
+        if (app.got_subcommand("evacuate"))
+            return commandEvacuate(client, arguments.dataCentre, !arguments.withdraw);
+        if (app.got_subcommand("evacuations"))
+            return commandEvacuations(client);
         if (app.got_subcommand("status"))
             return commandStatus(client);
         if (app.got_subcommand("events"))
--- a/Source/command/record_commands.cpp
+++ b/Source/command/record_commands.cpp
@@ -41,6 +41,13 @@
         return found == records.end() ? nullptr : &*found;
     }
 
+    /// Whether an evacuation record, null if there is none, says that its data centre is evacuated.
+    bool isEvacuated(const wire::record* record)
+    {
+        auto decoded = record ? decodeEvacuation(*record) : result<evacuation_record>(evacuation_record { false });
+        return decoded && decoded.value().evacuated;
+    }
+
     /// A change that apply would submit for one record, with the text that describes it to the operator.
     struct planned_change {
         wire::record record;
@@ -168,6 +175,39 @@
     return submitRecords(client, { record });
 }
 
+int commandEvacuate(const operator_client& client, const std::string& dataCentre, bool evacuated)
+{
+    auto current = fetchRecords(client);
+    if (!current)
+        return reportError(current.error().message, exitFailed);
+    const auto* existing = findRecord(current.value(), "evacuation", dataCentre);
+    if (isEvacuated(existing) == evacuated) {
+        fmt::print("data centre \"{}\" is {}; nothing to change\n", dataCentre, evacuated ? "evacuated already" : "not evacuated");
+        return exitOk;
+    }
+    wire::record record;
+    record.set_kind("evacuation");
+    record.set_name(dataCentre);
+    record.set_version(existing ? existing->version() + 1 : 1);
+    record.set_schema_version(newestSchemaVersion);
+    record.set_body(json::serialize(json::object { { "evacuated", evacuated } }));
+    if (auto valid = validateRecord(record); !valid)
+        return reportError(valid.error().message, exitBadInput);
+    return submitRecords(client, { record });
+}
+
+int commandEvacuations(const operator_client& client)
+{
+    auto records = fetchRecords(client);
+    if (!records)
+        return reportError(records.error().message, exitFailed);
+    for (const auto& record : records.value()) {
+        if (record.kind() == "evacuation" && isEvacuated(&record))
+            fmt::print("data_centre={} since_revision={}\n", record.name(), record.revision());
+    }
+    return exitOk;
+}
+
 int commandKeyIssue(const operator_client& client, const std::string& organisation)
 {
     auto current = fetchRecords(client);
--- a/Source/records/config_view.cpp
+++ b/Source/records/config_view.cpp
@@ -48,9 +48,21 @@
         return storeOrErase(m_services, record, decodeService);
     if (record.kind() == "endpoint_role")
         return storeOrErase(m_roles, record, decodeEndpointRole);
+    if (record.kind() == "evacuation")
+        return storeOrErase(m_evacuations, record, decodeEvacuation);
     return failure { fmt::format("kind \"{}\" is unknown to this build", record.kind()) };
 }
 
+std::set<std::string> config_view::evacuatedDataCentres() const
+{
+    std::set<std::string> names;
+    for (const auto& [name, evacuation] : m_evacuations) {
+        if (evacuation.evacuated)
+            names.insert(name);
+    }
+    return names;
+}
+
 const api_key* config_view::findKeyByDigest(const std::string& sha256) const
 {
     auto found = m_keysByDigest.find(sha256);
--- a/Source/records/config_view.h
+++ b/Source/records/config_view.h
@@ -29,6 +29,7 @@
     const std::map<std::string, model_record>& models() const { return m_models; }
     const std::map<std::string, endpoint_role_record>& endpointRoles() const { return m_roles; }
     const std::map<std::string, limit_record>& limits() const { return m_limits; }
+    std::set<std::string> evacuatedDataCentres() const;
 
 private:
     template <typename T>
@@ -45,6 +46,7 @@
     std::map<std::string, model_record> m_models;
     std::map<std::string, service_record> m_services;
     std::map<std::string, endpoint_role_record> m_roles;
+    std::map<std::string, evacuation_record> m_evacuations;
     std::map<std::string, key_record> m_keys;
     std::unordered_map<std::string, api_key> m_keysByDigest;
 };
--- a/Source/records/record_types.cpp
+++ b/Source/records/record_types.cpp
@@ -205,9 +205,20 @@
     return body.finish(std::move(value));
 }
 
+result<evacuation_record> decodeEvacuation(const wire::record& record)
+{
+    constexpr std::uint32_t firstSchemaVersion = 3;
+    body_reader body(record);
+    evacuation_record value;
+    value.evacuated = body.readBool("evacuated", true);
+    if (!body.schemaNewerThan(firstSchemaVersion - 1))
+        body.addProblem("schema_version", fmt::format("is {}; this kind needs {} or newer", record.schema_version(), firstSchemaVersion));
+    return body.finish(value);
+}
+
 const std::vector<std::string>& recordKinds()
 {
-    static const std::vector<std::string> kinds { "organisation", "limit", "key", "model", "service", "endpoint_role" };
+    static const std::vector<std::string> kinds { "organisation", "limit", "key", "model", "service", "endpoint_role", "evacuation" };
     return kinds;
 }
 
@@ -240,6 +251,8 @@
         return validateBody(record, decodeModel);
     if (record.kind() == "service")
         return validateBody(record, decodeService);
+    if (record.kind() == "evacuation")
+        return validateBody(record, decodeEvacuation);
     return validateBody(record, decodeEndpointRole);
 }
 
--- a/Source/records/record_types.h
+++ b/Source/records/record_types.h
@@ -8,7 +8,7 @@
 namespace pistachiolatch {
 
 /// The newest record schema that this build decodes.
-constexpr std::uint32_t newestSchemaVersion = 2;
+constexpr std::uint32_t newestSchemaVersion = 3;
 
 /// How long a limit grant may be used after it was issued. A bucket reserves rate times this duration, so that a grant
 /// used late never lets an organisation exceed its rate and burst.
@@ -64,6 +64,12 @@
     std::uint32_t maxTokensDefault = 256;
 };
 
+/// Whether new work is kept away from the endpoints of the data centre that the record is named after. Schema 3 adds this
+/// kind, so that it is accepted only once every process follows it.
+struct evacuation_record {
+    bool evacuated = true;
+};
+
 /// Each decoder converts every supported schema version to the same type.
 /// Errors: unsupported schema, unknown or missing field, wrong type, value out of bounds. Thread safety: any thread.
 result<organisation_record> decodeOrganisation(const wire::record& record);
@@ -72,6 +78,7 @@
 result<endpoint_role_record> decodeEndpointRole(const wire::record& record);
 result<service_record> decodeService(const wire::record& record);
 result<model_record> decodeModel(const wire::record& record);
+result<evacuation_record> decodeEvacuation(const wire::record& record);
 
 /// The record kinds, in listing order.
 const std::vector<std::string>& recordKinds();
--- a/Source/scheduler/owned_pools.cpp
+++ b/Source/scheduler/owned_pools.cpp
@@ -35,6 +35,7 @@
 
 void owned_pool::configure(const config_view& config)
 {
+    m_pool.setEvacuated(config.evacuatedDataCentres());
     if (!isModelShard(m_shard))
         return;
     if (const auto* model = config.model(m_shard.substr(modelPrefix.size())))
--- a/Source/scheduling/pool.h
+++ b/Source/scheduling/pool.h
@@ -18,6 +18,8 @@
     pool(std::string shard, pool_kind kind, pool_settings settings, pool_targets targets);
 
     void setTargets(pool_targets targets) { m_targets = targets; }
+    /// Sets the data centres whose endpoints get no new work. What runs there goes on.
+    void setEvacuated(std::set<std::string> dataCentres) { m_endpoints.setEvacuated(std::move(dataCentres)); }
     /// Applies an endpoint's announcement. Returns the crash reports that became certain by it.
     std::vector<wire::crash_report> handleAnnouncement(const wire::endpoint_announcement& announcement, milliseconds age, time_point now);
     /// Queues a request for endpoints, or refuses it. Precondition: entry, weight and share are filled in.
@@ -54,6 +56,8 @@
     milliseconds expectedWait(const pool_request& request, time_point now) const;
     void refuseExpired(time_point now);
     bool hasEndpoints(const std::set<std::string>& exclude, time_point now) const;
+    /// Why hasEndpoints() does not hold.
+    reason missingEndpointsReason() const { return m_endpoints.isEvacuated() ? reason::Evacuated : reason::NoEndpoint; }
 
     std::string m_shard;
     pool_kind m_kind;
--- a/Source/scheduling/pool_endpoints.cpp
+++ b/Source/scheduling/pool_endpoints.cpp
@@ -28,11 +28,17 @@
 {
     auto endpoints = m_table.serving();
     std::erase_if(endpoints, [&](const auto* endpoint) {
-        return endpoint->role() != role || exclude.count(endpoint->id()) || (useBreaker && !m_breaker.allows(endpoint->id(), now));
+        return endpoint->role() != role || m_evacuated.count(endpoint->data_centre()) || exclude.count(endpoint->id()) || (useBreaker && !m_breaker.allows(endpoint->id(), now));
     });
     return endpoints;
 }
 
+bool pool_endpoints::isEvacuated() const
+{
+    auto serving = m_table.serving();
+    return !serving.empty() && std::all_of(serving.begin(), serving.end(), [&](const auto* endpoint) { return m_evacuated.count(endpoint->data_centre()) > 0; });
+}
+
 const pool_endpoints::load& pool_endpoints::loadOf(const std::string& id) const
 {
     static const load idle;
--- a/Source/scheduling/pool_endpoints.h
+++ b/Source/scheduling/pool_endpoints.h
@@ -54,6 +54,9 @@
     circuit_breaker& breaker() { return m_breaker; }
     const circuit_breaker& breaker() const { return m_breaker; }
 
+    void setEvacuated(std::set<std::string> dataCentres) { m_evacuated = std::move(dataCentres); }
+    /// Whether endpoints serve, but all of them are in evacuated data centres.
+    bool isEvacuated() const;
     /// Endpoints of a role that may get new work, without the excluded ones. The pointers are valid until the next
     /// announcement.
     std::vector<const wire::endpoint_announcement*> usable(const std::string& role, const std::set<std::string>& exclude, bool useBreaker, time_point now) const;
@@ -96,6 +99,7 @@
 
     pool_kind m_kind;
     endpoint_table m_table;
+    std::set<std::string> m_evacuated;
     circuit_breaker m_breaker;
     std::map<std::string, load> m_loads;
     std::map<std::string, reservation> m_reservations;
--- a/Source/scheduling/pool_queue.cpp
+++ b/Source/scheduling/pool_queue.cpp
@@ -62,7 +62,7 @@
         return true;
     }
     if (!hasEndpoints(excludedEndpoints(request), now)) {
-        refuse(request, reason::NoEndpoint, noEndpointRetry);
+        refuse(request, missingEndpointsReason(), noEndpointRetry);
         return true;
     }
     if (request.place.attempt() > 0 && !m_budget.tryRetry()) {
@@ -162,9 +162,11 @@
 
 void pool::refuseExpired(time_point now)
 {
-    for (const auto& request : m_queue.removeIf([now](const pool_request& request) { return request.deadline <= now; })) {
+    // An evacuation ends when an operator says so, hardly while callers wait.
+    bool evacuated = m_endpoints.isEvacuated();
+    for (const auto& request : m_queue.removeIf([=](const pool_request& request) { return evacuated || request.deadline <= now; })) {
         bool available = hasEndpoints(excludedEndpoints(request), now);
-        refuse(request, available ? reason::NoCapacity : reason::NoEndpoint, available ? std::max(minRetryAfter, expectedWait(request, now)) : noEndpointRetry);
+        refuse(request, available ? reason::NoCapacity : missingEndpointsReason(), available ? std::max(minRetryAfter, expectedWait(request, now)) : noEndpointRetry);
     }
 }
 
--- a/Tests/Command/CommandSessionTest.cpp
+++ b/Tests/Command/CommandSessionTest.cpp
@@ -50,6 +50,15 @@
     run({ "key", "issue", "nobody" });
     run({ "remove", "limit", "beta" });
     run({ "get", "limit", "beta" });
+    run({ "evacuations" });
+    run({ "evacuate", "riga a" });
+    run({ "evacuate", "riga-a" });
+    run({ "evacuate", "riga-a" });
+    run({ "evacuations" });
+    run({ "get", "evacuation" });
+    run({ "evacuate", "riga-a", "--withdraw" });
+    run({ "evacuate", "riga-a", "--withdraw" });
+    run({ "evacuations" });
     run({ "explain", "no/such" });
     run({ "explain", "vm9.00" });
     transcript = normalise(transcript, { { where.folder(), "FOLDER" }, { "alpha-[0-9a-f]{8}", "alpha-ID" }, { "pl-[0-9a-f]{64}", "pl-SECRET" } });
