Scheduling, Coordination, Forwarding: Bound the calls that cold endpoints get

Nothing bounded what an endpoint gets right after its start, or after it became cold again: empty endpoints are the best choice for every call of a burst, and crash above their rate.

The owner, which places calls for all entries, holds a bucket for each cold endpoint of a service whose configuration states a rate: three quarters of it continuously, the rest at once. Queues count what the buckets will let through when they decide who waits. A plain service with a limited endpoint is queued at the owner until it is warm; entries choose no such endpoint by themselves. The second way, shares that entries hold by themselves, was not built: entries learn from the owner alone which endpoints are cold, 24 calls a second among 83 entries are less than one for each, and one saved call at each entry would exceed the bound of 41 in one second. After a withdrawn evacuation endpoints count as cold until they had time to report; a report that extends the cold time counts as a change.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -179,7 +179,7 @@
 void entry_coordinator::onDocumentChanged()
 {
     m_documents.store(m_replica.document());
-    configureLimits();
+    applyConfiguration();
     pushChanges();
 }
 
@@ -194,7 +194,25 @@
     auto evacuated = m_replica.evacuations().evacuated();
     m_metrics.gauge("data_centres_evacuated", static_cast<double>(evacuated.size()));
     m_planner.setEvacuated(evacuated);
-    m_slotPlanner.setEvacuated(std::move(evacuated));
+    m_slotPlanner.setEvacuated(evacuated);
+    // Endpoints may have become cold while their data centre was evacuated; their next reports tell.
+    auto coldUntil = m_clock.now() + m_settings.reportInterval + announcementDelay;
+    updatePlanner();
+    for (const auto& row : m_directory.changesSince(0)) {
+        const auto& report = row.report();
+        if (!m_evacuated.count(report.data_centre()) || evacuated.count(report.data_centre()))
+            continue;
+        m_planner.coldStarts().assumeCold(report.id(), coldUntil);
+        m_slotPlanner.coldStarts().assumeCold(report.id(), coldUntil);
+    }
+    m_evacuated = std::move(evacuated);
+}
+
+void entry_coordinator::announceEndpoints()
+{
+    if (m_replica.isLeader())
+        updateQueuedServices();
+    pushChanges();
 }
 
 void entry_coordinator::onLeadershipChanged(bool isLeader)
@@ -219,7 +237,7 @@
     m_leaderSince = m_clock.now();
     m_planningStartsAt = m_leaderSince + planningDelay;
     m_limits.emplace(m_clock.now());
-    configureLimits();
+    applyConfiguration();
 }
 
 void entry_coordinator::removeEntry(peer_connection* entry)
@@ -276,7 +294,7 @@
 {
     // An endpoint expects no new work once its leaving is confirmed.
     if (report.state() == wire::ENDPOINT_SERVING)
-        armTimer(m_announcementTimer, announcementDelay, &entry_coordinator::pushChanges);
+        armTimer(m_announcementTimer, announcementDelay, &entry_coordinator::announceEndpoints);
     else
         pushChanges();
 }
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -42,6 +42,8 @@
     directory_settings directory;
     /// Removes an entry that sends no sync for this long: its lease has expired, so it serves no requests.
     milliseconds entryLease { 4000 };
+    /// How often endpoints report.
+    milliseconds reportInterval { 1200 };
     limit_tolerance tolerance;
     /// Name of this VM, sent as the holder of stage orders.
     std::string vm;
@@ -129,6 +131,8 @@
     void removeEntry(peer_connection* entry);
     void updatePlanner();
     void updateEvacuated();
+    /// Tells the entries of changed endpoints, and which services are queued because of them.
+    void announceEndpoints();
     void balanceStages();
     void onLimitRequest(const wire::envelope& message, const peer_network::peer& from);
     void fillUpdate(wire::entry_update& update, entry_session& session);
@@ -136,7 +140,9 @@
     /// Tells the entries of an endpoint whose report changed something: at once if it leaves, else together with others.
     void pushReported(const wire::endpoint_report& report);
     void processLimitRequests();
-    void configureLimits();
+    /// Configures what the leader limits by the newest document.
+    void applyConfiguration();
+    void configureLimits(const configuration& current);
     void onTimer();
 
     boost::asio::io_context& m_context;
@@ -160,6 +166,8 @@
     time_point m_planningStartsAt {};
     /// When a leader was last known to this process.
     time_point m_leaderKnownAt {};
+    /// The evacuated data centres that the planners know.
+    std::set<std::string> m_evacuated;
     /// The directory version that the planner has.
     std::uint64_t m_plannerVersion = 0;
     std::uint64_t m_lastEntryNumber = 0;
--- a/Source/coordination/entry_coordinator_limits.cpp
+++ b/Source/coordination/entry_coordinator_limits.cpp
@@ -1,4 +1,4 @@
-// Limits of the organisations.
+// Limits of the organisations and of cold endpoints.
 #include "coordination/entry_coordinator.h"
 
 namespace pistachiolatch {
@@ -8,7 +8,7 @@
     constexpr milliseconds limitInterval { 20 };
 }
 
-void entry_coordinator::configureLimits()
+void entry_coordinator::applyConfiguration()
 {
     if (!m_limits || m_replica.document().version() == 0)
         return;
@@ -17,8 +17,20 @@
         logEvent("document_unreadable", { { "version", m_replica.document().version() }, { "error", decoded.error().message } });
         return;
     }
+    configureLimits(decoded.value());
+    std::map<std::string, double> coldRates;
+    for (const auto& service : decoded.value().services) {
+        if (service.coldCallsPerSecond > 0)
+            coldRates[service.name] = service.coldCallsPerSecond;
+    }
+    m_planner.coldStarts().setRates(coldRates);
+    m_slotPlanner.coldStarts().setRates(std::move(coldRates));
+}
+
+void entry_coordinator::configureLimits(const configuration& current)
+{
     std::set<std::string> limited;
-    for (const auto& one : decoded.value().organisations) {
+    for (const auto& one : current.organisations) {
         if (one.rate == 0)
             continue;
         const auto& tolerance = m_settings.tolerance;
--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -41,8 +41,11 @@
 {
     if (m_plannerVersion == m_directory.version())
         return;
+    auto now = m_clock.now();
     for (const auto& row : m_directory.changesSince(m_plannerVersion)) {
+        m_planner.coldStarts().onReport(row.report(), now);
         m_planner.updateEndpoint(row);
+        m_slotPlanner.coldStarts().onReport(row.report(), now);
         m_slotPlanner.updateEndpoint(row);
     }
     m_plannerVersion = m_directory.version();
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -332,6 +332,7 @@
     endpoint_query query;
     query.service = m_service->name;
     query.exclude = m_triedEndpoints;
+    query.excludeCold = m_service->coldCallsPerSecond > 0;
     co_return m_shared.endpoints.select(query);
 }
 
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -91,6 +91,7 @@
     query.tokens = m_tokens;
     query.memoryTokens = m_service->engine->memoryTokens;
     query.exclude = m_triedEndpoints;
+    query.excludeCold = m_service->coldCallsPerSecond > 0;
     return query;
 }
 
@@ -215,6 +216,7 @@
     query.requestCapacity = forwarding_detail::prefillRequestCapacity;
     query.maxRequests = forwarding_detail::maxUnplannedPrompts;
     query.exclude = tried;
+    query.excludeCold = m_service->coldCallsPerSecond > 0;
     query.preferredDataCentre = placement.decode.dataCentre;
     return m_shared.endpoints.select(query);
 }
--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -28,6 +28,8 @@
     /// A success this recent overrides that control reports the endpoint as silent: it may be partitioned from control
     /// only.
     constexpr milliseconds recentSuccessPeriod { 1000 };
+    /// Endpoints report about every second.
+    constexpr milliseconds maxReportAge { 1500 };
     /// How long an endpoint that a new leader doesn't know is kept; it announces itself several times in this period.
     constexpr milliseconds unconfirmedTimeout { 6000 };
 
@@ -88,6 +90,8 @@
         endpoint.consecutiveFailures = 0;
         endpoint.backoffUntil = {};
     }
+    if (restarted || report.sequence() != endpoint.report.sequence())
+        endpoint.coldUntil = m_clock.now() + milliseconds(report.cold_ms());
     endpoint.report = report;
     endpoint.silent = row.silent();
     endpoint.unconfirmedSince = {};
@@ -152,6 +156,11 @@
 
 void endpoint_registry::onEvacuated(const std::set<std::string>& dataCentres)
 {
+    // Endpoints may have become cold while their data centre was evacuated; their next reports tell.
+    for (auto& [id, endpoint] : m_endpoints) {
+        if (isEvacuated(endpoint) && !dataCentres.count(endpoint.report.data_centre()))
+            endpoint.coldUntil = std::max(endpoint.coldUntil, m_clock.now() + maxReportAge);
+    }
     m_evacuated = dataCentres;
 }
 
@@ -183,6 +192,8 @@
         return false;
     if (query.exclude.count(report.id()) || (endpoint.silent && now - endpoint.lastSuccessAt > recentSuccessPeriod))
         return false;
+    if (query.excludeCold && now < endpoint.coldUntil)
+        return false;
     if (query.maxRequests > 0 && endpoint.ownRequests + endpoint.otherRequests >= query.maxRequests)
         return false;
     if (query.memoryTokens == 0)
--- a/Source/forwarding/endpoint_registry.h
+++ b/Source/forwarding/endpoint_registry.h
@@ -19,6 +19,9 @@
     unsigned requestCapacity = 0;
     /// Maximum of concurrent requests at an endpoint, as far as this entry knows; 0 means unlimited.
     unsigned maxRequests = 0;
+    /// Whether only the leader may place calls at endpoints that are still cold, because it alone counts the calls of all
+    /// entries.
+    bool excludeCold = false;
     /// Preferred data centre; empty means the entry's own.
     std::string preferredDataCentre;
     /// Ids of endpoints that must not be selected, such as those already tried.
@@ -95,6 +98,7 @@
     struct endpoint_record {
         wire::endpoint_report report;
         bool silent = false;
+        time_point coldUntil {};
         unsigned ownRequests = 0;
         std::uint64_t ownTokens = 0;
         unsigned otherRequests = 0;
--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -19,6 +19,14 @@
     }
 }
 
+bool endpoint_directory::isColdAgain(const known_endpoint& known, const wire::endpoint_report& report, time_point now)
+{
+    // Reports that are held up by the network state a remaining time that is up to this much too long.
+    constexpr milliseconds maxReportDelay { 500 };
+    auto expected = milliseconds(known.row.report().cold_ms()) - (now - known.lastReportAt);
+    return report.cold_ms() > 0 && milliseconds(report.cold_ms()) > expected + maxReportDelay;
+}
+
 endpoint_directory::endpoint_directory(std::uint64_t source, directory_settings settings)
     : m_source(source)
     , m_settings(settings)
@@ -124,7 +132,8 @@
     if (resolveAddressConflict(report))
         return m_version != before;
     auto& endpoint = found == m_endpoints.end() ? m_endpoints[report.id()] : found->second;
-    bool changed = found == m_endpoints.end() || endpoint.row.silent() || !isEquivalentForReaders(report, endpoint.row.report());
+    bool changed = found == m_endpoints.end() || endpoint.row.silent() || !isEquivalentForReaders(report, endpoint.row.report())
+        || isColdAgain(endpoint, report, now);
     *endpoint.row.mutable_report() = report;
     updateAddressIndex(endpoint, report.address());
     endpoint.goneWithoutIncarnation = false;
--- a/Source/membership/endpoint_directory.h
+++ b/Source/membership/endpoint_directory.h
@@ -74,6 +74,8 @@
     };
     /// Whether a report may predate the GONE report without incarnation that was applied before it.
     bool mayPredateGone(known_endpoint& endpoint, const wire::endpoint_report& report, time_point now) const;
+    /// Whether a report says that the endpoint stays cold for longer than its report before did.
+    static bool isColdAgain(const known_endpoint& known, const wire::endpoint_report& report, time_point now);
     bool isOlder(const wire::endpoint_report& report, const wire::endpoint_report& known) const;
     /// Marks endpoints with the same address as gone unless they started later. Returns true if one started later.
     bool resolveAddressConflict(const wire::endpoint_report& report);
--- a/Source/routing/configuration.h
+++ b/Source/routing/configuration.h
@@ -57,6 +57,8 @@
     std::string name;
     /// Maximum number of connections per endpoint from all entries together.
     unsigned maxConnections = 0;
+    /// Calls per second that an endpoint tolerates until it has warmed up; 0 means that it needs no limit.
+    double coldCallsPerSecond = 0;
     std::optional<engine_config> engine;
 };
 
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -35,6 +35,7 @@
     if (report.state() == wire::ENDPOINT_GONE) {
         m_engines.erase(report.id());
         m_breaker.reset(report.id());
+        m_coldStarts.remove(report.id());
         return;
     }
     auto& updated = m_engines[report.id()];
@@ -90,6 +91,11 @@
             completions += 1 - std::exp(-toMs(within) / std::max(remainingMs, 1.0));
         }
     }
+    // A cold engine has room, but takes the next call only after a pause.
+    for (const auto& [id, candidate] : m_engines) {
+        if (isUsable(candidate, service) && candidate.row.report().stage() == wire::STAGE_DECODE)
+            completions += completionsPerPlacement * m_coldStarts.expectedCalls(id, within, now);
+    }
     return completions;
 }
 
@@ -124,6 +130,8 @@
     auto capacity = static_cast<double>(std::max<std::uint64_t>(request.memoryTokens, 1));
     for (auto* candidate : candidates(request, wire::STAGE_DECODE, now)) {
         const auto& report = candidate->row.report();
+        if (!m_coldStarts.allows(report.id(), now))
+            continue;
         auto& running = callsByEndpoint[report.id()];
         bool empty = running.empty();
         running.push_back({ request.promptTokens, static_cast<std::uint64_t>(expectedRemaining(request.outputTokens, 0)) });
@@ -147,6 +155,8 @@
     engine* best = nullptr;
     time_point bestAt {};
     for (auto* candidate : candidates(request, wire::STAGE_PREFILL, now)) {
+        if (!m_coldStarts.allows(candidate->row.report().id(), now))
+            continue;
         auto at = std::max(now, candidate->prefillsDoneAt);
         if (candidate->row.report().data_centre() != dataCentre)
             at += remotePrefillDelay;
@@ -182,6 +192,8 @@
     recordCallCost(request);
     m_breaker.onSent(placement.decode, now);
     m_breaker.onSent(placement.prefill, now);
+    m_coldStarts.onSent(placement.decode, now);
+    m_coldStarts.onSent(placement.prefill, now);
     auto& prefiller = prefill ? *prefill : *decode;
     prefiller.prefillsDoneAt = std::max(now, prefiller.prefillsDoneAt) + m_speedModels[request.service].prefillTime(request.promptTokens) * (prefill ? 1 : decodePrefillSlowdown);
     return placement;
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 #include "kernel/kernel.h"
 #include "scheduling/circuit_breaker.h"
+#include "scheduling/cold_start_gate.h"
 #include "scheduling/engine_speed_model.h"
 #include "scheduling/memory_projection.h"
 #include "scheduling/placement_types.h"
@@ -47,6 +48,8 @@
     void updateEndpoint(const wire::endpoint_row& row);
     /// Sets the data centres whose engines get no new calls. Their running calls go on and still count.
     void setEvacuated(std::set<std::string> dataCentres) { m_evacuated = std::move(dataCentres); }
+    /// The limits of engines that are still cold, for the caller to keep up to date.
+    cold_start_gate& coldStarts() { return m_coldStarts; }
     /// Chooses engines for a call and reserves them for the entry.
     engine_placement place(const std::string& entry, const placement_request& request, time_point now);
     /// Replaces the calls tracked for an entry by the list of its running calls.
@@ -125,6 +128,7 @@
     std::map<std::string, engine> m_engines;
     std::set<std::string> m_evacuated;
     circuit_breaker m_breaker;
+    cold_start_gate m_coldStarts;
     /// By entry and call id.
     std::map<std::string, std::map<std::uint64_t, placed_call>> m_calls;
     /// By service.
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -54,6 +54,7 @@
     if (m_endpoints.erase(id) == 0)
         return;
     m_breaker.reset(id);
+    m_coldStarts.remove(id);
     // Otherwise its calls would take slots from an endpoint that returns under the same id.
     for (auto& [entry, calls] : m_entries) {
         std::erase_if(calls.placed, [&](const auto& item) { return item.second.endpoint == id; });
@@ -115,7 +116,7 @@
     for (auto* candidate : candidates(request, now)) {
         const auto& report = candidate->row.report();
         auto load = loadOf(*candidate, now);
-        if (load + 1 > capacityOf(*candidate))
+        if (load + 1 > capacityOf(*candidate) || !m_coldStarts.allows(report.id(), now))
             continue;
         double tieBreak = std::uniform_real_distribution<double>(0, 0.01)(m_random);
         double cost = load / report.slots() + failureCost * candidate->failureRate + tieBreak;
@@ -131,6 +132,7 @@
     const auto& id = best->row.report().id();
     ++best->placed;
     m_breaker.onSent(id, now);
+    m_coldStarts.onSent(id, now);
     m_entries[entry].placed[request.callId] = { id, now };
     return { .decode = id, .prefill = {} };
 }
@@ -246,20 +248,23 @@
     struct service_load {
         double requests = 0;
         double slots = 0;
+        bool limited = false;
     };
     std::map<std::string, service_load> loads;
     for (const auto& [id, candidate] : m_endpoints) {
         const auto& report = candidate.row.report();
         auto& load = loads[report.service()];
         load.requests += loadOf(candidate, now);
-        if (isUsable(candidate, report.service()))
-            load.slots += report.slots();
+        if (!isUsable(candidate, report.service()))
+            continue;
+        load.slots += report.slots();
+        load.limited = load.limited || m_coldStarts.isLimited(id, now);
     }
     bool changed = false;
     for (const auto& [name, load] : loads) {
         auto& service = m_services[name];
-        bool busy = load.slots > 0 && load.requests > queuedAbove * load.slots;
-        bool calm = load.slots == 0 || load.requests < calmBelow * load.slots;
+        bool busy = load.slots > 0 && (load.limited || load.requests > queuedAbove * load.slots);
+        bool calm = load.slots == 0 || (!load.limited && load.requests < calmBelow * load.slots);
         if (!calm)
             service.calmSince = {};
         else if (service.calmSince == time_point {})
@@ -297,7 +302,13 @@
         if (isUsable(candidate, service))
             busySlots += std::min(loadOf(candidate, now), static_cast<double>(candidate.row.report().slots()));
     }
-    return busySlots * toMs(within) / toMs(meanServiceTime(service));
+    // A cold endpoint may have free slots, but takes the next call only after a pause.
+    double coldCalls = 0;
+    for (const auto& [id, candidate] : m_endpoints) {
+        if (isUsable(candidate, service))
+            coldCalls += m_coldStarts.expectedCalls(id, within, now);
+    }
+    return coldCalls + busySlots * toMs(within) / toMs(meanServiceTime(service));
 }
 
 } // namespace pistachiolatch
--- a/Source/scheduling/slot_planner.h
+++ b/Source/scheduling/slot_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 #include "kernel/kernel.h"
 #include "scheduling/circuit_breaker.h"
+#include "scheduling/cold_start_gate.h"
 #include "scheduling/placement_types.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
@@ -34,6 +35,8 @@
     void updateEndpoint(const wire::endpoint_row& row);
     /// Sets the data centres whose endpoints get no new calls. Their running calls go on.
     void setEvacuated(std::set<std::string> dataCentres) { m_evacuated = std::move(dataCentres); }
+    /// The limits of endpoints that are still cold, for the caller to keep up to date.
+    cold_start_gate& coldStarts() { return m_coldStarts; }
     /// Chooses an endpoint with a free slot and reserves the slot for the entry.
     engine_placement place(const std::string& entry, const placement_request& request, time_point now);
     /// Replaces the calls tracked for an entry by its list of running calls. The load is that of all its requests; the part
@@ -47,7 +50,7 @@
     void recordRefusal(const std::string& endpoint, time_point now);
     void removeEntry(const std::string& entry);
 
-    /// Whether a service is so busy that its calls must be placed here. Hysteresis keeps it from alternating.
+    /// Whether a service is so busy, or has endpoints so cold, that its calls must be placed here. Hysteresis keeps it from alternating.
     bool isQueued(const std::string& service) const;
     /// Decides again which services are queued. Returns whether that changed.
     bool updateQueued(time_point now);
@@ -105,6 +108,7 @@
     std::map<std::string, entry_calls> m_entries;
     std::map<std::string, service_state> m_services;
     circuit_breaker m_breaker;
+    cold_start_gate m_coldStarts;
 };
 
 } // namespace pistachiolatch
--- a/Tests/Forwarding/ForwardingDecisionsTest.cpp
+++ b/Tests/Forwarding/ForwardingDecisionsTest.cpp
@@ -217,6 +217,50 @@
 // Guards against unnecessary migrations: an engine out of memory preempts one stream and continues the others, but the
 // stream is migrated as if the engine were unresponsive. The timeout at a live engine is longer, but always shorter than
 // the pause that callers tolerate.
+TEST_CASE("No endpoint of an evacuated data centre is selected, and a service with no other is evacuated")
+{
+    manual_clock_source clock;
+    endpoint_registry registry(clock, "a", 7);
+    registry.onEndpoints(makeRows({ makeRow("near", "a"), makeRow("far", "b") }), true);
+    CHECK_FALSE(registry.isServiceEvacuated("app"));
+    registry.onEvacuated({ "a" });
+    CHECK(registry.isEvacuated("near"));
+    CHECK_FALSE(registry.find("near"));
+    for (int i = 0; i < 20; ++i)
+        REQUIRE(registry.select(makeQuery("app"))->id == "far");
+    registry.onEvacuated({ "a", "b" });
+    CHECK_FALSE(registry.select(makeQuery("app")));
+    CHECK(registry.isServiceEvacuated("app"));
+    CHECK_FALSE(registry.isServiceEvacuated("unknown"));
+    registry.onEvacuated({});
+    CHECK(registry.find("near"));
+}
+
+// Guards against endpoints that crash after their start because entries that choose alone add up to more than they tolerate.
+TEST_CASE("An entry doesn't choose cold endpoints itself until they are warm")
+{
+    manual_clock_source clock;
+    endpoint_registry registry(clock, "a", 7);
+    auto cold = makeRow("cold", "a");
+    cold.mutable_report()->set_cold_ms(3000);
+    registry.onEndpoints(makeRows({ cold }), true);
+    auto query = makeQuery("app");
+    CHECK(registry.select(query));
+    query.excludeCold = true;
+    CHECK_FALSE(registry.select(query));
+    // The same row comes again with other changes; the time counts from the first.
+    clock.advance(milliseconds(2000));
+    registry.onEndpoints(makeRows({ cold }), false);
+    clock.advance(milliseconds(1001));
+    CHECK(registry.select(query));
+    // An endpoint may become cold while it is evacuated, and report that later.
+    registry.onEvacuated({ "a" });
+    registry.onEvacuated({});
+    CHECK_FALSE(registry.select(query));
+    clock.advance(milliseconds(1500));
+    CHECK(registry.select(query));
+}
+
 TEST_CASE("The stall timeout is longer at a live engine")
 {
     idle_stream unresponsive { milliseconds(900), milliseconds(300), milliseconds(1000), milliseconds(1000) };
--- a/Tests/Membership/EndpointDirectoryTest.cpp
+++ b/Tests/Membership/EndpointDirectoryTest.cpp
@@ -218,3 +218,26 @@
     CHECK_FALSE(directory.find("a"));
     CHECK(directory.changesSince(0).size() == 2);
 }
+
+// Guards against endpoints that are used at full rate although they became cold again while they were cold.
+TEST_CASE("An endpoint that stays cold for longer than it said counts as changed")
+{
+    endpoint_directory directory(1, {});
+    time_point now { std::chrono::hours(1) };
+    auto report = [&](std::uint64_t sequence, std::uint32_t coldMs) {
+        wire::endpoint_report report;
+        report.set_id("e");
+        report.set_born_ms(1);
+        report.set_sequence(sequence);
+        report.set_address("10.0.0.1:1");
+        report.set_cold_ms(coldMs);
+        return directory.applyReport(report, now);
+    };
+    CHECK(report(1, 3000));
+    now += milliseconds(1200);
+    CHECK_FALSE(report(2, 1800));
+    now += milliseconds(1200);
+    CHECK(report(3, 3000));
+    now += milliseconds(1200);
+    CHECK(report(4, 0));
+}
