Scheduling: While capacity lacks, refuse first what can't end before its deadline

On slow engines a long answer takes longer than its caller waits. Entries tell the leader how long the caller waits; while a service refuses calls for lack of room, those with a chance below one half to end in time, by the learnt speed and the spread of outputs, are refused at once. While there is room all are tried.

Test: PlacementQueueTest, load at twice the capacity with a third of the answers too long; without known deadlines fewer than 1/1.3 as many end.

--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -89,6 +89,7 @@
     queued.waitDeadline = now + milliseconds(request.patience_ms());
     // Entries of earlier versions don't send this field.
     queued.firstEventDeadline = request.target_left_ms() > 0 ? now + milliseconds(request.target_left_ms()) : time_point::max();
+    queued.deadline = request.deadline_left_ms() > 0 ? now + milliseconds(request.deadline_left_ms()) : time_point::max();
     queued.fingerprint = request.fingerprint();
     queued.streamStarted = request.begun();
     return queued;
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -78,6 +78,14 @@
     return m_speedModels[request.service].timeToFirstEvent(request.promptTokens);
 }
 
+double engine_planner::chanceToFinish(const placement_request& request, duration within)
+{
+    const auto& model = m_speedModels[request.service];
+    if (!model.hasEnoughSamples())
+        return 1;
+    return chanceToEndWithin(request.outputTokens, toMs(within - model.timeToFirstEvent(request.promptTokens)) * model.generatedTokensPerMs());
+}
+
 double engine_planner::expectedCompletions(const std::string& service, duration within, time_point now) const
 {
     double completions = 0;
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -78,6 +78,8 @@
     const wire::endpoint_report* findReport(const std::string& engine) const;
     /// Expected time from placement to the first event if no prompts are queued ahead.
     duration timeToFirstEvent(const placement_request& request);
+    /// The chance that the call's whole answer is generated within that time.
+    double chanceToFinish(const placement_request& request, duration within);
     /// Expected number of calls of the service that complete, and free memory for others, within that time.
     double expectedCompletions(const std::string& service, duration within, time_point now) const;
     /// Projected peak of the tokens held by the calls placed on an endpoint.
--- a/Source/scheduling/output_estimator.cpp
+++ b/Source/scheduling/output_estimator.cpp
@@ -45,6 +45,15 @@
     history.logMean += std::max(minSampleWeight, 1.0 / history.samples) * (std::log(static_cast<double>(generated)) - history.logMean);
 }
 
+double chanceToEndWithin(std::uint64_t estimated, double tokens)
+{
+    if (estimated == 0)
+        return 1;
+    if (tokens <= 0)
+        return 0;
+    return 1 - normalTail(std::log(tokens / static_cast<double>(estimated)) / logLengthStdDev);
+}
+
 double expectedRemaining(std::uint64_t estimated, std::uint64_t generated)
 {
     if (estimated == 0)
--- a/Source/scheduling/output_estimator.h
+++ b/Source/scheduling/output_estimator.h
@@ -11,6 +11,9 @@
 /// alone have larger errors.
 constexpr double logLengthStdDev = 0.38;
 
+/// The chance that a call ends within that many tokens, by its estimated output. Thread safety: any thread.
+double chanceToEndWithin(std::uint64_t estimated, double tokens);
+
 /// Estimates the output length of a call from the caller's hint and from earlier answers of its route. Load pattern:
 /// on a full engine a few answers that are longer than estimated cause preemption; the prompt of the preempted stream
 /// is prefilled again while all other streams of the engine stand still. Hints are right in the median but often far
--- a/Source/scheduling/placement_queue.h
+++ b/Source/scheduling/placement_queue.h
@@ -25,6 +25,8 @@
     time_point waitDeadline;
     /// When the first event is due by the latency target.
     time_point firstEventDeadline;
+    /// When the caller stops waiting for the whole answer.
+    time_point deadline = time_point::max();
     /// Hash of the caller's request, which recognises it when it comes back after a refusal; 0 if unknown.
     std::uint64_t fingerprint = 0;
     /// Whether the caller has received part of the answer.
@@ -49,6 +51,9 @@
     {
         planner.timeToFirstEvent(request)
         } -> std::same_as<duration>;
+    {
+        planner.chanceToFinish(request, within)
+        } -> std::same_as<double>;
     {
         planner.expectedCompletions(text, within, now)
         } -> std::same_as<double>;
@@ -66,6 +71,8 @@
 /// and is refused at once when the calls ahead of it use up all capacity that will be free by then. Refused callers
 /// get staggered retry times, at the rate at which calls complete: with equal retry times they would form the next
 /// burst.
+/// On slow engines an answer may take longer than its caller waits. While calls are refused for lack of capacity, those that
+/// will probably not finish are refused first: they would hold memory until their deadline in vain, longer than others need.
 /// Started streams go first. Callers that come back after a refusal go before all others within a fixed share of the work,
 /// and after them beyond it: they have missed their targets, so serving them first would make every other call late too.
 /// Organisations share the rest fairly, by the work of their calls, so that one that floods a service lengthens only its
@@ -96,6 +103,8 @@
     void recordPlacement(const queued_request& queued);
     void removeIdleState(time_point now);
     bool canStartInTime(const queued_request& queued, bool prefillBusy, std::size_t waitingAhead, Planner& planner, time_point now) const;
+    /// Whether the call would probably hold its endpoint in vain, while others are refused.
+    bool wouldWasteCapacity(const queued_request& queued, Planner& planner, time_point now) const;
     milliseconds nextRetryDelay(const std::string& service, const Planner& planner, time_point now);
 
     struct waiting_request {
@@ -110,6 +119,8 @@
     std::map<std::string, double> m_returningCredit;
     /// When requests were refused, by fingerprint.
     std::unordered_map<std::uint64_t, time_point> m_refusedAt;
+    /// When a call was last refused for lack of capacity, by service.
+    std::map<std::string, time_point> m_fullAt;
     /// The latest retry time that was given to a caller, by service.
     std::map<std::string, time_point> m_lastRetryTimes;
 };
@@ -126,6 +137,10 @@
     /// How long a refused request is remembered; callers that wait longer than the longest retry delay are rare.
     constexpr milliseconds refusalMemory { 6000 };
     constexpr std::size_t maxRefusals = 20'000;
+    /// Calls with a lower chance to finish are refused while others lack capacity.
+    constexpr double minChanceToFinish = 0.5;
+    /// How long a service counts as short of capacity after a call was refused for it.
+    constexpr milliseconds shortageMemory { 1000 };
     /// Number of flows beyond which those without waiting calls are removed.
     constexpr std::size_t maxIdleFlows = 1024;
 }
@@ -212,8 +227,9 @@
         const auto& queued = waiting.queued;
         const auto& service = queued.request.service;
         auto& ahead = waitingAhead[service];
-        auto placement = ahead > 0 ? engine_placement { .full = true, .decode = {}, .prefill = {} } : planner.place(queued.entry, queued.request, now);
-        if (placement.full && canStartInTime(queued, placement.prefillBusy, ahead, planner, now)) {
+        bool wasteful = wouldWasteCapacity(queued, planner, now);
+        auto placement = ahead > 0 || wasteful ? engine_placement { .full = true, .decode = {}, .prefill = {} } : planner.place(queued.entry, queued.request, now);
+        if (placement.full && !wasteful && canStartInTime(queued, placement.prefillBusy, ahead, planner, now)) {
             ++ahead;
             return false;
         }
@@ -226,6 +242,8 @@
         } else if (queued.fingerprint != 0) {
             m_refusedAt[queued.fingerprint] = now;
         }
+        if (placement.full && !wasteful)
+            m_fullAt[service] = now;
         auto retryAfter = placement.full ? nextRetryDelay(service, planner, now) : milliseconds(0);
         results.push_back({ queued.ticket, std::move(placement), retryAfter });
         return true;
@@ -250,6 +268,17 @@
     return planner.expectedCompletions(queued.request.service, startBy - now, now) >= Planner::completionsPerPlacement * static_cast<double>(waitingAhead + 1);
 }
 
+template <placement_planner Planner>
+bool placement_queue<Planner>::wouldWasteCapacity(const queued_request& queued, Planner& planner, time_point now) const
+{
+    using namespace placement_queue_detail;
+    if (queued.streamStarted || queued.deadline == time_point::max())
+        return false;
+    auto full = m_fullAt.find(queued.request.service);
+    bool isShort = full != m_fullAt.end() && now - full->second <= shortageMemory;
+    return isShort && planner.chanceToFinish(queued.request, queued.deadline - now) < minChanceToFinish;
+}
+
 template <placement_planner Planner>
 milliseconds placement_queue<Planner>::nextRetryDelay(const std::string& service, const Planner& planner, time_point now)
 {
@@ -294,6 +323,7 @@
     m_returningCredit.clear();
     m_refusedAt.clear();
     m_lastRetryTimes.clear();
+    m_fullAt.clear();
 }
 
 } // namespace pistachiolatch
--- a/Source/scheduling/slot_planner.h
+++ b/Source/scheduling/slot_planner.h
@@ -60,6 +60,8 @@
 
     /// Time from placement to the answer of nearly all calls.
     duration timeToFirstEvent(const placement_request& request) const;
+    /// The chance that the call is answered within that time. Single service times are unknown, so it counts as certain.
+    static double chanceToFinish(const placement_request&, duration) { return 1; }
     /// Expected number of calls of the service that complete within that time.
     double expectedCompletions(const std::string& service, duration within, time_point now) const;
 
--- a/Tests/Scheduling/PlacementQueueTest.cpp
+++ b/Tests/Scheduling/PlacementQueueTest.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/engine_planner.h"
 #include "scheduling/placement_queue.h"
 #include <catch2/catch.hpp>
+#include <optional>
 
 using namespace pistachiolatch;
 
@@ -39,7 +40,7 @@
         planner.updateEndpoint(row);
     }
 
-    void submit()
+    void submit(std::uint64_t output = outputTokens, std::optional<milliseconds> timeLeft = std::nullopt)
     {
         queued_request queued;
         queued.ticket = ++lastTicket;
@@ -47,11 +48,14 @@
         queued.request.callId = queued.ticket;
         queued.request.service = "llm";
         queued.request.promptTokens = promptTokens;
-        queued.request.outputTokens = outputTokens;
+        queued.request.outputTokens = output;
         queued.request.memoryTokens = memoryTokens;
+        if (timeLeft)
+            queued.deadline = clock.now() + *timeLeft;
         queued.waitDeadline = clock.now() + target * 7 / 10;
         queued.firstEventDeadline = clock.now() + target;
         submittedAt[queued.ticket] = clock.now();
+        outputs[queued.ticket] = output;
         queue.add(std::move(queued), clock.now());
     }
 
@@ -63,23 +67,31 @@
                 ++it;
                 continue;
             }
-            planner.release("entry", it->first, { outputTokens, generationTime, promptTokens, prefillTime, firstEventDelay });
+            auto generating = std::min(generationTimeOf(it->first), maxGenerationTime);
+            planner.release("entry", it->first, { static_cast<std::uint64_t>(generating.count()) * outputTokens / static_cast<std::uint64_t>(generationTime.count()), generating, promptTokens, prefillTime, firstEventDelay });
+            finished += generating == generationTimeOf(it->first) ? 1 : 0;
             it = running.erase(it);
         }
         auto results = queue.step(planner, clock.now());
         for (const auto& result : results) {
             if (!result.placement.full)
-                running[result.ticket] = clock.now() + prefillTime + firstEventDelay + generationTime;
+                running[result.ticket] = clock.now() + prefillTime + firstEventDelay + std::min(generationTimeOf(result.ticket), maxGenerationTime);
         }
         return results;
     }
 
+    milliseconds generationTimeOf(std::uint64_t ticket) { return generationTime * static_cast<std::int64_t>(outputs[ticket]) / static_cast<std::int64_t>(outputTokens); }
+
     manual_clock_source clock;
     engine_planner planner { 7 };
     placement_queue<engine_planner> queue;
     std::uint64_t lastTicket = 0;
     std::map<std::uint64_t, time_point> submittedAt;
+    std::map<std::uint64_t, std::uint64_t> outputs;
     std::map<std::uint64_t, time_point> running;
+    /// Callers leave after this time, whether or not their answers are complete.
+    milliseconds maxGenerationTime = milliseconds::max();
+    int finished = 0;
 };
 }
 
@@ -143,6 +155,46 @@
     }
 }
 
+namespace {
+/// Load at twice the capacity in which every third answer takes longer than callers wait. Returns the finished calls.
+int simulateLongAnswers(bool deadlineKnown)
+{
+    constexpr std::chrono::seconds deadline { 10 };
+    engine_simulation engines;
+    engines.maxGenerationTime = deadline - prefillTime - firstEventDelay;
+    for (int at = 0; at < 6000; ++at) {
+        bool isLong = engines.lastTicket % 3 == 0;
+        if (at % 5 == 0)
+            engines.submit(isLong ? 4 * outputTokens : outputTokens, deadlineKnown ? std::optional<milliseconds>(deadline) : std::nullopt);
+        engines.step();
+        engines.clock.advance(milliseconds(10));
+    }
+    return engines.finished;
+}
+}
+
+// Guards against engines that are full of answers that no caller waits for until their end, while others are refused.
+TEST_CASE("Under overload, calls that can't finish before their deadlines don't take the place of others")
+{
+    auto unknown = simulateLongAnswers(false);
+    auto known = simulateLongAnswers(true);
+    CHECK(known > 1.3 * unknown);
+}
+
+TEST_CASE("Calls that would miss their deadlines are tried while there is capacity")
+{
+    engine_simulation engines;
+    for (int i = 0; i < 12; ++i) {
+        engines.submit();
+        engines.step();
+        engines.clock.advance(std::chrono::seconds(5));
+    }
+    engines.submit(100 * outputTokens, std::chrono::seconds(10));
+    auto results = engines.step();
+    REQUIRE(results.size() == 1);
+    CHECK_FALSE(results.front().placement.full);
+}
+
 TEST_CASE("Calls refused together get staggered retry times")
 {
     engine_simulation engines;
