--- a/Tests/Routing/RoutingTest.cpp
+++ b/Tests/Routing/RoutingTest.cpp
@@ -19,7 +19,7 @@
 {
     configuration valid;
     valid.version = 5;
-    valid.services = { { "app", 10, std::nullopt }, { "other", 10, std::nullopt } };
+    valid.services = { { "app", 10, 0, std::nullopt }, { "other", 10, 0, std::nullopt } };
     valid.routes = { makeRoute("a.example", "/x/"), makeRoute("a.example", "/x/y/", "other"), makeRoute("a.example", "/") };
     valid.organisations.resize(2);
     valid.organisations[0].name = "first";
