--- a/Source/scheduling/pool_endpoints.cpp
+++ b/Source/scheduling/pool_endpoints.cpp
@@ -33,10 +33,12 @@
     return endpoints;
 }
 
-bool pool_endpoints::isEvacuated() const
+std::size_t pool_endpoints::evacuatedCount() const
 {
+    if (m_evacuated.empty())
+        return 0;
     auto serving = m_table.serving();
-    return !serving.empty() && std::all_of(serving.begin(), serving.end(), [&](const auto* endpoint) { return m_evacuated.count(endpoint->data_centre()) > 0; });
+    return static_cast<std::size_t>(std::count_if(serving.begin(), serving.end(), [&](const auto* endpoint) { return m_evacuated.count(endpoint->data_centre()) > 0; }));
 }
 
 const pool_endpoints::load& pool_endpoints::loadOf(const std::string& id) const
--- a/Source/scheduling/pool_endpoints.h
+++ b/Source/scheduling/pool_endpoints.h
@@ -55,8 +55,10 @@
     const circuit_breaker& breaker() const { return m_breaker; }
 
     void setEvacuated(std::set<std::string> dataCentres) { m_evacuated = std::move(dataCentres); }
+    /// Number of serving endpoints in evacuated data centres.
+    std::size_t evacuatedCount() const;
     /// Whether endpoints serve, but all of them are in evacuated data centres.
-    bool isEvacuated() const;
+    bool isEvacuated() const { return evacuatedCount() > 0 && evacuatedCount() == m_table.serving().size(); }
     /// Endpoints of a role that may get new work, without the excluded ones. The pointers are valid until the next
     /// announcement.
     std::vector<const wire::endpoint_announcement*> usable(const std::string& role, const std::set<std::string>& exclude, bool useBreaker, time_point now) const;
--- a/Tests/Scheduling/PoolTest.cpp
+++ b/Tests/Scheduling/PoolTest.cpp
@@ -12,7 +12,7 @@
         : testedPool(kind == pool_kind::Model ? "model:m" : "service:s", kind, std::move(settings), {})
     {
     }
-    void announce(const std::string& id, const std::string& role, std::uint32_t slots = 2, std::uint64_t incarnation = 1)
+    void announce(const std::string& id, const std::string& role, std::uint32_t slots = 2, std::uint64_t incarnation = 1, const std::string& dataCentre = "a")
     {
         wire::endpoint_announcement endpoint;
         endpoint.set_id(id);
@@ -21,6 +21,7 @@
         endpoint.set_address("127.0.0.1:1");
         endpoint.set_role(role);
         endpoint.set_slots(slots);
+        endpoint.set_data_centre(dataCentre);
         endpoint.set_memory_pieces(100);
         endpoint.set_prefill_tokens_per_s(10000);
         endpoint.set_step_us(10000);
@@ -314,3 +315,26 @@
     fixture.progress("r1", wire::STAGE_FINISHED);
     CHECK(fixture.step() == ids { "r3" });
 }
+
+// Guards against work for endpoints that are about to be switched off, and against callers who wait although no other is left.
+TEST_CASE("Nothing is placed in an evacuated data centre, and requests without another one are refused at once")
+{
+    pool_fixture fixture({}, pool_kind::Service);
+    fixture.announce("s1", "service", 1, 1, "a");
+    fixture.announce("s2", "service", 1, 1, "b");
+    fixture.testedPool.setEvacuated({ "a" });
+    fixture.place("r1");
+    CHECK(fixture.step() == ids { "r1" });
+    CHECK(fixture.testedPool.endpoints().loadOf("s2").requests == 1);
+    CHECK(fixture.testedPool.describe().find("evacuated=1") != std::string::npos);
+    // This one waits for the slot until that data centre is evacuated too.
+    fixture.place("r2");
+    CHECK(fixture.step().empty());
+    fixture.testedPool.setEvacuated({ "a", "b" });
+    fixture.place("r3");
+    auto refused = fixture.step();
+    CHECK(std::set<std::string>(refused.begin(), refused.end()) == std::set<std::string> { "r2!evacuated", "r3!evacuated" });
+    fixture.testedPool.setEvacuated({});
+    fixture.place("r4");
+    CHECK(fixture.step() == ids { "r4" });
+}
