--- a/Source/scheduling/pool.cpp
+++ b/Source/scheduling/pool.cpp
@@ -119,7 +119,7 @@
 
 std::string pool::describe() const
 {
-    return formatEvent("pool", { { "shard", m_shard }, { "policy", m_settings.policy }, { "endpoints", m_endpoints.table().serving().size() }, { "evacuated", m_endpoints.evacuatedCount() }, { "in_flight", m_endpoints.inFlight() }, { "waiting", m_queue.size() }, { "late", m_queue.lateCount() }, { "organisations", m_queue.organisationCount() }, { "wasted_prefills", m_wastedPrefills } });
+    return formatEvent("pool", { { "shard", m_shard }, { "policy", m_settings.policy }, { "endpoints", m_endpoints.table().serving().size() }, { "in_flight", m_endpoints.inFlight() }, { "waiting", m_queue.size() }, { "late", m_queue.lateCount() }, { "organisations", m_queue.organisationCount() }, { "wasted_prefills", m_wastedPrefills }, { "evacuated", m_endpoints.evacuatedCount() } });
 }
 
 } // namespace pistachiolatch
