Coordination: Walk the endpoints only for evacuations that were withdrawn

Each order to evacuate and each change of leadership brought the planners up to date and copied the whole directory, on every control process, to find endpoints that are used again. Only a withdrawal has any. What is limited, and for how long, is as before: EvacuationTest, CoordinationTest and StateTransferTest pass.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry_coordinator.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace pistachiolatch {
@@ -195,17 +197,24 @@
     m_metrics.gauge("data_centres_evacuated", static_cast<double>(evacuated.size()));
     m_planner.setEvacuated(evacuated);
     m_slotPlanner.setEvacuated(evacuated);
-    // Endpoints may have become cold while their data centre was evacuated; their next reports tell.
+    std::set<std::string> withdrawn;
+    std::set_difference(m_evacuated.begin(), m_evacuated.end(), evacuated.begin(), evacuated.end(), std::inserter(withdrawn, withdrawn.end()));
+    if (!withdrawn.empty())
+        assumeCold(withdrawn);
+    m_evacuated = std::move(evacuated);
+}
+
+void entry_coordinator::assumeCold(const std::set<std::string>& dataCentres)
+{
     auto coldUntil = m_clock.now() + m_settings.reportInterval + announcementDelay;
     updatePlanner();
     for (const auto& row : m_directory.changesSince(0)) {
         const auto& report = row.report();
-        if (!m_evacuated.count(report.data_centre()) || evacuated.count(report.data_centre()))
+        if (!dataCentres.count(report.data_centre()))
             continue;
         m_planner.coldStarts().assumeCold(report.id(), coldUntil);
         m_slotPlanner.coldStarts().assumeCold(report.id(), coldUntil);
     }
-    m_evacuated = std::move(evacuated);
 }
 
 void entry_coordinator::announceEndpoints()
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -131,6 +131,9 @@
     void removeEntry(peer_connection* entry);
     void updatePlanner();
     void updateEvacuated();
+    /// Limits the endpoints of data centres that are used again: they may have become cold meanwhile, which their next reports
+    /// tell.
+    void assumeCold(const std::set<std::string>& dataCentres);
     /// Tells the entries of changed endpoints, and which services are queued because of them.
     void announceEndpoints();
     void balanceStages();
