--- a/Tests/Replication/replica_cluster.cpp
+++ b/Tests/Replication/replica_cluster.cpp
@@ -93,7 +93,7 @@
     return nullptr;
 }
 
-void replica_cluster::submit(test_replica& replica, std::uint64_t version, const std::string& body)
+void replica_cluster::retryUntilAccepted(const std::function<void(std::function<void(bool)>)>& submit)
 {
     bool accepted = false;
     bool waiting = false;
@@ -101,30 +101,26 @@
         if (accepted || waiting)
             return accepted;
         waiting = true;
-        wire::document document;
-        document.set_version(version);
-        document.set_body(body);
-        replica.replica().submit(document, [&](submit_result outcome) {
+        submit([&](bool outcome) {
             waiting = false;
-            accepted = !outcome.unavailable;
+            accepted = outcome;
         });
         return accepted;
     });
 }
 
+void replica_cluster::submit(test_replica& replica, std::uint64_t version, const std::string& body)
+{
+    wire::document document;
+    document.set_version(version);
+    document.set_body(body);
+    retryUntilAccepted([&](auto complete) { replica.replica().submit(document, [complete](submit_result outcome) { complete(!outcome.unavailable); }); });
+}
+
 void replica_cluster::evacuate(test_replica& replica, const std::string& dataCentre, bool evacuated)
 {
-    bool accepted = false;
-    bool waiting = false;
-    runUntil([&] {
-        if (accepted || waiting)
-            return accepted;
-        waiting = true;
-        replica.replica().submitEvacuation(dataCentre, evacuated, [&](wire::evacuation_result outcome) {
-            waiting = false;
-            accepted = outcome == wire::EVACUATION_ACCEPTED;
-        });
-        return accepted;
+    retryUntilAccepted([&](auto complete) {
+        replica.replica().submitEvacuation(dataCentre, evacuated, [complete](wire::evacuation_result outcome) { complete(outcome == wire::EVACUATION_ACCEPTED); });
     });
 }
 
--- a/Tests/Replication/replica_cluster.h
+++ b/Tests/Replication/replica_cluster.h
@@ -48,6 +48,8 @@
     test_replica* leader();
     /// Number of voters that the leader knows; 0 without a leader.
     std::size_t voters() { return leader() ? leader()->replica().voters() : 0; }
+    /// Submits again until it is accepted. The function reports each outcome through the callback that it receives.
+    void retryUntilAccepted(const std::function<void(std::function<void(bool accepted)>)>& submit);
     /// Submits a document at a replica and waits until it is accepted.
     void submit(test_replica& replica, std::uint64_t version, const std::string& body);
     /// Orders or withdraws an evacuation at a replica, again until it is accepted.
