Tests: Show three ways in which crashes of endpoints are forgotten

A request is blocked after two endpoints ended under it. The block is lost if the leader is killed before the crashes are certain, never arises if no leader was known, and is cleared by a report that the endpoint sent before its crash.

--- a/Tests/Coordination/RequestBlocksTest.cpp
+++ b/Tests/Coordination/RequestBlocksTest.cpp
@@ -118,3 +118,30 @@
     REQUIRE(blocks.blocks().requests_size() == 1);
     CHECK(blocks.blocks().requests(0).fingerprint() == 2);
 }
+
+// Guards against dropping a crash because of a report that the endpoint sent before it.
+TEST_CASE("A delayed report of a crashed run does not clear its crash")
+{
+    two_crashes seen;
+    seen.now += std::chrono::seconds(2);
+    seen.blocks.onReport(reportOf("e1", firstRun), seen.now);
+    CHECK_FALSE(seen.blocked());
+    seen.now += std::chrono::seconds(1);
+    seen.blocks.onReport(reportOf("e1", firstRun + 1), seen.now);
+    CHECK(seen.blocked());
+    seen.blocks.onReport(reportOf("e2", firstRun + 1), seen.now);
+    CHECK(seen.certain());
+}
+
+// Guards against blaming a request for a crash long after an endpoint had gone on reporting.
+TEST_CASE("A crash of an endpoint that reported for seconds after a broken connection does not count against the request")
+{
+    two_crashes seen;
+    for (int report = 0; report < 4; ++report) {
+        seen.now += std::chrono::seconds(2);
+        seen.blocks.onReport(reportOf("e1", firstRun), seen.now);
+    }
+    seen.now += std::chrono::seconds(2);
+    seen.blocks.onReport(reportOf("e1", firstRun + 1), seen.now);
+    CHECK_FALSE(seen.blocked());
+}
--- a/Tests/Platform/PoisonRequestTest.cpp
+++ b/Tests/Platform/PoisonRequestTest.cpp
@@ -91,6 +91,15 @@
         return 0;
     }
 
+    /// Whether the entry knows no leader according to its log.
+    bool hasLostLeader(int entry) const
+    {
+        auto log = readFile(fmt::format("{}/entry-{}.out", platform.folder(), entry));
+        auto lost = log.rfind("event=control_lost");
+        auto found = log.rfind("event=control_found");
+        return lost != std::string::npos && (found == std::string::npos || found < lost);
+    }
+
 private:
     void reportAll()
     {
@@ -161,3 +170,40 @@
     fleet.setModes(fake_endpoint_mode::Normal);
     CHECK(eventually([&] { return fleet.sendRequest(4, "/once/x", "the prompt").status == 200; }, std::chrono::seconds(10)));
 }
+
+// Guards against a new leader that has forgotten the crashes that its predecessor suspected.
+TEST_CASE("A poison request stays blocked when the leader is killed before its crashes are certain", "[promise]")
+{
+    crashing_fleet fleet;
+    auto leader = fleet.findLeader();
+    REQUIRE(leader > 0);
+    for (int entry = 1; entry <= 3; ++entry)
+        fleet.sendRequest(entry, "/once/x", poisonBody);
+    REQUIRE(fleet.crashCount() == 2);
+    fleet.platform.control(leader).kill();
+    REQUIRE(eventually([&] { return fleet.findLeader(leader) != 0; }, std::chrono::seconds(10)));
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    for (int entry = 1; entry <= entryCount; ++entry)
+        fleet.sendRequest(entry, "/once/x", poisonBody);
+    CHECK(fleet.crashCount() == 2);
+}
+
+// Guards against an entry that forgets the crashes that it saw while no leader was known.
+TEST_CASE("A poison request that crashed two endpoints without a leader crashes no third one", "[promise]")
+{
+    crashing_fleet fleet;
+    for (int n = 1; n <= fleet.platform.controls(); ++n)
+        fleet.platform.control(n).kill();
+    REQUIRE(eventually([&] { return fleet.hasLostLeader(1); }));
+    for (int attempt = 1; attempt <= 4; ++attempt)
+        fleet.sendRequest(1, "/once/x", poisonBody);
+    CHECK(fleet.crashCount() == 2);
+    for (int n = 1; n <= fleet.platform.controls(); ++n)
+        fleet.platform.startControl(n, false);
+    for (int entry = 1; entry <= entryCount; ++entry)
+        REQUIRE(eventually([&] { return !fleet.hasLostLeader(entry) && fleet.platform.isEntryReady(entry); }, std::chrono::seconds(20)));
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    for (int entry = 1; entry <= entryCount; ++entry)
+        fleet.sendRequest(entry, "/once/x", poisonBody);
+    CHECK(fleet.crashCount() == 2);
+}
