Scheduling: Count a crash although a delayed report of the crashed run follows

Callers saw engines end under a request that had crashed two before: a report that an endpoint sent before its crash, and that the network held up for more than 0.7 s, removed the crash for good, and the block with it.

Cause: the crash was erased by the first later report of the same run, although reports may be seconds late. Now such a report only clears it. The crash counts again once the run turns out to have ended, unless the run went on reporting for 3 s, which reports that were held up together can't. Disproved crashes are kept until they expire, so that a repeated crash report does not count again.

Before: RequestBlocksTest, "A delayed report of a crashed run does not clear its crash", failed (no block after the restart).

--- a/Source/scheduling/crash_tracker.cpp
+++ b/Source/scheduling/crash_tracker.cpp
@@ -22,7 +22,7 @@
     bool recorded = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& entry) { return attemptKey(entry.report) == attemptKey(report); });
     if (recorded)
         return;
-    m_crashes.push_back({ report, now, false });
+    m_crashes.push_back({ report, now });
     if (m_crashes.size() > maxCrashes)
         m_crashes.erase(m_crashes.begin());
 }
@@ -34,36 +34,45 @@
         m_markedAttempts[mark.fingerprint()].assign(mark.attempts().begin(), mark.attempts().end());
 }
 
-std::vector<wire::crash_report> crash_tracker::onAnnounced(const std::string& endpoint, std::uint64_t incarnation, time_point now)
+std::vector<wire::crash_report> crash_tracker::confirm(const std::string& endpoint, std::optional<std::uint64_t> exceptIncarnation)
 {
     std::vector<wire::crash_report> certain;
-    std::erase_if(m_crashes, [&](const crash& entry) {
-        return !entry.certain && entry.report.endpoint() == endpoint && entry.report.endpoint_incarnation() == incarnation && now - entry.at > maxAnnouncementDelay;
-    });
     for (auto& entry : m_crashes) {
-        if (entry.certain || entry.report.endpoint() != endpoint || entry.report.endpoint_incarnation() == incarnation)
+        if (!entry.isOpen() || entry.report.endpoint() != endpoint || entry.report.endpoint_incarnation() == exceptIncarnation)
             continue;
-        entry.certain = true;
+        entry.state = crash_state::Certain;
         certain.push_back(entry.report);
     }
     return certain;
 }
 
-std::vector<wire::crash_report> crash_tracker::onSilent(const std::string& endpoint)
+std::vector<wire::crash_report> crash_tracker::onAnnounced(const std::string& endpoint, std::uint64_t incarnation, time_point now)
 {
-    std::vector<wire::crash_report> certain;
     for (auto& entry : m_crashes) {
-        if (entry.certain || entry.report.endpoint() != endpoint)
+        bool isSameRun = entry.report.endpoint() == endpoint && entry.report.endpoint_incarnation() == incarnation;
+        if (!isSameRun || now - entry.at <= maxAnnouncementDelay)
             continue;
-        entry.certain = true;
-        certain.push_back(entry.report);
+        if (entry.state == crash_state::Suspected) {
+            entry.state = crash_state::Cleared;
+            entry.clearedAt = now;
+        } else if (entry.state == crash_state::Cleared && now - entry.clearedAt >= confirmationPeriod) {
+            entry.state = crash_state::Disproved;
+        }
     }
-    return certain;
+    return confirm(endpoint, incarnation);
+}
+
+std::vector<wire::crash_report> crash_tracker::onSilent(const std::string& endpoint)
+{
+    return confirm(endpoint, std::nullopt);
 }
 
 void crash_tracker::onShutdown(const std::string& endpoint)
 {
-    std::erase_if(m_crashes, [&](const crash& entry) { return !entry.certain && entry.report.endpoint() == endpoint; });
+    for (auto& entry : m_crashes) {
+        if (entry.isOpen() && entry.report.endpoint() == endpoint)
+            entry.state = crash_state::Disproved;
+    }
 }
 
 void crash_tracker::expire(milliseconds lifetime, time_point now)
@@ -78,7 +87,7 @@
     if (marked != m_markedAttempts.end())
         attempts.insert(marked->second.begin(), marked->second.end());
     for (const auto& entry : m_crashes) {
-        if (entry.report.fingerprint() == fingerprint)
+        if (entry.counts() && entry.report.fingerprint() == fingerprint)
             attempts.insert(attemptKey(entry.report));
     }
     return static_cast<std::uint32_t>(attempts.size());
@@ -88,7 +97,7 @@
 {
     std::map<std::string, time_point> endpoints;
     for (const auto& entry : m_crashes) {
-        if (!entry.certain)
+        if (entry.isOpen())
             endpoints[entry.report.endpoint()] = std::max(endpoints[entry.report.endpoint()], entry.at);
     }
     return endpoints;
@@ -100,11 +109,13 @@
     std::set<std::tuple<std::uint64_t, std::string, std::uint64_t>> countedRuns;
     for (const auto& entry : m_crashes) {
         const auto& report = entry.report;
+        if (!entry.counts())
+            continue;
         // Each run of an endpoint crashes at most once, so several broken connections to it count as one crash.
         if (!countedRuns.emplace(report.fingerprint(), report.endpoint(), report.endpoint_incarnation()).second)
             continue;
         auto& count = counts[report.fingerprint()];
-        ++(entry.certain ? count.certain : count.suspected);
+        ++(entry.state == crash_state::Certain ? count.certain : count.suspected);
     }
     return counts;
 }
--- a/Source/scheduling/crash_tracker.h
+++ b/Source/scheduling/crash_tracker.h
@@ -3,6 +3,7 @@
 #include "wire/generated/pistachiolatch.pb.h"
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,12 +17,16 @@
 };
 
 /// Tracks, by fingerprint (organisation, model, body), the requests that were running when the connection to their
-/// endpoint broke. A suspected crash becomes certain when the endpoint restarts or falls silent. It is dropped when the
+/// endpoint broke. A suspected crash becomes certain when the endpoint restarts or falls silent. It is cleared when the
 /// same incarnation announces itself later: then only the connection broke, and the request did not crash the endpoint.
-/// Not thread-safe.
+/// Announcements may be delayed for seconds, so a cleared crash still becomes certain if the incarnation ends before it
+/// has kept announcing itself for confirmationPeriod. Not thread-safe.
 class crash_tracker {
 public:
     static constexpr std::uint32_t crashesToBlock = 2;
+    /// How long an endpoint must keep announcing itself to prove that it did not crash. Delayed announcements arrive
+    /// together; a live endpoint sends one about every second.
+    static constexpr milliseconds confirmationPeriod { 3000 };
 
     /// Records that the connection to an endpoint broke while it ran the request. Idempotent for repeated reports.
     void recordCrash(const wire::crash_report& report, time_point now);
@@ -31,24 +36,38 @@
     std::vector<wire::crash_report> onAnnounced(const std::string& endpoint, std::uint64_t incarnation, time_point now);
     /// Handles an endpoint that fell silent. Returns the reports that became certain.
     std::vector<wire::crash_report> onSilent(const std::string& endpoint);
-    /// Drops the suspected crashes of an endpoint that shut down in an orderly way; certain ones stay.
+    /// Clears the suspected crashes of an endpoint that shut down in an orderly way; certain ones stay.
     void onShutdown(const std::string& endpoint);
     /// Drops crashes, suspected and certain, that are older than the lifetime.
     void expire(milliseconds lifetime, time_point now);
     /// Number of suspected and certain crashes of a fingerprint, including the marks from control.
     std::uint32_t crashCount(std::uint64_t fingerprint) const;
-    /// Endpoints with suspected crashes, each with the time of the latest one.
+    /// Endpoints whose crashes are suspected, or cleared but not disproved, each with the time of the latest one.
     std::map<std::string, time_point> suspectedEndpoints() const;
     /// Crashes by fingerprint, counted from reports alone; marks from control are not included.
     std::map<std::uint64_t, crash_count> countsByFingerprint() const;
     bool empty() const { return m_crashes.empty(); }
 
 private:
+    enum class crash_state {
+        Suspected,
+        /// The same incarnation has announced itself since, possibly late.
+        Cleared,
+        /// The incarnation went on or shut down. Kept until it expires, so that a repeated report does not count again.
+        Disproved,
+        Certain,
+    };
     struct crash {
         wire::crash_report report;
         time_point at;
-        bool certain = false;
+        crash_state state = crash_state::Suspected;
+        time_point clearedAt {};
+
+        bool counts() const { return state == crash_state::Suspected || state == crash_state::Certain; }
+        bool isOpen() const { return state == crash_state::Suspected || state == crash_state::Cleared; }
     };
+    /// Makes the open crashes of an endpoint certain, except those of the incarnation that is given, if any.
+    std::vector<wire::crash_report> confirm(const std::string& endpoint, std::optional<std::uint64_t> exceptIncarnation);
     std::vector<crash> m_crashes;
     std::map<std::uint64_t, std::vector<std::string>> m_markedAttempts;
 };
