Coordination: Keep the crashes of endpoints at every control process

Callers saw a request that had crashed two engines crash two more after the leader was killed.

Cause: suspected crashes lived at the leader alone, a new one started without them, and entries hand on certain blocks only. Crashes become certain seconds later, so the end of a leader in between lost both. The leader now passes each crash on to the other control processes, as endpoints' reports already are, and none forgets them when the leadership changes.

A case in RequestBlocksTest holds silence from before an election apart.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -86,7 +86,7 @@
         removeEntry(entry);
     auto blocksBefore = m_blocks.version();
     bool changed = m_directory.expire(now);
-    m_blocks.updateFromDirectory(m_directory, now);
+    updateBlocks();
     if (changed || m_blocks.version() != blocksBefore)
         pushChanges();
     balanceStages();
@@ -158,7 +158,7 @@
         session.directoryVersion = sync.directory_version();
         session.evacuationRevision = sync.evacuation_revision();
         m_loads.replace(session.name, sync.load());
-        // A new leader starts without blocks. During its first lease period it adopts the certain blocks of entries.
+        // A control process that was restarted knows no blocks. During its first lease period it adopts those of entries.
         if (m_clock.now() - m_leaderSince < m_settings.entryLease)
             m_blocks.adopt(sync.blocked(), m_clock.now());
         std::vector<wire::running_call> calls(sync.calls().begin(), sync.calls().end());
@@ -239,7 +239,6 @@
     updateEvacuated();
     m_limits.reset();
     m_limitedOrganisations.clear();
-    m_blocks.clear();
     if (!isLeader)
         return;
     m_documents.store(m_replica.document());
@@ -315,25 +314,42 @@
     bool changed = m_directory.applyReport(report, now);
     m_blocks.onReport(report, now);
     if (changed)
-        m_blocks.updateFromDirectory(m_directory, now);
+        updateBlocks();
     return changed || m_blocks.version() != blocksBefore;
 }
 
+void entry_coordinator::updateBlocks()
+{
+    auto leaderSince = m_replica.isLeader() ? m_leaderSince : time_point::max();
+    m_blocks.updateFromDirectory(m_directory, leaderSince, m_clock.now());
+}
+
 void entry_coordinator::onCrash(const wire::envelope& message, const peer_network::peer& from)
 {
+    recordCrash(message.crash());
+    if (message.call() == 0)
+        return;
     wire::envelope reply;
-    auto& answer = *reply.mutable_crash_reply();
-    if (m_replica.isLeader()) {
-        auto blocksBefore = m_blocks.version();
-        answer.set_crashes(m_blocks.addSuspectedCrash(message.crash(), m_clock.now()));
-        logEvent("crash_suspected", { { "request", message.crash().request_id() }, { "endpoint", message.crash().endpoint() }, { "fingerprint", message.crash().fingerprint() }, { "crashes", answer.crashes() } });
-        m_metrics.count("crash_suspected");
-        if (m_blocks.version() != blocksBefore)
-            pushChanges();
-    }
+    reply.mutable_crash_reply()->set_crashes(m_blocks.crashCount(message.crash().fingerprint()));
     peer_network::reply(from, message, std::move(reply));
 }
 
+void entry_coordinator::recordCrash(const wire::crash_report& report)
+{
+    auto blocksBefore = m_blocks.version();
+    if (!m_blocks.addSuspectedCrash(report, m_clock.now()) || !m_replica.isLeader())
+        return;
+    logEvent("crash_suspected", { { "request", report.request_id() }, { "endpoint", report.endpoint() }, { "fingerprint", report.fingerprint() }, { "crashes", m_blocks.crashCount(report.fingerprint()) }, { "age_ms", report.age_ms() } });
+    m_metrics.count("crash_suspected");
+    for (const auto& address : m_replica.peers()) {
+        wire::envelope message;
+        *message.mutable_crash() = report;
+        m_network.send(address, std::move(message));
+    }
+    if (m_blocks.version() != blocksBefore)
+        pushChanges();
+}
+
 void entry_coordinator::onReport(const wire::envelope& message, const peer_network::peer& from)
 {
     if (applyReport(message.report_endpoint().report()))
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -117,6 +117,9 @@
     /// Applies an endpoint's report to the directory and the request blocks. Returns whether either changed.
     bool applyReport(const wire::endpoint_report& report);
     void onCrash(const wire::envelope& message, const peer_network::peer& from);
+    void updateBlocks();
+    /// Records a crash that an entry reported, and passes it on to the other control processes if this one leads.
+    void recordCrash(const wire::crash_report& report);
     void onPlanRequest(const wire::envelope& message, const peer_network::peer& from);
     void onRelease(const wire::envelope& message, const peer_network::peer& from);
     void processPlanQueue();
--- a/Source/coordination/request_blocks.cpp
+++ b/Source/coordination/request_blocks.cpp
@@ -9,11 +9,19 @@
     constexpr std::size_t maxBlocks = 1000;
 }
 
-std::uint32_t request_blocks::addSuspectedCrash(const wire::crash_report& report, time_point now)
+bool request_blocks::addSuspectedCrash(const wire::crash_report& report, time_point now)
 {
-    m_crashTracker.recordCrash(report, now);
+    if (!m_crashTracker.recordCrash(report, now - milliseconds(report.age_ms())))
+        return false;
     refresh(now);
-    return m_crashTracker.countsByFingerprint()[report.fingerprint()].total();
+    return true;
+}
+
+std::uint32_t request_blocks::crashCount(std::uint64_t fingerprint) const
+{
+    auto counts = m_crashTracker.countsByFingerprint();
+    auto found = counts.find(fingerprint);
+    return found == counts.end() ? 0 : found->second.total();
 }
 
 void request_blocks::onReport(const wire::endpoint_report& report, time_point now)
@@ -27,13 +35,13 @@
     refresh(now);
 }
 
-void request_blocks::updateFromDirectory(const endpoint_directory& directory, time_point now)
+void request_blocks::updateFromDirectory(const endpoint_directory& directory, time_point leaderSince, time_point now)
 {
     for (const auto& [id, suspectedAt] : m_crashTracker.suspectedEndpoints()) {
         const auto* row = directory.find(id);
         // ENDPOINT_GONE in a report removes the suspicion, so a suspected endpoint that is gone was replaced by another run.
         bool gone = !row || row->report().state() == wire::ENDPOINT_GONE;
-        bool silent = row && row->silent() && now - suspectedAt > m_settings.silentAfter;
+        bool silent = row && row->silent() && now - std::max(suspectedAt, leaderSince) > m_settings.silentAfter;
         if (gone || silent)
             m_crashTracker.onSilent(id);
     }
@@ -51,13 +59,6 @@
     refresh(now);
 }
 
-void request_blocks::clear()
-{
-    m_crashTracker = crash_tracker();
-    m_certain.clear();
-    refresh({});
-}
-
 void request_blocks::refresh(time_point now)
 {
     auto counts = m_crashTracker.countsByFingerprint();
--- a/Source/coordination/request_blocks.h
+++ b/Source/coordination/request_blocks.h
@@ -17,7 +17,9 @@
 /// Decides which requests entries refuse because endpoints crash while running them. A request is blocked once connections
 /// to crash_tracker::crashesToBlock endpoints broke while they ran it. The block becomes certain when those endpoints have
 /// restarted or fallen silent. A suspicion is removed when the endpoint reports again from the same run, since then only the
-/// connection broke, or when it reports ENDPOINT_GONE. Performs no I/O. Not thread-safe.
+/// connection broke, or when it reports ENDPOINT_GONE. Every control process keeps the crashes, since any of them may be
+/// elected: a leader that started without them would let each request crash two more endpoints. Performs no I/O. Not
+/// thread-safe.
 class request_blocks {
 public:
     explicit request_blocks(block_settings settings)
@@ -25,16 +27,18 @@
     {
     }
 
-    /// Records that the connection to an endpoint broke while it ran a request. Returns the number of crashes, certain or
-    /// suspected, that count against the request.
-    std::uint32_t addSuspectedCrash(const wire::crash_report& report, time_point now);
+    /// Records that the connection to an endpoint broke while it ran a request, at a time that the report's age tells.
+    /// Returns false if the report is a repeated one, which changes nothing.
+    bool addSuspectedCrash(const wire::crash_report& report, time_point now);
+    /// The number of crashes, certain or suspected, that count against the request.
+    std::uint32_t crashCount(std::uint64_t fingerprint) const;
     /// Confirms or removes suspicions against an endpoint according to its report.
     void onReport(const wire::endpoint_report& report, time_point now);
     /// Confirms the crashes of endpoints that are gone or silent in the directory, and drops expired crashes and blocks.
-    void updateFromDirectory(const endpoint_directory& directory, time_point now);
+    /// Silence proves nothing about the time before leaderSince, in which this process may have been cut off.
+    void updateFromDirectory(const endpoint_directory& directory, time_point leaderSince, time_point now);
     /// Adopts the certain blocks of an earlier leader that an entry still holds.
     void adopt(const wire::blocked_requests& held, time_point now);
-    void clear();
 
     /// Incremented with each change of blocks().
     std::uint64_t version() const { return m_version; }
--- a/Source/scheduling/crash_tracker.cpp
+++ b/Source/scheduling/crash_tracker.cpp
@@ -17,14 +17,15 @@
     }
 }
 
-void crash_tracker::recordCrash(const wire::crash_report& report, time_point now)
+bool crash_tracker::recordCrash(const wire::crash_report& report, time_point at)
 {
     bool recorded = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& entry) { return attemptKey(entry.report) == attemptKey(report); });
     if (recorded)
-        return;
-    m_crashes.push_back({ report, now });
+        return false;
+    m_crashes.push_back({ report, at });
     if (m_crashes.size() > maxCrashes)
         m_crashes.erase(m_crashes.begin());
+    return true;
 }
 
 void crash_tracker::replaceMarks(const std::vector<wire::poison_mark>& marks)
--- a/Source/scheduling/crash_tracker.h
+++ b/Source/scheduling/crash_tracker.h
@@ -28,8 +28,9 @@
     /// together; a live endpoint sends one about every second.
     static constexpr milliseconds confirmationPeriod { 3000 };
 
-    /// Records that the connection to an endpoint broke while it ran the request. Idempotent for repeated reports.
-    void recordCrash(const wire::crash_report& report, time_point now);
+    /// Records that the connection to an endpoint broke while it ran the request. Returns false if the report is a repeated
+    /// one, which changes nothing.
+    bool recordCrash(const wire::crash_report& report, time_point at);
     /// Replaces the marks that control collected from all shards and earlier owners.
     void replaceMarks(const std::vector<wire::poison_mark>& marks);
     /// Handles an announcement of an endpoint's incarnation. Returns the reports that became certain.
--- a/Tests/Coordination/RequestBlocksTest.cpp
+++ b/Tests/Coordination/RequestBlocksTest.cpp
@@ -26,6 +26,13 @@
     return report;
 }
 
+/// Records a crash and returns the number that count against its request.
+std::uint32_t addCrash(request_blocks& blocks, const wire::crash_report& report, time_point now)
+{
+    blocks.addSuspectedCrash(report, now);
+    return blocks.crashCount(report.fingerprint());
+}
+
 /// Blocks after the connections to two endpoints broke while they ran the same request.
 class two_crashes {
 public:
@@ -34,9 +41,9 @@
 
     two_crashes()
     {
-        CHECK(blocks.addSuspectedCrash(crashAt("e1", "a"), now) == 1);
+        CHECK(addCrash(blocks, crashAt("e1", "a"), now) == 1);
         CHECK(blocks.blocks().requests_size() == 0);
-        CHECK(blocks.addSuspectedCrash(crashAt("e2", "b"), now) == 2);
+        CHECK(addCrash(blocks, crashAt("e2", "b"), now) == 2);
         REQUIRE(blocks.blocks().requests_size() == 1);
         CHECK(blocks.blocks().requests(0).fingerprint() == request);
         CHECK_FALSE(blocks.blocks().requests(0).certain());
@@ -57,10 +64,10 @@
     seen.blocks.onReport(reportOf("e2", firstRun + 1), seen.now);
     CHECK(seen.certain());
     seen.now += std::chrono::minutes(9);
-    seen.blocks.updateFromDirectory(endpoint_directory(1, {}), seen.now);
+    seen.blocks.updateFromDirectory(endpoint_directory(1, {}), {}, seen.now);
     CHECK(seen.certain());
     seen.now += std::chrono::minutes(2);
-    seen.blocks.updateFromDirectory(endpoint_directory(1, {}), seen.now);
+    seen.blocks.updateFromDirectory(endpoint_directory(1, {}), {}, seen.now);
     CHECK_FALSE(seen.blocked());
 }
 
@@ -75,13 +82,13 @@
     auto second = reportOf("e2", firstRun);
     second.set_address("10.0.0.2:80");
     directory.applyReport(second, seen.now);
-    seen.blocks.updateFromDirectory(directory, seen.now);
+    seen.blocks.updateFromDirectory(directory, {}, seen.now);
     CHECK_FALSE(seen.certain());
     auto successor = reportOf("e3", firstRun + 5);
     successor.set_address("10.0.0.1:80");
     directory.applyReport(successor, seen.now + std::chrono::seconds(3));
     directory.expire(seen.now + std::chrono::seconds(5));
-    seen.blocks.updateFromDirectory(directory, seen.now + std::chrono::seconds(5));
+    seen.blocks.updateFromDirectory(directory, {}, seen.now + std::chrono::seconds(5));
     CHECK(seen.certain());
 }
 
@@ -100,8 +107,8 @@
 {
     request_blocks blocks { block_settings {} };
     time_point now { std::chrono::hours(1) };
-    CHECK(blocks.addSuspectedCrash(crashAt("e1", "a"), now) == 1);
-    CHECK(blocks.addSuspectedCrash(crashAt("e1", "b"), now) == 1);
+    CHECK(addCrash(blocks, crashAt("e1", "a"), now) == 1);
+    CHECK(addCrash(blocks, crashAt("e1", "b"), now) == 1);
     CHECK(blocks.blocks().requests_size() == 0);
 }
 
@@ -145,3 +152,22 @@
     seen.blocks.onReport(reportOf("e1", firstRun + 1), seen.now);
     CHECK_FALSE(seen.blocked());
 }
+
+// Guards against blaming a request for endpoints that a control process did not hear while it was cut off.
+TEST_CASE("Silence from before a control process was elected makes no crash certain")
+{
+    two_crashes seen;
+    endpoint_directory directory(1, {});
+    directory.applyReport(reportOf("e1", firstRun), seen.now);
+    directory.applyReport(reportOf("e2", firstRun), seen.now);
+    seen.now += std::chrono::seconds(6);
+    directory.expire(seen.now);
+    seen.blocks.updateFromDirectory(directory, time_point::max(), seen.now);
+    CHECK_FALSE(seen.certain());
+    auto electedAt = seen.now;
+    seen.blocks.updateFromDirectory(directory, electedAt, seen.now + std::chrono::seconds(3));
+    CHECK_FALSE(seen.certain());
+    CHECK(seen.blocked());
+    seen.blocks.updateFromDirectory(directory, electedAt, seen.now + std::chrono::seconds(5));
+    CHECK(seen.certain());
+}
