Coordination: Keep the crashes that an entry saw until a leader knows them

Callers saw a request crash one engine after another while control had no leader, four through one entry and six after control was back, where two are allowed.

Cause: an entry told the leader of a crash once, and nobody while none was known; each call began to count anew. The entry now keeps the crashes that it saw for a minute, sends them with each sync until a leader has them and again to each new one, and counts them itself until then. Once the leader has them its blocks decide, since only it hears whether the endpoints still run.

Before: PoisonRequestTest, "A poison request that crashed two endpoints without a leader crashes no third one": 4, then 6 engines crashed. After: 2 and 2. All of PoisonRequestTest and CoordinationTest pass, CrashJournalTest among them.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -105,6 +105,8 @@
         block->set_certain(certain);
     }
     sync.set_evacuation_revision(m_evacuations.revision());
+    m_crashes.expire(m_clock.now());
+    m_crashes.fillUnreported(*sync.mutable_crashes(), m_clock.now());
     m_endpoints.fillLoad(*sync.mutable_load());
     m_endpoints.fillCalls(*sync.mutable_calls());
     sync_request request { ++m_lastSync, address, m_clock.now() };
@@ -154,6 +156,8 @@
     if (isPending || m_leader.empty())
         setLeader(request.address);
     applyUpdate(update, request.sentAt);
+    if (request.address == m_leader)
+        m_crashes.markReported(request.sentAt);
     m_endpoints.onLoad(update.load());
     // The version was the newest when the leader last confirmed its leadership. The lease starts at the send time minus
     // the age of that confirmation, so that network delay never extends it.
@@ -183,6 +187,7 @@
     m_leader = leader;
     m_search.restart();
     m_queuedServices.clear();
+    m_crashes.onLeaderChanged();
     failPlanRequests();
     m_fetch.onLeaderChanged();
     continueFetch();
@@ -355,14 +360,17 @@
 
 void control_link::reportCrash(const wire::crash_report& report, std::function<void(std::uint32_t)> handler)
 {
+    m_crashes.add(report, m_clock.now());
+    auto seen = m_crashes.unreportedCrashes(report.fingerprint());
+    logEvent("crash_seen", { { "request", report.request_id() }, { "endpoint", report.endpoint() }, { "fingerprint", report.fingerprint() }, { "crashes", seen }, { "leader", m_leader } });
     if (m_leader.empty()) {
-        handler(0);
+        handler(seen);
         return;
     }
     wire::envelope message;
     *message.mutable_crash() = report;
-    m_network.call(m_leader, std::move(message), leaderReplyTimeout, [handler = std::move(handler)](const wire::envelope* reply) {
-        handler(reply && reply->has_crash_reply() ? reply->crash_reply().crashes() : 0);
+    m_network.call(m_leader, std::move(message), leaderReplyTimeout, [handler = std::move(handler), seen](const wire::envelope* reply) {
+        handler(std::max(seen, reply && reply->has_crash_reply() ? reply->crash_reply().crashes() : 0));
     });
 }
 
@@ -370,7 +378,7 @@
 {
     auto found = m_blocked.find(fingerprint);
     if (found == m_blocked.end())
-        return request_block::None;
+        return m_crashes.unreportedCrashes(fingerprint) >= crash_tracker::crashesToBlock ? request_block::Suspected : request_block::None;
     return found->second ? request_block::Certain : request_block::Suspected;
 }
 
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "coordination/configuration_lease.h"
+#include "coordination/crash_journal.h"
 #include "coordination/document_fetch.h"
 #include "coordination/endpoint_listener.h"
 #include "coordination/entry_coordinator.h"
@@ -74,11 +75,12 @@
     void reportFinished(const finished_attempt& attempt);
     void reportUnreachable(const std::string& endpoint, std::uint64_t born);
     /// Reports that the connection to an endpoint broke while it ran a request. The handler receives the number of
-    /// crashes that the leader counts against the request, or 0 if no leader is known or replies in time.
+    /// crashes that the leader counts against the request, or those that this entry saw if no leader replies in time.
     void reportCrash(const wire::crash_report& report, std::function<void(std::uint32_t crashes)> handler);
     /// Whether the leader places the calls to this service, which has no engines. False while no leader is known.
     bool isQueued(const std::string& service) const { return m_queuedServices.count(service) > 0; }
-    bool hasBlockedRequests() const { return !m_blocked.empty(); }
+    /// Whether blockOf() may return a block for any request.
+    bool mayBlockRequests() const { return !m_blocked.empty() || !m_crashes.empty(); }
     request_block blockOf(std::uint64_t fingerprint) const;
     /// Tells the leader that this entry shuts down, so that its shares go to the others.
     void sendLeaving();
@@ -128,6 +130,7 @@
     unsigned m_entries = 1;
     /// Whether the block is certain, by fingerprint of the blocked request.
     std::map<std::uint64_t, bool> m_blocked;
+    crash_journal m_crashes;
     /// Kept while no leader is known: an entry that is out of touch must not return work to an evacuated data centre.
     evacuation_table m_evacuations;
     std::set<std::string> m_queuedServices;
--- /dev/null
+++ b/Source/coordination/crash_journal.cpp
@@ -0,0 +1,67 @@
+#include "coordination/crash_journal.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace pistachiolatch {
+
+namespace {
+    /// How long a crash counts, the same as at the leader.
+    constexpr milliseconds crashLifetime { 60000 };
+    /// Limits the size of syncs; the oldest crashes are dropped.
+    constexpr std::size_t maxCrashes = 256;
+}
+
+void crash_journal::add(const wire::crash_report& report, time_point now)
+{
+    expire(now);
+    m_crashes.push_back({ report, now });
+    if (m_crashes.size() > maxCrashes)
+        m_crashes.pop_front();
+}
+
+std::uint32_t crash_journal::unreportedCrashes(std::uint64_t fingerprint) const
+{
+    std::set<std::pair<std::string, std::uint64_t>> runs;
+    bool allReported = true;
+    for (const auto& crash : m_crashes) {
+        if (crash.report.fingerprint() != fingerprint)
+            continue;
+        runs.emplace(crash.report.endpoint(), crash.report.endpoint_incarnation());
+        allReported = allReported && crash.reported;
+    }
+    return allReported ? 0 : static_cast<std::uint32_t>(runs.size());
+}
+
+void crash_journal::fillUnreported(google::protobuf::RepeatedPtrField<wire::crash_report>& reports, time_point now) const
+{
+    for (const auto& crash : m_crashes) {
+        if (crash.reported)
+            continue;
+        auto* report = reports.Add();
+        *report = crash.report;
+        report->set_age_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(now - crash.at).count()));
+    }
+}
+
+void crash_journal::markReported(time_point until)
+{
+    for (auto& crash : m_crashes)
+        crash.reported = crash.reported || crash.at <= until;
+}
+
+void crash_journal::onLeaderChanged()
+{
+    for (auto& crash : m_crashes)
+        crash.reported = false;
+}
+
+void crash_journal::expire(time_point now)
+{
+    while (!m_crashes.empty() && now - m_crashes.front().at > crashLifetime)
+        m_crashes.pop_front();
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/coordination/crash_journal.h
@@ -0,0 +1,35 @@
+#pragma once
+#include "kernel/kernel.h"
+#include "wire/generated/pistachiolatch.pb.h"
+#include <cstdint>
+#include <deque>
+
+namespace pistachiolatch {
+
+/// The crashes of endpoints that an entry saw itself, kept until they expire. A leader that is being elected or cut off
+/// learns of them with the first sync that reaches it. Until a leader knows them, the entry counts them itself; from then on
+/// the leader's blocks decide, since only the leader hears whether the endpoints are running. Pure; not thread-safe.
+class crash_journal {
+public:
+    void add(const wire::crash_report& report, time_point now);
+    /// Distinct runs of endpoints that crashed under the request, if a leader doesn't know all of them; 0 otherwise.
+    std::uint32_t unreportedCrashes(std::uint64_t fingerprint) const;
+    /// Appends the reports that the leader doesn't know, each with its age.
+    void fillUnreported(google::protobuf::RepeatedPtrField<wire::crash_report>& reports, time_point now) const;
+    /// Marks the crashes that were recorded up to a time as known to the leader.
+    void markReported(time_point until);
+    /// Handles a new leader, which may know none of them.
+    void onLeaderChanged();
+    void expire(time_point now);
+    bool empty() const { return m_crashes.empty(); }
+
+private:
+    struct seen_crash {
+        wire::crash_report report;
+        time_point at;
+        bool reported = false;
+    };
+    std::deque<seen_crash> m_crashes;
+};
+
+} // namespace pistachiolatch
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -161,6 +161,8 @@
         // A control process that was restarted knows no blocks. During its first lease period it adopts those of entries.
         if (m_clock.now() - m_leaderSince < m_settings.entryLease)
             m_blocks.adopt(sync.blocked(), m_clock.now());
+        for (const auto& crash : sync.crashes())
+            recordCrash(crash);
         std::vector<wire::running_call> calls(sync.calls().begin(), sync.calls().end());
         updatePlanner();
         m_planner.replaceCalls(session.name, calls, m_clock.now());
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -137,7 +137,7 @@
 template <call_codec Codec>
 std::optional<error_response> call_forwarder<Codec>::checkPoisonBlock()
 {
-    if (!m_shared.link.hasBlockedRequests())
+    if (!m_shared.link.mayBlockRequests())
         return std::nullopt;
     switch (m_shared.link.blockOf(fingerprint())) {
     case request_block::None:
