Tests: Show that the limits that endpoints name are ignored

Callers' requests reached endpoints of the plain service that had named a limit of 5 a second 1,230 times in 4 s, where 35 are allowed, and engines that had named 4 389 times, where 29 are.

--- a/Tests/Platform/fake_endpoint.cpp
+++ b/Tests/Platform/fake_endpoint.cpp
@@ -51,6 +51,12 @@
     return std::exchange(m_requestLog, {});
 }
 
+std::vector<time_point> fake_endpoint::arrivals() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_arrivals;
+}
+
 std::map<std::string, int> fake_endpoint::runCounts() const
 {
     std::lock_guard lock(m_mutex);
@@ -83,6 +89,12 @@
     auto id = exchange.header(names::requestId);
     auto mode = m_mode.load();
     http_headers headers { { names::requestId, id } };
+    if (auto limit = m_requestLimit.load(); limit > 0)
+        headers.emplace_back(names::requestLimit, fmt::format("{}", limit));
+    {
+        std::lock_guard lock(m_mutex);
+        m_arrivals.push_back(std::chrono::steady_clock::now());
+    }
     if (exchange.header(names::expectEndpoint) != m_id) {
         co_await exchange.respond(421, "", "", headers);
         co_return;
--- a/Tests/Platform/fake_endpoint.h
+++ b/Tests/Platform/fake_endpoint.h
@@ -40,6 +40,10 @@
     void setColdTime(milliseconds remaining) { m_coldTime = remaining; }
     /// Sets the duration of a plain request and of each stream event.
     void setDelay(milliseconds delay) { m_delay = delay; }
+    /// Sets the requests per second that its responses state as its limit; 0 states none.
+    void setRequestLimit(double perSecond) { m_requestLimit = perSecond; }
+    /// When its requests arrived, in order, those of the prefill stage included.
+    std::vector<time_point> arrivals() const;
     /// The body of its next status report.
     std::string makeReport(const std::string& state);
     /// Returns the executed requests, one line each, and clears the log.
@@ -72,11 +76,13 @@
     std::atomic<fake_endpoint_mode> m_mode { fake_endpoint_mode::Normal };
     std::atomic<milliseconds> m_delay { milliseconds(5) };
     std::atomic<bool> m_crashed { false };
+    std::atomic<double> m_requestLimit { 0 };
     std::atomic<std::uint64_t> m_startTime { firstStartTime };
     std::uint64_t m_sequence = 0;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requestLog;
     std::map<std::string, int> m_runCounts;
+    std::vector<time_point> m_arrivals;
     traffic_threads m_threads { 1 };
     http_server m_server;
 };
