Scheduling, Coordination, Forwarding: Keep to the limits that endpoints name

Cause: nothing read the limit; entries and the leader placed calls by slots and load alone. An entry now tells the leader what a response states, and the leader counts all calls that it places against the endpoint's limit, for plain calls and both stages of model calls, and refuses at once what the limits leave no room for. An entry that chooses an endpoint itself takes the call from a small share of the limit; unused shares are kept for a second, so that they don't add up to a burst. Statements are ordered by when they were made, so a late one restores nothing.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -39,6 +39,7 @@
     , m_timer(context)
     , m_syncTimeoutTimer(context)
     , m_fetchTimer(context)
+    , m_limits(generateIncarnation())
 {
     addControls(m_settings.controls);
 }
@@ -107,6 +108,7 @@
     sync.set_evacuation_revision(m_evacuations.revision());
     m_crashes.expire(m_clock.now());
     m_crashes.fillUnreported(*sync.mutable_crashes(), m_clock.now());
+    m_limits.fillUnreported(*sync.mutable_limits(), m_clock.now());
     m_endpoints.fillLoad(*sync.mutable_load());
     m_endpoints.fillCalls(*sync.mutable_calls());
     sync_request request { ++m_lastSync, address, m_clock.now() };
@@ -156,8 +158,10 @@
     if (isPending || m_leader.empty())
         setLeader(request.address);
     applyUpdate(update, request.sentAt);
-    if (request.address == m_leader)
+    if (request.address == m_leader) {
         m_crashes.markReported(request.sentAt);
+        m_limits.markReported(request.sentAt);
+    }
     m_endpoints.onLoad(update.load());
     // The version was the newest when the leader last confirmed its leadership. The lease starts at the send time minus
     // the age of that confirmation, so that network delay never extends it.
@@ -188,6 +192,7 @@
     m_search.restart();
     m_queuedServices.clear();
     m_crashes.onLeaderChanged();
+    m_limits.onLeaderChanged();
     failPlanRequests();
     m_fetch.onLeaderChanged();
     continueFetch();
@@ -236,6 +241,8 @@
     bool isNewSource = update.directory_source() != m_directorySource;
     m_directorySource = update.directory_source();
     m_directoryVersion = update.directory_version();
+    for (const auto& row : update.endpoints())
+        m_limits.onRow(row, m_clock.now());
     if (isNewSource || update.endpoints_size() > 0)
         m_endpoints.onEndpoints(update.endpoints(), isNewSource);
     if (!update.more_endpoints() || m_leader.empty())
@@ -358,6 +365,19 @@
     m_network.send(m_leader, std::move(message));
 }
 
+void control_link::onResponse(const std::string& endpoint, std::uint64_t incarnation, std::optional<double> limit, time_point sentAt)
+{
+    if (!m_limits.onResponse(endpoint, incarnation, limit, sentAt, m_clock.now()))
+        return;
+    logEvent("endpoint_limit_named", { { "endpoint", endpoint }, { "limited", limit ? 1 : 0 }, { "calls_per_second", fmt::format("{:.3f}", limit.value_or(0)) }, { "leader", m_leader } });
+    m_metrics.count("endpoint_limit_named");
+    if (m_leader.empty())
+        return;
+    wire::envelope message;
+    *message.mutable_endpoint_limit() = m_limits.statement(endpoint, m_clock.now());
+    m_network.send(m_leader, std::move(message));
+}
+
 void control_link::reportCrash(const wire::crash_report& report, std::function<void(std::uint32_t)> handler)
 {
     m_crashes.add(report, m_clock.now());
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -2,6 +2,7 @@
 #include "coordination/configuration_lease.h"
 #include "coordination/crash_journal.h"
 #include "coordination/document_fetch.h"
+#include "coordination/endpoint_limits.h"
 #include "coordination/endpoint_listener.h"
 #include "coordination/entry_coordinator.h"
 #include "coordination/leader_search.h"
@@ -74,6 +75,10 @@
     /// Reports the end of an attempt that the leader placed.
     void reportFinished(const finished_attempt& attempt);
     void reportUnreachable(const std::string& endpoint, std::uint64_t born);
+    /// Handles what the response of an endpoint to a request sent at `sentAt` states about its limit in calls per second.
+    void onResponse(const std::string& endpoint, std::uint64_t incarnation, std::optional<double> limit, time_point sentAt);
+    /// The limits that endpoints name.
+    endpoint_limits& endpointLimits() { return m_limits; }
     /// Reports that the connection to an endpoint broke while it ran a request. The handler receives the number of
     /// crashes that the leader counts against the request, or those that this entry saw if no leader replies in time.
     void reportCrash(const wire::crash_report& report, std::function<void(std::uint32_t crashes)> handler);
@@ -131,6 +136,7 @@
     /// Whether the block is certain, by fingerprint of the blocked request.
     std::map<std::uint64_t, bool> m_blocked;
     crash_journal m_crashes;
+    endpoint_limits m_limits;
     /// Kept while no leader is known: an entry that is out of touch must not return work to an evacuated data centre.
     evacuation_table m_evacuations;
     std::set<std::string> m_queuedServices;
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -116,6 +116,9 @@
         if (m_directory.markUnreachable(message.endpoint_unreachable().id(), message.endpoint_unreachable().born_ms()))
             pushChanges();
         return true;
+    case wire::envelope::kEndpointLimit:
+        applyLimit(message.endpoint_limit());
+        return true;
     case wire::envelope::kEnginePlanRequest:
         onPlanRequest(message, from);
         return true;
@@ -163,6 +166,8 @@
             m_blocks.adopt(sync.blocked(), m_clock.now());
         for (const auto& crash : sync.crashes())
             recordCrash(crash);
+        for (const auto& limit : sync.limits())
+            applyLimit(limit);
         std::vector<wire::running_call> calls(sync.calls().begin(), sync.calls().end());
         updatePlanner();
         m_planner.replaceCalls(session.name, calls, m_clock.now());
@@ -320,6 +325,15 @@
     return changed || m_blocks.version() != blocksBefore;
 }
 
+void entry_coordinator::applyLimit(const wire::endpoint_limit& limit)
+{
+    if (!m_replica.isLeader() || !m_directory.applyLimit(limit, m_clock.now()))
+        return;
+    logEvent("endpoint_limit_applied", { { "endpoint", limit.id() }, { "limited", limit.limited() ? 1 : 0 }, { "calls_per_second", fmt::format("{:.3f}", limit.calls_per_second()) }, { "age_ms", limit.age_ms() } });
+    m_metrics.count("endpoint_limit_applied");
+    armTimer(m_announcementTimer, announcementDelay, &entry_coordinator::announceEndpoints);
+}
+
 void entry_coordinator::updateBlocks()
 {
     auto leaderSince = m_replica.isLeader() ? m_leaderSince : time_point::max();
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -118,6 +118,8 @@
     bool applyReport(const wire::endpoint_report& report);
     void onCrash(const wire::envelope& message, const peer_network::peer& from);
     void updateBlocks();
+    /// Applies what an endpoint stated about its limit, and tells the entries if it changed.
+    void applyLimit(const wire::endpoint_limit& limit);
     /// Records a crash that an entry reported, and passes it on to the other control processes if this one leads.
     void recordCrash(const wire::crash_report& report);
     void onPlanRequest(const wire::envelope& message, const peer_network::peer& from);
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -81,6 +81,8 @@
     std::optional<error_response> checkPoisonBlock();
     /// Hash of the request's organisation, method, host, path and body, computed on first use.
     std::uint64_t fingerprint();
+    /// Passes on what a response of an endpoint states about its limit, if anything.
+    void recordCallLimit(const selected_endpoint& endpoint, const response_metadata& response, bool isAnswer);
     /// Reports a broken connection of the last attempt, if any, to the leader and waits for the request's crash count.
     task_of<void> reportCrash();
     /// Records for reportCrash() that the connection to an endpoint broke while it had the request.
@@ -96,6 +98,8 @@
     task_of<void> runModelCall();
     task_of<std::optional<model_placement>> awaitPlacement();
     task_of<std::optional<wire::engine_plan_reply>> requestPlan();
+    /// A query for endpoints that this entry selects itself.
+    endpoint_query makeQuery() const;
     endpoint_query makeDecodeQuery() const;
     std::uint64_t estimateOutputTokens() const;
     milliseconds placementTimeout() const;
@@ -162,6 +166,8 @@
     boost::asio::steady_timer m_attemptTimer;
     std::uint64_t m_attemptNumber = 0;
     bool m_attemptExpired = false;
+    /// When the last request was sent to an endpoint.
+    time_point m_sentAt {};
     bool m_callerGone = false;
     bool m_deadlinePassed = false;
     bool m_responseStarted = false;
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -15,6 +15,8 @@
     constexpr int attemptTimeoutTargets = 4;
     /// Size limit of responses that are buffered before they are forwarded; the same as for callers' requests.
     constexpr std::size_t maxResponseBytes = 16UL * 1024 * 1024;
+    /// Status of an endpoint that isn't the expected one.
+    constexpr unsigned misdirected = 421;
     /// Responses to earlier requests that are skipped before the expected one.
     constexpr int maxStrayResponses = 2;
     /// The wait for tokens of the organisation's limit is bounded by this fraction of the route's latency target.
@@ -169,6 +171,25 @@
         m_brokenEndpoint = endpoint;
 }
 
+template <call_codec Codec>
+endpoint_query call_forwarder<Codec>::makeQuery() const
+{
+    endpoint_query query;
+    query.service = m_service->name;
+    query.excludeCold = m_service->coldCallsPerSecond > 0;
+    query.limits = &m_shared.link.endpointLimits();
+    query.entries = m_shared.link.entryCount();
+    return query;
+}
+
+template <call_codec Codec>
+void call_forwarder<Codec>::recordCallLimit(const selected_endpoint& endpoint, const response_metadata& response, bool isAnswer)
+{
+    // Only a whole answer tells that a limit is withdrawn; an endpoint may leave its state out of refusals and errors.
+    if (response.callLimit || (isAnswer && !response.namesCallLimit))
+        m_shared.link.onResponse(endpoint.id, endpoint.incarnation, response.callLimit, m_sentAt);
+}
+
 template <call_codec Codec>
 task_of<void> call_forwarder<Codec>::reportCrash()
 {
@@ -329,11 +350,9 @@
             reportPlacedCallEnded();
         m_callId = 0;
     }
-    endpoint_query query;
-    query.service = m_service->name;
+    auto query = makeQuery();
     query.exclude = m_triedEndpoints;
-    query.excludeCold = m_service->coldCallsPerSecond > 0;
-    co_return m_shared.endpoints.select(query);
+    co_return m_shared.endpoints.select(std::move(query));
 }
 
 template <call_codec Codec>
@@ -394,6 +413,7 @@
     m_attemptExpired = false;
     m_endpointIds += (m_endpointIds.empty() ? "" : ",") + endpoint.id;
     options.timeLeft = timeLeft();
+    m_sentAt = m_shared.clock.now();
     connection->startSend(Codec::encodeRequest(m_request, options));
     bool canRetryElsewhere = isIdempotent() && m_possibleRuns < m_route->maxEndpoints;
     if (canRetryElsewhere)
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -85,13 +85,11 @@
 template <call_codec Codec>
 endpoint_query call_forwarder<Codec>::makeDecodeQuery() const
 {
-    endpoint_query query;
-    query.service = m_service->name;
+    auto query = makeQuery();
     query.stage = m_shared.endpoints.hasServing(query.service, wire::STAGE_DECODE) ? wire::STAGE_DECODE : wire::STAGE_ANY;
     query.tokens = m_tokens;
     query.memoryTokens = m_service->engine->memoryTokens;
     query.exclude = m_triedEndpoints;
-    query.excludeCold = m_service->coldCallsPerSecond > 0;
     return query;
 }
 
@@ -211,13 +209,11 @@
 {
     if (placement.plannedByLeader && tried.empty())
         return placement.prefill;
-    endpoint_query query;
-    query.service = m_service->name;
+    auto query = makeQuery();
     query.stage = wire::STAGE_PREFILL;
     query.requestCapacity = forwarding_detail::prefillRequestCapacity;
     query.maxRequests = forwarding_detail::maxUnplannedPrompts;
     query.exclude = tried;
-    query.excludeCold = m_service->coldCallsPerSecond > 0;
     query.preferredDataCentre = placement.decode.dataCentre;
     return m_shared.endpoints.select(query);
 }
@@ -277,6 +273,7 @@
     }
     auto options = makeAttemptOptions(endpoint);
     options.stage = attempt_stage::Prefill;
+    m_sentAt = m_shared.clock.now();
     connection->startSend(Codec::encodeRequest(m_request, options));
     startAttemptTimer(m_route->latencyTarget * forwarding_detail::prefillTimeoutTenths / 10);
     response_metadata response;
@@ -301,6 +298,8 @@
     std::optional<std::string> handle;
     if (status == 200)
         handle = Codec::parsePrefillHandle(body);
+    if (status != forwarding_detail::misdirected)
+        recordCallLimit(endpoint, response, handle.has_value());
     auto outcome = handle ? endpoint_outcome::Succeeded : response.guaranteedNotRun ? endpoint_outcome::Refused
                                                                                     : endpoint_outcome::Failed;
     recordOutcome(endpoint.id, outcome);
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -43,15 +43,17 @@
     auto status = m_connection->status();
     if (response.load)
         m_shared.endpoints.updateLoad(endpoint.id, *response.load);
-    constexpr unsigned misdirected = 421;
-    if (response.guaranteedNotRun || status == misdirected) {
+    // Another endpoint sent a 421, so its limit is that of another.
+    if (status != forwarding_detail::misdirected)
+        recordCallLimit(endpoint, response, response.sealed && status < 500);
+    if (response.guaranteedNotRun || status == forwarding_detail::misdirected) {
         std::string discarded;
         failure = co_await m_connection->readRemainingBody(discarded, forwarding_detail::maxResponseBytes);
         if (failure == call_failure::None)
             releaseConnection(endpoint.id, response);
         // 421 means that another endpoint has taken over the address; the expected one is unreachable until it
         // announces its new address.
-        recordOutcome(endpoint.id, status == misdirected ? endpoint_outcome::Unreachable : endpoint_outcome::Refused);
+        recordOutcome(endpoint.id, status == forwarding_detail::misdirected ? endpoint_outcome::Unreachable : endpoint_outcome::Refused);
         co_return attempt_outcome::RefusedNotRun;
     }
     bool isSuccess = status >= 200 && status < 300;
--- a/Source/forwarding/call_types.h
+++ b/Source/forwarding/call_types.h
@@ -68,6 +68,10 @@
     /// Id of the request that the response belongs to; empty if the response names none.
     std::string requestId;
     std::optional<reported_load> load;
+    /// The calls per second that the endpoint takes from all entries together, if the response names such a limit.
+    std::optional<double> callLimit;
+    /// Whether the response names a limit, readable or not.
+    bool namesCallLimit = false;
     /// The endpoint's timeout for idle connections, if announced.
     std::optional<std::chrono::seconds> keepAlive;
     /// Whether the body has a content encoding. An intermediary applied it, so the body is not what the endpoint sent.
--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -232,7 +232,19 @@
     return best;
 }
 
-std::optional<selected_endpoint> endpoint_registry::select(const endpoint_query& query)
+std::optional<selected_endpoint> endpoint_registry::select(endpoint_query query)
+{
+    const auto* best = selectBest(query);
+    while (best && query.limits && !query.limits->tryTake(best->report.id(), query.entries, m_clock.now())) {
+        query.exclude.insert(best->report.id());
+        best = selectBest(query);
+    }
+    if (!best)
+        return std::nullopt;
+    return selected_endpoint { best->report.id(), best->report.address(), best->report.data_centre(), best->report.born_ms() };
+}
+
+const endpoint_registry::endpoint_record* endpoint_registry::selectBest(const endpoint_query& query)
 {
     auto now = m_clock.now();
     const auto& preferred = query.preferredDataCentre.empty() ? m_dataCentre : query.preferredDataCentre;
@@ -255,11 +267,7 @@
         if (remote && (!best || cost(*remote, query) + remotePenalty < cost(*best, query)))
             best = remote;
     }
-    if (!best)
-        best = selectFromSample(inBackoff, query);
-    if (!best)
-        return std::nullopt;
-    return selected_endpoint { best->report.id(), best->report.address(), best->report.data_centre(), best->report.born_ms() };
+    return best ? best : selectFromSample(inBackoff, query);
 }
 
 std::optional<selected_endpoint> endpoint_registry::find(const std::string& id) const
--- a/Source/forwarding/endpoint_registry.h
+++ b/Source/forwarding/endpoint_registry.h
@@ -1,4 +1,5 @@
 #pragma once
+#include "coordination/endpoint_limits.h"
 #include "coordination/endpoint_listener.h"
 #include "forwarding/call_types.h"
 #include <map>
@@ -22,6 +23,10 @@
     /// Whether only the leader may place calls at endpoints that are still cold, because it alone counts the calls of all
     /// entries.
     bool excludeCold = false;
+    /// The limits that endpoints name, of which this entry takes a share for each endpoint that it selects; null for none.
+    endpoint_limits* limits = nullptr;
+    /// Entries that share the limits.
+    unsigned entries = 1;
     /// Preferred data centre; empty means the entry's own.
     std::string preferredDataCentre;
     /// Ids of endpoints that must not be selected, such as those already tried.
@@ -68,8 +73,8 @@
     void updateGeneratedTokens(std::uint64_t id, std::uint64_t tokens);
     void removeRunningCall(std::uint64_t id) { m_runningCalls.erase(id); }
 
-    /// Selects an endpoint for a call; empty if none is eligible.
-    std::optional<selected_endpoint> select(const endpoint_query& query);
+    /// Selects an endpoint for a call; empty if none is eligible or this entry's shares of their limits are used up.
+    std::optional<selected_endpoint> select(endpoint_query query);
     /// Returns the endpoint with this id; empty if it is unknown, not serving or in an evacuated data centre.
     std::optional<selected_endpoint> find(const std::string& id) const;
     /// Ids of the service's endpoints for which isUnhealthy() holds.
@@ -116,6 +121,7 @@
     bool isEvacuated(const endpoint_record& endpoint) const { return m_evacuated.count(endpoint.report.data_centre()) > 0; }
     bool isInBackoff(const endpoint_record& endpoint, time_point now) const;
     static double cost(const endpoint_record& endpoint, const endpoint_query& query);
+    const endpoint_record* selectBest(const endpoint_query& query);
     const endpoint_record* selectFromSample(const std::vector<const endpoint_record*>& candidates, const endpoint_query& query);
     void applyRow(const wire::endpoint_row& row);
 
--- a/Source/limits/fallback_limiter.cpp
+++ b/Source/limits/fallback_limiter.cpp
@@ -4,11 +4,6 @@
 
 namespace pistachiolatch {
 
-namespace {
-    /// Largest call that a share may cover in part, as a multiple of the share.
-    constexpr double maxCallShares = 2;
-}
-
 bool fallback_limiter::tryTake(const std::string& organisation, double rate, double burst, std::uint64_t tokens, time_point now)
 {
     auto [found, isNew] = m_shares.try_emplace(organisation, share { burst, now });
@@ -22,7 +17,7 @@
         return true;
     }
     // A full share covers the call: it is granted once the share has refilled.
-    if (needed <= burst || needed > maxCallShares * burst)
+    if (needed <= burst || needed > m_maxCallShares * burst)
         return false;
     bool granted = std::uniform_real_distribution<double>(0, needed)(m_random) < own.level;
     own.level = 0;
--- a/Source/limits/fallback_limiter.h
+++ b/Source/limits/fallback_limiter.h
@@ -9,13 +9,17 @@
 /// An entry's equal share of the organisations' limits while the limits have no owner. Load pattern: with hundreds of
 /// entries a full share is smaller than one call, and would grant nothing at all. Then a call is granted with the
 /// probability that the share covers it, and the share is spent either way: all entries together then grant the sum of
-/// their shares on average. A call of more than twice the full share is refused: a few entries that each grant one by
-/// chance would exceed the organisation's limit by far.
+/// their shares on average. A call of more than maxCallShares times the full share is refused: a few entries that each
+/// grant one by chance would exceed the organisation's limit by far.
 /// Not thread-safe.
 class fallback_limiter {
 public:
-    explicit fallback_limiter(std::uint64_t seed)
+    /// Largest call that a share may cover in part, as a multiple of the share.
+    static constexpr double defaultMaxCallShares = 2;
+
+    explicit fallback_limiter(std::uint64_t seed, double maxCallShares = defaultMaxCallShares)
         : m_random(seed)
+        , m_maxCallShares(maxCallShares)
     {
     }
 
@@ -29,6 +33,7 @@
         time_point refilledAt {};
     };
     std::mt19937_64 m_random;
+    double m_maxCallShares;
     std::map<std::string, share> m_shares;
 };
 
--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -134,6 +134,10 @@
     auto& endpoint = found == m_endpoints.end() ? m_endpoints[report.id()] : found->second;
     bool changed = found == m_endpoints.end() || endpoint.row.silent() || !isEquivalentForReaders(report, endpoint.row.report())
         || isColdAgain(endpoint, report, now);
+    if (endpoint.row.report().born_ms() != report.born_ms()) {
+        endpoint.row.set_limited(false);
+        endpoint.limitStatedAt = {};
+    }
     *endpoint.row.mutable_report() = report;
     updateAddressIndex(endpoint, report.address());
     endpoint.goneWithoutIncarnation = false;
@@ -154,6 +158,26 @@
     return true;
 }
 
+bool endpoint_directory::applyLimit(const wire::endpoint_limit& limit, time_point now)
+{
+    auto found = m_endpoints.find(limit.id());
+    if (found == m_endpoints.end() || isGone(found->second.row.report()) || found->second.row.report().born_ms() != limit.born_ms())
+        return false;
+    auto& endpoint = found->second;
+    auto statedAt = now - milliseconds(limit.age_ms());
+    if (statedAt <= endpoint.limitStatedAt)
+        return false;
+    endpoint.limitStatedAt = statedAt;
+    auto& row = endpoint.row;
+    bool isSame = row.limited() == limit.limited() && (!row.limited() || !differsNoticeably(row.calls_per_second(), limit.calls_per_second()));
+    if (isSame)
+        return false;
+    row.set_limited(limit.limited());
+    row.set_calls_per_second(limit.limited() ? limit.calls_per_second() : 0);
+    markChanged(endpoint);
+    return true;
+}
+
 bool endpoint_directory::expire(time_point now)
 {
     auto before = m_version;
--- a/Source/membership/endpoint_directory.h
+++ b/Source/membership/endpoint_directory.h
@@ -1,6 +1,8 @@
 #pragma once
 #include "kernel/kernel.h"
 #include "wire/generated/pistachiolatch.pb.h"
+#include <algorithm>
+#include <cmath>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -21,6 +23,13 @@
     milliseconds goneAfter { 30000 };
 };
 
+/// Whether two limits differ by more than the noise in what an endpoint measures of itself. Thread safety: any thread.
+inline bool differsNoticeably(double left, double right)
+{
+    constexpr double tolerance = 0.05;
+    return std::abs(left - right) > tolerance * std::max(left, right);
+}
+
 /// A page of changed endpoints.
 struct directory_page {
     std::vector<wire::endpoint_row> rows;
@@ -45,6 +54,9 @@
     /// Marks an endpoint that could not be reached as silent until its next report. A crashed endpoint doesn't report
     /// its crash; without this, every entry would detect it by a failed call of its own. Returns whether it changed.
     bool markUnreachable(const std::string& id, std::uint64_t bornMs);
+    /// Applies what a response of an endpoint stated about its limit, unless a later statement is known or another run of
+    /// the endpoint is. Returns whether the limit changed.
+    bool applyLimit(const wire::endpoint_limit& limit, time_point now);
     /// Marks endpoints as silent or gone and removes old ones. Returns whether any was marked.
     bool expire(time_point now);
     std::uint64_t source() const { return m_source; }
@@ -71,6 +83,8 @@
         /// The incarnation that reported after such a GONE report, and since when.
         std::uint64_t reportingIncarnation = 0;
         time_point reportingSince {};
+        /// When the newest statement about its limit was made.
+        time_point limitStatedAt {};
     };
     /// Whether a report may predate the GONE report without incarnation that was applied before it.
     bool mayPredateGone(known_endpoint& endpoint, const wire::endpoint_report& report, time_point now) const;
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -36,6 +36,7 @@
         m_engines.erase(report.id());
         m_breaker.reset(report.id());
         m_coldStarts.remove(report.id());
+        m_callLimits.remove(report.id());
         return;
     }
     auto& updated = m_engines[report.id()];
@@ -44,6 +45,7 @@
         m_breaker.reset(report.id());
     }
     updated.row = row;
+    m_callLimits.update(row);
     if (report.stage() == updated.targetStage)
         updated.targetStage = wire::STAGE_ANY;
 }
@@ -93,18 +95,32 @@
         for (const auto& [id, call] : calls) {
             auto engine = m_engines.find(call.endpoint);
             // An endpoint that leaves or is evacuated ends its calls, but takes no others in their place.
-            if (engine == m_engines.end() || !isUsable(engine->second, service))
+            if (engine == m_engines.end() || !isUsable(engine->second, service) || m_callLimits.isLimited(call.endpoint))
                 continue;
             auto remainingMs = static_cast<double>(memoryOf(call, now).remaining) / speedModelOf(call.endpoint).generatedTokensPerMs();
             completions += 1 - std::exp(-toMs(within) / std::max(remainingMs, 1.0));
         }
     }
-    // A cold engine has room, but takes the next call only after a pause.
+    // A cold or limited engine has room, but takes the next call only after a pause.
     for (const auto& [id, candidate] : m_engines) {
         if (isUsable(candidate, service) && candidate.row.report().stage() == wire::STAGE_DECODE)
-            completions += completionsPerPlacement * m_coldStarts.expectedCalls(id, within, now);
+            completions += completionsPerPlacement * (m_callLimits.isLimited(id) ? m_callLimits.expectedCalls(id, within, now) : m_coldStarts.expectedCalls(id, within, now));
     }
-    return completions;
+    auto prefills = limitedPrefills(service, within, now);
+    return prefills ? std::min(completions, completionsPerPlacement * *prefills) : completions;
+}
+
+std::optional<double> engine_planner::limitedPrefills(const std::string& service, duration within, time_point now) const
+{
+    std::optional<double> calls;
+    for (const auto& [id, candidate] : m_engines) {
+        if (!isUsable(candidate, service) || candidate.row.report().stage() != wire::STAGE_PREFILL)
+            continue;
+        if (!m_callLimits.isLimited(id))
+            return std::nullopt;
+        calls = calls.value_or(0) + m_callLimits.expectedCalls(id, within, now);
+    }
+    return calls;
 }
 
 call_memory engine_planner::memoryOf(const placed_call& call, time_point now) const
@@ -138,7 +154,7 @@
     auto capacity = static_cast<double>(std::max<std::uint64_t>(request.memoryTokens, 1));
     for (auto* candidate : candidates(request, wire::STAGE_DECODE, now)) {
         const auto& report = candidate->row.report();
-        if (!m_coldStarts.allows(report.id(), now))
+        if (!isWithinLimits(report.id(), now))
             continue;
         auto& running = callsByEndpoint[report.id()];
         bool empty = running.empty();
@@ -163,7 +179,7 @@
     engine* best = nullptr;
     time_point bestAt {};
     for (auto* candidate : candidates(request, wire::STAGE_PREFILL, now)) {
-        if (!m_coldStarts.allows(candidate->row.report().id(), now))
+        if (!isWithinLimits(candidate->row.report().id(), now))
             continue;
         auto at = std::max(now, candidate->prefillsDoneAt);
         if (candidate->row.report().data_centre() != dataCentre)
@@ -194,7 +210,7 @@
         return { .full = true, .decode = {}, .prefill = {} };
     auto* prefill = choosePrefill(request, decode->row.report().data_centre(), now);
     if (!prefill && !canPrefillOnDecode(*decode, request, now))
-        return { .full = true, .decode = {}, .prefill = {}, .prefillBusy = true };
+        return { .full = true, .decode = {}, .prefill = {}, .prefillBusy = !limitedPrefills(request.service, duration::zero(), now) };
     engine_placement placement { .decode = decode->row.report().id(), .prefill = prefill ? prefill->row.report().id() : std::string() };
     m_calls[entry][request.callId] = { placement.decode, request.promptTokens, request.outputTokens, 0, now, now };
     recordCallCost(request);
@@ -202,6 +218,8 @@
     m_breaker.onSent(placement.prefill, now);
     m_coldStarts.onSent(placement.decode, now);
     m_coldStarts.onSent(placement.prefill, now);
+    m_callLimits.onSent(placement.decode, now);
+    m_callLimits.onSent(placement.prefill, now);
     auto& prefiller = prefill ? *prefill : *decode;
     prefiller.prefillsDoneAt = std::max(now, prefiller.prefillsDoneAt) + m_speedModels[request.service].prefillTime(request.promptTokens) * (prefill ? 1 : decodePrefillSlowdown);
     return placement;
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "kernel/kernel.h"
+#include "scheduling/call_limit_gate.h"
 #include "scheduling/circuit_breaker.h"
 #include "scheduling/cold_start_gate.h"
 #include "scheduling/engine_speed_model.h"
@@ -8,6 +9,7 @@
 #include "scheduling/stage_balancer.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -120,6 +122,10 @@
     void recordCallCost(const placement_request& request);
     /// Whether the engine may get new calls of the service, apart from its load and health.
     bool isUsable(const engine& candidate, const std::string& service) const;
+    /// Whether the engine may get a call now, as far as it is cold or limited.
+    bool isWithinLimits(const std::string& engine, time_point now) const { return m_coldStarts.allows(engine, now) && m_callLimits.allows(engine, now); }
+    /// Calls that the service's prefill engines may get within that time; empty unless all of them name limits.
+    std::optional<double> limitedPrefills(const std::string& service, duration within, time_point now) const;
     std::vector<engine*> candidates(const placement_request& request, wire::endpoint_stage stage, time_point now);
     engine* chooseDecode(const placement_request& request, time_point now);
     /// Whether a decode engine may prefill the prompt itself while the prefill engines are busy.
@@ -131,6 +137,7 @@
     std::set<std::string> m_evacuated;
     circuit_breaker m_breaker;
     cold_start_gate m_coldStarts;
+    call_limit_gate m_callLimits;
     /// By entry and call id.
     std::map<std::string, std::map<std::uint64_t, placed_call>> m_calls;
     /// By service.
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -47,6 +47,7 @@
         m_breaker.reset(report.id());
     }
     updated.row = row;
+    m_callLimits.update(row);
 }
 
 void slot_planner::removeEndpoint(const std::string& id)
@@ -55,6 +56,7 @@
         return;
     m_breaker.reset(id);
     m_coldStarts.remove(id);
+    m_callLimits.remove(id);
     // Otherwise its calls would take slots from an endpoint that returns under the same id.
     for (auto& [entry, calls] : m_entries) {
         std::erase_if(calls.placed, [&](const auto& item) { return item.second.endpoint == id; });
@@ -116,7 +118,7 @@
     for (auto* candidate : candidates(request, now)) {
         const auto& report = candidate->row.report();
         auto load = loadOf(*candidate, now);
-        if (load + 1 > capacityOf(*candidate) || !m_coldStarts.allows(report.id(), now))
+        if (load + 1 > capacityOf(*candidate) || !m_coldStarts.allows(report.id(), now) || !m_callLimits.allows(report.id(), now))
             continue;
         double tieBreak = std::uniform_real_distribution<double>(0, 0.01)(m_random);
         double cost = load / report.slots() + failureCost * candidate->failureRate + tieBreak;
@@ -133,6 +135,7 @@
     ++best->placed;
     m_breaker.onSent(id, now);
     m_coldStarts.onSent(id, now);
+    m_callLimits.onSent(id, now);
     m_entries[entry].placed[request.callId] = { id, now };
     return { .decode = id, .prefill = {} };
 }
@@ -258,7 +261,7 @@
         if (!isUsable(candidate, report.service()))
             continue;
         load.slots += report.slots();
-        load.limited = load.limited || m_coldStarts.isLimited(id, now);
+        load.limited = load.limited || m_coldStarts.isLimited(id, now) || m_callLimits.isLimited(id);
     }
     bool changed = false;
     for (const auto& [name, load] : loads) {
@@ -299,16 +302,16 @@
 {
     double busySlots = 0;
     for (const auto& [id, candidate] : m_endpoints) {
-        if (isUsable(candidate, service))
+        if (isUsable(candidate, service) && !m_callLimits.isLimited(id))
             busySlots += std::min(loadOf(candidate, now), static_cast<double>(candidate.row.report().slots()));
     }
-    // A cold endpoint may have free slots, but takes the next call only after a pause.
-    double coldCalls = 0;
+    // A cold or limited endpoint may have free slots, but takes the next call only after a pause.
+    double pacedCalls = 0;
     for (const auto& [id, candidate] : m_endpoints) {
         if (isUsable(candidate, service))
-            coldCalls += m_coldStarts.expectedCalls(id, within, now);
+            pacedCalls += m_callLimits.isLimited(id) ? m_callLimits.expectedCalls(id, within, now) : m_coldStarts.expectedCalls(id, within, now);
     }
-    return coldCalls + busySlots * toMs(within) / toMs(meanServiceTime(service));
+    return pacedCalls + busySlots * toMs(within) / toMs(meanServiceTime(service));
 }
 
 } // namespace pistachiolatch
--- a/Source/scheduling/slot_planner.h
+++ b/Source/scheduling/slot_planner.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "kernel/kernel.h"
+#include "scheduling/call_limit_gate.h"
 #include "scheduling/circuit_breaker.h"
 #include "scheduling/cold_start_gate.h"
 #include "scheduling/placement_types.h"
@@ -50,7 +51,8 @@
     void recordRefusal(const std::string& endpoint, time_point now);
     void removeEntry(const std::string& entry);
 
-    /// Whether a service is so busy, or has endpoints so cold, that its calls must be placed here. Hysteresis keeps it from alternating.
+    /// Whether a service is so busy, or has endpoints so cold or limited, that its calls must be placed here. Hysteresis
+    /// keeps it from alternating.
     bool isQueued(const std::string& service) const;
     /// Decides again which services are queued. Returns whether that changed.
     bool updateQueued(time_point now);
@@ -111,6 +113,7 @@
     std::map<std::string, service_state> m_services;
     circuit_breaker m_breaker;
     cold_start_gate m_coldStarts;
+    call_limit_gate m_callLimits;
 };
 
 } // namespace pistachiolatch
--- a/Tests/Membership/EndpointDirectoryTest.cpp
+++ b/Tests/Membership/EndpointDirectoryTest.cpp
@@ -241,3 +241,35 @@
     now += milliseconds(1200);
     CHECK(report(4, 0));
 }
+
+// Guards against a limit that an overtaken statement restores, or that outlives the run of the endpoint that named it.
+TEST_CASE("The newest statement of an endpoint's run decides on its limit")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    directory.applyReport(reportOf("a", 100, 1), clock.now());
+    wire::endpoint_limit named;
+    named.set_id("a");
+    named.set_born_ms(100);
+    named.set_limited(true);
+    named.set_calls_per_second(5);
+    named.set_age_ms(500);
+    clock.advance(std::chrono::seconds(1));
+    CHECK(directory.applyLimit(named, clock.now()));
+    CHECK(directory.find("a")->calls_per_second() == 5);
+    CHECK_FALSE(directory.applyLimit(named, clock.now()));
+    auto withdrawn = named;
+    withdrawn.set_limited(false);
+    withdrawn.set_age_ms(100);
+    CHECK(directory.applyLimit(withdrawn, clock.now()));
+    CHECK_FALSE(directory.applyLimit(named, clock.now()));
+    CHECK_FALSE(directory.find("a")->limited());
+    named.set_age_ms(0);
+    CHECK(directory.applyLimit(named, clock.now()));
+    CHECK(directory.applyReport(reportOf("a", 100, 2), clock.now()) == false);
+    CHECK(directory.find("a")->limited());
+    directory.applyReport(reportOf("a", 200, 1), clock.now());
+    CHECK_FALSE(directory.find("a")->limited());
+    named.set_born_ms(100);
+    CHECK_FALSE(directory.applyLimit(named, clock.now()));
+}
