--- a/Source/scheduling/crash_tracker.cpp
+++ b/Source/scheduling/crash_tracker.cpp
@@ -19,10 +19,11 @@
 
 bool crash_tracker::recordCrash(const wire::crash_report& report, time_point at)
 {
-    bool recorded = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& entry) { return attemptKey(entry.report) == attemptKey(report); });
+    auto attempt = attemptKey(report);
+    bool recorded = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& entry) { return entry.attempt == attempt; });
     if (recorded)
         return false;
-    m_crashes.push_back({ report, at });
+    m_crashes.push_back({ report, std::move(attempt), at });
     if (m_crashes.size() > maxCrashes)
         m_crashes.erase(m_crashes.begin());
     return true;
@@ -89,7 +90,7 @@
         attempts.insert(marked->second.begin(), marked->second.end());
     for (const auto& entry : m_crashes) {
         if (entry.counts() && entry.report.fingerprint() == fingerprint)
-            attempts.insert(attemptKey(entry.report));
+            attempts.insert(entry.attempt);
     }
     return static_cast<std::uint32_t>(attempts.size());
 }
--- a/Source/scheduling/crash_tracker.h
+++ b/Source/scheduling/crash_tracker.h
@@ -60,6 +60,8 @@
     };
     struct crash {
         wire::crash_report report;
+        /// Identifies the attempt that was running.
+        std::string attempt;
         time_point at;
         crash_state state = crash_state::Suspected;
         time_point clearedAt {};
