Membership, Coordination: Keep named limits when control restarts or tells late

After a restart of all control processes entries tell the new leader of limits before the endpoints have reported to it. The leader dropped such statements, and its rows then took the limits from the entries too, until the next responses named them. A statement now waits for the first report of its run. An entry takes the newest of what it saw and what the leader told, instead of the leader's row once the statement was confirmed: at large deployments the row comes pages later.

Found by reading the change. Tests: EndpointDirectoryTest "A limit that is stated before the first report...", EndpointLimitsTest "What the leader told last...", and EndpointLimitTest with all of control killed and started again.

--- a/Source/coordination/endpoint_limits.cpp
+++ b/Source/coordination/endpoint_limits.cpp
@@ -68,11 +68,9 @@
     if (!known)
         return;
     auto limit = row.limited() ? std::optional(row.calls_per_second()) : std::nullopt;
-    if (isSameLimit(limit, known->told.limit))
-        return;
-    known->told = { limit, now };
-    if (limit)
+    if (limit && !isSameLimit(limit, known->told.limit))
         known->namedAt = now;
+    known->told = { limit, now };
 }
 
 std::optional<double> endpoint_limits::limitOf(const std::string& endpoint) const
--- a/Source/coordination/endpoint_limits.h
+++ b/Source/coordination/endpoint_limits.h
@@ -44,12 +44,12 @@
         /// What responses to this entry stated, and whether the leader knows it.
         limit_statement own;
         bool reported = true;
-        /// What the leader's directory states, since when.
+        /// What the leader's directory states, and when it last did.
         limit_statement told;
         /// When a response or the leader last stated a limit.
         time_point namedAt {};
 
-        const limit_statement& current() const { return reported ? told : own; }
+        const limit_statement& current() const { return told.statedAt >= own.statedAt ? told : own; }
     };
     /// The record of this run of the endpoint; null if a later run is known.
     known_limit* findOrAdd(const std::string& endpoint, std::uint64_t incarnation);
--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -5,6 +5,9 @@
 namespace pistachiolatch {
 
 namespace {
+    /// Limits the memory for statements about endpoints that never report.
+    constexpr std::size_t maxEarlyLimits = 4096;
+
     bool isGone(const wire::endpoint_report& report)
     {
         return report.state() == wire::ENDPOINT_GONE;
@@ -134,11 +137,13 @@
     auto& endpoint = found == m_endpoints.end() ? m_endpoints[report.id()] : found->second;
     bool changed = found == m_endpoints.end() || endpoint.row.silent() || !isEquivalentForReaders(report, endpoint.row.report())
         || isColdAgain(endpoint, report, now);
-    if (endpoint.row.report().born_ms() != report.born_ms()) {
+    bool isNewRun = found == m_endpoints.end() || endpoint.row.report().born_ms() != report.born_ms();
+    *endpoint.row.mutable_report() = report;
+    if (isNewRun) {
         endpoint.row.set_limited(false);
         endpoint.limitStatedAt = {};
+        applyEarlyLimit(endpoint);
     }
-    *endpoint.row.mutable_report() = report;
     updateAddressIndex(endpoint, report.address());
     endpoint.goneWithoutIncarnation = false;
     endpoint.row.set_silent(false);
@@ -161,12 +166,28 @@
 bool endpoint_directory::applyLimit(const wire::endpoint_limit& limit, time_point now)
 {
     auto found = m_endpoints.find(limit.id());
-    if (found == m_endpoints.end() || isGone(found->second.row.report()) || found->second.row.report().born_ms() != limit.born_ms())
+    auto statedAt = now - milliseconds(limit.age_ms());
+    bool isEarly = found == m_endpoints.end() || found->second.row.report().born_ms() < limit.born_ms();
+    if (isEarly) {
+        // After a restart of all control processes, entries sync before the endpoints have reported.
+        auto& early = m_earlyLimits[limit.id()];
+        if (early.second < statedAt)
+            early = { limit, statedAt };
+        if (m_earlyLimits.size() > maxEarlyLimits)
+            m_earlyLimits.erase(m_earlyLimits.begin());
         return false;
+    }
     auto& endpoint = found->second;
-    auto statedAt = now - milliseconds(limit.age_ms());
-    if (statedAt <= endpoint.limitStatedAt)
+    if (isGone(endpoint.row.report()) || endpoint.row.report().born_ms() != limit.born_ms() || statedAt <= endpoint.limitStatedAt)
+        return false;
+    if (!setLimit(endpoint, limit, statedAt))
         return false;
+    markChanged(endpoint);
+    return true;
+}
+
+bool endpoint_directory::setLimit(known_endpoint& endpoint, const wire::endpoint_limit& limit, time_point statedAt)
+{
     endpoint.limitStatedAt = statedAt;
     auto& row = endpoint.row;
     bool isSame = row.limited() == limit.limited() && (!row.limited() || !differsNoticeably(row.calls_per_second(), limit.calls_per_second()));
@@ -174,10 +195,19 @@
         return false;
     row.set_limited(limit.limited());
     row.set_calls_per_second(limit.limited() ? limit.calls_per_second() : 0);
-    markChanged(endpoint);
     return true;
 }
 
+void endpoint_directory::applyEarlyLimit(known_endpoint& endpoint)
+{
+    auto early = m_earlyLimits.find(endpoint.row.report().id());
+    if (early == m_earlyLimits.end() || early->second.first.born_ms() > endpoint.row.report().born_ms())
+        return;
+    if (early->second.first.born_ms() == endpoint.row.report().born_ms())
+        setLimit(endpoint, early->second.first, early->second.second);
+    m_earlyLimits.erase(early);
+}
+
 bool endpoint_directory::expire(time_point now)
 {
     auto before = m_version;
--- a/Source/membership/endpoint_directory.h
+++ b/Source/membership/endpoint_directory.h
@@ -54,8 +54,8 @@
     /// Marks an endpoint that could not be reached as silent until its next report. A crashed endpoint doesn't report
     /// its crash; without this, every entry would detect it by a failed call of its own. Returns whether it changed.
     bool markUnreachable(const std::string& id, std::uint64_t bornMs);
-    /// Applies what a response of an endpoint stated about its limit, unless a later statement is known or another run of
-    /// the endpoint is. Returns whether the limit changed.
+    /// Applies what a response of an endpoint stated about its limit, unless a later statement or a later run is known. A
+    /// statement of a run that has not reported here yet waits for its first report. Returns whether the limit changed.
     bool applyLimit(const wire::endpoint_limit& limit, time_point now);
     /// Marks endpoints as silent or gone and removes old ones. Returns whether any was marked.
     bool expire(time_point now);
@@ -86,6 +86,9 @@
         /// When the newest statement about its limit was made.
         time_point limitStatedAt {};
     };
+    static bool setLimit(known_endpoint& endpoint, const wire::endpoint_limit& limit, time_point statedAt);
+    /// Applies the statement that came before the first report of the endpoint's run, if any.
+    void applyEarlyLimit(known_endpoint& endpoint);
     /// Whether a report may predate the GONE report without incarnation that was applied before it.
     bool mayPredateGone(known_endpoint& endpoint, const wire::endpoint_report& report, time_point now) const;
     /// Whether a report says that the endpoint stays cold for longer than its report before did.
@@ -101,6 +104,8 @@
     directory_settings m_settings;
     std::uint64_t m_version = 0;
     std::map<std::string, known_endpoint> m_endpoints;
+    /// Statements about limits of runs that have not reported yet, each with the time at which it was made.
+    std::map<std::string, std::pair<wire::endpoint_limit, time_point>> m_earlyLimits;
     /// Each report and each entry's request looks for a few endpoints among thousands, so both go by an index.
     std::map<std::uint64_t, known_endpoint*> m_byChangedVersion;
     std::unordered_multimap<std::string, known_endpoint*> m_byAddress;
--- a/Tests/Coordination/EndpointLimitsTest.cpp
+++ b/Tests/Coordination/EndpointLimitsTest.cpp
@@ -80,6 +80,22 @@
     CHECK(unreported(limits, now).empty());
 }
 
+TEST_CASE("What the leader told last replaces what an entry saw before, and the reverse")
+{
+    endpoint_limits limits(1);
+    time_point now { std::chrono::hours(1) };
+    limits.onRow(makeRow(limit), now);
+    CHECK(limits.onResponse("e", run, limit / 2, now, now + milliseconds(10)));
+    CHECK(limits.limitOf("e") == limit / 2);
+    // Another entry has stated the first limit again.
+    limits.onRow(makeRow(limit), now + milliseconds(20));
+    CHECK(limits.limitOf("e") == limit);
+    CHECK(limits.onResponse("e", run, std::nullopt, now + milliseconds(30), now + milliseconds(40)));
+    limits.markReported(now + milliseconds(40));
+    // The row of the limited endpoint may come pages later than the reply that confirms the statement.
+    CHECK_FALSE(limits.limitOf("e"));
+}
+
 TEST_CASE("Hundreds of entries without a leader keep to less than half of a limit together")
 {
     auto entries = GENERATE(7U, 300U);
--- a/Tests/Membership/EndpointDirectoryTest.cpp
+++ b/Tests/Membership/EndpointDirectoryTest.cpp
@@ -273,3 +273,24 @@
     named.set_born_ms(100);
     CHECK_FALSE(directory.applyLimit(named, clock.now()));
 }
+
+// Guards against a leader that forgets a limit because entries tell of it before the endpoint reports.
+TEST_CASE("A limit that is stated before the first report of its run holds from that report on")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    wire::endpoint_limit named;
+    named.set_id("a");
+    named.set_born_ms(100);
+    named.set_limited(true);
+    named.set_calls_per_second(5);
+    CHECK_FALSE(directory.applyLimit(named, clock.now()));
+    directory.applyReport(reportOf("a", 100, 1), clock.now());
+    CHECK(directory.find("a")->limited());
+    named.set_born_ms(200);
+    CHECK_FALSE(directory.applyLimit(named, clock.now()));
+    directory.applyReport(reportOf("a", 200, 1), clock.now());
+    CHECK(directory.find("a")->limited());
+    directory.applyReport(reportOf("a", 300, 1), clock.now());
+    CHECK_FALSE(directory.find("a")->limited());
+}
--- a/Tests/Platform/EndpointLimitTest.cpp
+++ b/Tests/Platform/EndpointLimitTest.cpp
@@ -209,6 +209,22 @@
     CHECK(limited_fleet::mostInWindow(fleet.apps, binds, std::chrono::steady_clock::now()) <= allowedInWindow(limit));
 }
 
+TEST_CASE("A limit holds when all of control is killed and starts again", "[promise]")
+{
+    limited_fleet fleet;
+    fleet.startLoad({ "/read/x", "/book/x" });
+    constexpr double limit = 5;
+    limited_fleet::setLimits(fleet.apps, limit);
+    std::this_thread::sleep_for(contactTime);
+    auto binds = std::chrono::steady_clock::now();
+    for (int n = 1; n <= fleet.platform.controls(); ++n)
+        fleet.platform.control(n).kill();
+    for (int n = 1; n <= fleet.platform.controls(); ++n)
+        fleet.platform.startControl(n, false);
+    std::this_thread::sleep_for(std::chrono::seconds(8));
+    CHECK(limited_fleet::mostInWindow(fleet.apps, binds, std::chrono::steady_clock::now()) <= allowedInWindow(limit));
+}
+
 TEST_CASE("A limit holds for both stages of model calls and for resumed streams", "[promise]")
 {
     limited_fleet fleet;
