Scheduling, Coordination: Count the crashes of one request without those of all others

Each crash report counted all requests three times: for the blocks, for the log line and for the reply. The latter two now count the one request. The lifetime of a crash at entries is that of the leader instead of the same figure written again. Decisions are the same; SchedulingTest, CoordinationTest and PoisonRequestTest pass unchanged.

--- a/Source/coordination/crash_journal.cpp
+++ b/Source/coordination/crash_journal.cpp
@@ -1,5 +1,7 @@
 #include "coordination/crash_journal.h"
 
+#include "coordination/request_blocks.h"
+
 #include <algorithm>
 #include <set>
 #include <string>
@@ -8,8 +10,7 @@
 namespace pistachiolatch {
 
 namespace {
-    /// How long a crash counts, the same as at the leader.
-    constexpr milliseconds crashLifetime { 60000 };
+    constexpr milliseconds crashLifetime = block_settings {}.crashLifetime;
     /// Limits the size of syncs; the oldest crashes are dropped.
     constexpr std::size_t maxCrashes = 256;
 }
--- a/Source/coordination/crash_journal.h
+++ b/Source/coordination/crash_journal.h
@@ -6,7 +6,7 @@
 
 namespace pistachiolatch {
 
-/// The crashes of endpoints that an entry saw itself, kept until they expire. A leader that is being elected or cut off
+/// The crashes of endpoints that an entry saw itself, kept for as long as they count at a leader. A leader that is being elected or cut off
 /// learns of them with the first sync that reaches it. Until a leader knows them, the entry counts them itself; from then on
 /// the leader's blocks decide, since only the leader hears whether the endpoints are running. Pure; not thread-safe.
 class crash_journal {
--- a/Source/coordination/request_blocks.cpp
+++ b/Source/coordination/request_blocks.cpp
@@ -17,13 +17,6 @@
     return true;
 }
 
-std::uint32_t request_blocks::crashCount(std::uint64_t fingerprint) const
-{
-    auto counts = m_crashTracker.countsByFingerprint();
-    auto found = counts.find(fingerprint);
-    return found == counts.end() ? 0 : found->second.total();
-}
-
 void request_blocks::onReport(const wire::endpoint_report& report, time_point now)
 {
     if (m_crashTracker.empty())
--- a/Source/coordination/request_blocks.h
+++ b/Source/coordination/request_blocks.h
@@ -31,7 +31,7 @@
     /// Returns false if the report is a repeated one, which changes nothing.
     bool addSuspectedCrash(const wire::crash_report& report, time_point now);
     /// The number of crashes, certain or suspected, that count against the request.
-    std::uint32_t crashCount(std::uint64_t fingerprint) const;
+    std::uint32_t crashCount(std::uint64_t fingerprint) const { return m_crashTracker.countOf(fingerprint).total(); }
     /// Confirms or removes suspicions against an endpoint according to its report.
     void onReport(const wire::endpoint_report& report, time_point now);
     /// Confirms the crashes of endpoints that are gone or silent in the directory, and drops expired crashes and blocks.
--- a/Source/scheduling/crash_tracker.cpp
+++ b/Source/scheduling/crash_tracker.cpp
@@ -3,8 +3,6 @@
 #include "membership/membership.h"
 
 #include <algorithm>
-#include <set>
-#include <tuple>
 
 namespace pistachiolatch {
 
@@ -105,20 +103,31 @@
     return endpoints;
 }
 
-std::map<std::uint64_t, crash_count> crash_tracker::countsByFingerprint() const
+void crash_tracker::addTo(crash_count& count, const crash& entry, std::set<crashed_run>& countedRuns)
 {
-    std::map<std::uint64_t, crash_count> counts;
-    std::set<std::tuple<std::uint64_t, std::string, std::uint64_t>> countedRuns;
-    for (const auto& entry : m_crashes) {
-        const auto& report = entry.report;
-        if (!entry.counts())
-            continue;
-        // Each run of an endpoint crashes at most once, so several broken connections to it count as one crash.
-        if (!countedRuns.emplace(report.fingerprint(), report.endpoint(), report.endpoint_incarnation()).second)
-            continue;
-        auto& count = counts[report.fingerprint()];
+    const auto& report = entry.report;
+    // Each run of an endpoint crashes at most once, so several broken connections to it count as one crash.
+    if (entry.counts() && countedRuns.emplace(report.fingerprint(), report.endpoint(), report.endpoint_incarnation()).second)
         ++(entry.state == crash_state::Certain ? count.certain : count.suspected);
+}
+
+crash_count crash_tracker::countOf(std::uint64_t fingerprint) const
+{
+    crash_count count;
+    std::set<crashed_run> countedRuns;
+    for (const auto& entry : m_crashes) {
+        if (entry.report.fingerprint() == fingerprint)
+            addTo(count, entry, countedRuns);
     }
+    return count;
+}
+
+std::map<std::uint64_t, crash_count> crash_tracker::countsByFingerprint() const
+{
+    std::map<std::uint64_t, crash_count> counts;
+    std::set<crashed_run> countedRuns;
+    for (const auto& entry : m_crashes)
+        addTo(counts[entry.report.fingerprint()], entry, countedRuns);
     return counts;
 }
 
--- a/Source/scheduling/crash_tracker.h
+++ b/Source/scheduling/crash_tracker.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pistachiolatch {
@@ -45,6 +47,8 @@
     std::uint32_t crashCount(std::uint64_t fingerprint) const;
     /// Endpoints whose crashes are suspected, or cleared but not disproved, each with the time of the latest one.
     std::map<std::string, time_point> suspectedEndpoints() const;
+    /// Crashes of one fingerprint, counted like countsByFingerprint().
+    crash_count countOf(std::uint64_t fingerprint) const;
     /// Crashes by fingerprint, counted from reports alone; marks from control are not included.
     std::map<std::uint64_t, crash_count> countsByFingerprint() const;
     bool empty() const { return m_crashes.empty(); }
@@ -69,6 +73,10 @@
         bool counts() const { return state == crash_state::Suspected || state == crash_state::Certain; }
         bool isOpen() const { return state == crash_state::Suspected || state == crash_state::Cleared; }
     };
+    /// Identifies a run of an endpoint under a request.
+    using crashed_run = std::tuple<std::uint64_t, std::string, std::uint64_t>;
+    /// Counts a crash unless it was cleared or another one of the same run is counted already.
+    static void addTo(crash_count& count, const crash& entry, std::set<crashed_run>& countedRuns);
     /// Makes the open crashes of an endpoint certain, except those of the incarnation that is given, if any.
     std::vector<wire::crash_report> confirm(const std::string& endpoint, std::optional<std::uint64_t> exceptIncarnation);
     std::vector<crash> m_crashes;
