Forwarding: Check once for endpoints and services that were evacuated

Both stages asked after each opened connection whether the endpoint had been evacuated meanwhile, and both call loops whether the whole service is, in the same words. openConnection() checks the endpoint for all its callers now, and stopIfEvacuated() the service. Decisions are the same: EvacuationTest, PlatformSessionTest and EndpointLimitTest pass unchanged.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -89,6 +89,8 @@
     void recordBrokenConnection(const selected_endpoint& endpoint);
     task_of<token_decision> acquireTokens();
     task_of<void> runServiceCall();
+    /// Whether all endpoints of the service are evacuated, so that the call ends with that cause.
+    bool stopIfEvacuated(reason& cause);
     /// Chooses an endpoint of a service without engines: the leader does if the service is busy, else this entry.
     task_of<std::optional<selected_endpoint>> awaitSlot();
     /// Runs one attempt at an endpoint, and reports its end if the leader chose it.
@@ -126,6 +128,7 @@
     task_of<attempt_outcome> storeFallbackResponse(const selected_endpoint& endpoint, const response_metadata& response);
     task_of<attempt_outcome> forwardCompleteResponse(const selected_endpoint& endpoint, const response_metadata& response);
     task_of<call_failure> readMatchingHead(response_metadata& response);
+    /// Returns a connection on which a request may be sent; null if there is none or the endpoint was evacuated.
     task_of<std::shared_ptr<endpoint_connection>> openConnection(const selected_endpoint& endpoint, bool idempotent);
     bool prepareRetry(attempt_outcome outcome, const std::string& endpointId);
     task_of<void> finishUnanswered(reason failureCause);
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -275,24 +275,39 @@
 template <call_codec Codec>
 task_of<std::shared_ptr<endpoint_connection>> call_forwarder<Codec>::openConnection(const selected_endpoint& endpoint, bool idempotent)
 {
-    if (auto pooled = m_shared.pool.acquire(endpoint.id, idempotent)) {
-        m_connection = pooled;
-        co_return pooled;
+    m_connection = m_shared.pool.acquire(endpoint.id, idempotent);
+    if (!m_connection) {
+        auto fresh = std::make_shared<endpoint_connection>(m_shared.context.get_executor());
+        m_connection = fresh;
+        startAttemptTimer(forwarding_detail::connectTimeout);
+        bool connected = co_await fresh->connect(endpoint.address);
+        cancelAttemptTimer();
+        if (!connected || isAborted()) {
+            fresh->close();
+            m_connection.reset();
+            if (!isAborted()) {
+                recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
+                m_shared.link.reportUnreachable(endpoint.id, endpoint.incarnation);
+            }
+            co_return nullptr;
+        }
     }
-    auto fresh = std::make_shared<endpoint_connection>(m_shared.context.get_executor());
-    m_connection = fresh;
-    startAttemptTimer(forwarding_detail::connectTimeout);
-    bool connected = co_await fresh->connect(endpoint.address);
-    cancelAttemptTimer();
-    if (connected && !isAborted())
-        co_return fresh;
-    fresh->close();
-    m_connection.reset();
-    if (!isAborted()) {
-        recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
-        m_shared.link.reportUnreachable(endpoint.id, endpoint.incarnation);
+    // The data centre may have been evacuated after the endpoint was chosen, such as while the prompt was processed.
+    if (m_shared.endpoints.isEvacuated(endpoint.id)) {
+        releaseUnusedConnection(endpoint.id);
+        co_return nullptr;
     }
-    co_return nullptr;
+    co_return m_connection;
+}
+
+template <call_codec Codec>
+bool call_forwarder<Codec>::stopIfEvacuated(reason& cause)
+{
+    if (!m_shared.endpoints.isServiceEvacuated(m_service->name))
+        return false;
+    cause = reason::Evacuated;
+    m_noRetryReason = no_retry_reason::NoEndpoint;
+    return true;
 }
 
 template <call_codec Codec>
@@ -300,11 +315,8 @@
 {
     reason cause = reason::NoEndpoint;
     while (!isAborted()) {
-        if (m_shared.endpoints.isServiceEvacuated(m_service->name)) {
-            cause = reason::Evacuated;
-            m_noRetryReason = no_retry_reason::NoEndpoint;
+        if (stopIfEvacuated(cause))
             break;
-        }
         auto waitStartedAt = m_shared.clock.now();
         auto endpoint = co_await awaitSlot();
         m_endpointWait += std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - waitStartedAt);
@@ -402,11 +414,6 @@
     auto connection = co_await openConnection(endpoint, isIdempotent());
     if (!connection)
         co_return isAborted() ? attempt_outcome::Stalled : attempt_outcome::NotSent;
-    // The data centre may have been evacuated after the endpoint was chosen, such as while the prompt was processed.
-    if (m_shared.endpoints.isEvacuated(endpoint.id)) {
-        releaseUnusedConnection(endpoint.id);
-        co_return attempt_outcome::NotSent;
-    }
     if (m_sendCount++ == 0)
         m_shared.retryBudget.recordFirstAttempt(m_service->name, m_shared.clock.now());
     ++m_possibleRuns;
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -36,11 +36,8 @@
 {
     reason cause = reason::NoCapacity;
     while (!isAborted()) {
-        if (m_shared.endpoints.isServiceEvacuated(m_service->name)) {
-            cause = reason::Evacuated;
-            m_noRetryReason = no_retry_reason::NoEndpoint;
+        if (stopIfEvacuated(cause))
             break;
-        }
         auto placement = std::exchange(m_nextPlacement, std::nullopt);
         if (!placement) {
             m_callId = m_shared.endpoints.nextCallId();
@@ -267,10 +264,6 @@
     auto connection = co_await openConnection(endpoint, true);
     if (!connection)
         co_return prefill_attempt {};
-    if (m_shared.endpoints.isEvacuated(endpoint.id)) {
-        releaseUnusedConnection(endpoint.id);
-        co_return prefill_attempt {};
-    }
     auto options = makeAttemptOptions(endpoint);
     options.stage = attempt_stage::Prefill;
     m_sentAt = m_shared.clock.now();
