Membership, Coordination: Compare named limits by one function

The leader's directory and the entries each had their own test of whether a limit is the same, and each took it out of its message by itself. limitIn() and isSameLimit() serve both. The shares of fallback_limiter speak of limits, since those of endpoints use them too.

--- a/Source/coordination/endpoint_limits.cpp
+++ b/Source/coordination/endpoint_limits.cpp
@@ -2,6 +2,7 @@
 
 #include "membership/membership.h"
 #include <algorithm>
+#include <limits>
 
 namespace pistachiolatch {
 
@@ -10,13 +11,6 @@
     constexpr double shareWithoutLeader = 0.4;
     /// Unused shares are kept for this long.
     constexpr std::chrono::seconds shareRetention { 1 };
-
-    bool isSameLimit(const std::optional<double>& left, const std::optional<double>& right)
-    {
-        if (!left || !right)
-            return left.has_value() == right.has_value();
-        return !differsNoticeably(*left, *right);
-    }
 }
 
 endpoint_limits::endpoint_limits(std::uint64_t seed)
@@ -67,7 +61,7 @@
     auto* known = findOrAdd(report.id(), report.born_ms());
     if (!known)
         return;
-    auto limit = row.limited() ? std::optional(row.calls_per_second()) : std::nullopt;
+    auto limit = limitIn(row);
     if (limit && !isSameLimit(limit, known->told.limit))
         known->namedAt = now;
     known->told = { limit, now };
--- a/Source/limits/fallback_limiter.cpp
+++ b/Source/limits/fallback_limiter.cpp
@@ -4,9 +4,9 @@
 
 namespace pistachiolatch {
 
-bool fallback_limiter::tryTake(const std::string& organisation, double rate, double burst, std::uint64_t tokens, time_point now)
+bool fallback_limiter::tryTake(const std::string& limit, double rate, double burst, std::uint64_t tokens, time_point now)
 {
-    auto [found, isNew] = m_shares.try_emplace(organisation, share { burst, now });
+    auto [found, isNew] = m_shares.try_emplace(limit, share { burst, now });
     auto& own = found->second;
     auto seconds = std::chrono::duration<double>(now - own.refilledAt).count();
     own.level = std::min(burst, own.level + rate * std::max(0.0, seconds));
--- a/Source/limits/fallback_limiter.h
+++ b/Source/limits/fallback_limiter.h
@@ -6,7 +6,7 @@
 
 namespace pistachiolatch {
 
-/// An entry's equal share of the organisations' limits while the limits have no owner. Load pattern: with hundreds of
+/// An entry's equal share of limits, such as those of organisations, while nobody counts the calls of all entries. Load pattern: with hundreds of
 /// entries a full share is smaller than one call, and would grant nothing at all. Then a call is granted with the
 /// probability that the share covers it, and the share is spent either way: all entries together then grant the sum of
 /// their shares on average. A call of more than maxCallShares times the full share is refused: a few entries that each
@@ -23,9 +23,9 @@
     {
     }
 
-    /// Takes tokens from the organisation's share, which refills at `rate` tokens a second and holds `burst` tokens at first
+    /// Takes tokens from the share of the limit with this name, which refills at `rate` tokens a second and holds `burst` tokens at first
     /// and at most. Returns whether the call is granted.
-    bool tryTake(const std::string& organisation, double rate, double burst, std::uint64_t tokens, time_point now);
+    bool tryTake(const std::string& limit, double rate, double burst, std::uint64_t tokens, time_point now);
 
 private:
     struct share {
--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -1,6 +1,7 @@
 #include "membership/endpoint_directory.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pistachiolatch {
 
@@ -22,6 +23,14 @@
     }
 }
 
+bool isSameLimit(std::optional<double> left, std::optional<double> right)
+{
+    constexpr double tolerance = 0.05;
+    if (!left || !right)
+        return left.has_value() == right.has_value();
+    return std::abs(*left - *right) <= tolerance * std::max(*left, *right);
+}
+
 bool endpoint_directory::isColdAgain(const known_endpoint& known, const wire::endpoint_report& report, time_point now)
 {
     // Reports that are held up by the network state a remaining time that is up to this much too long.
@@ -189,12 +198,11 @@
 bool endpoint_directory::setLimit(known_endpoint& endpoint, const wire::endpoint_limit& limit, time_point statedAt)
 {
     endpoint.limitStatedAt = statedAt;
-    auto& row = endpoint.row;
-    bool isSame = row.limited() == limit.limited() && (!row.limited() || !differsNoticeably(row.calls_per_second(), limit.calls_per_second()));
-    if (isSame)
+    auto stated = limitIn(limit);
+    if (isSameLimit(stated, limitIn(endpoint.row)))
         return false;
-    row.set_limited(limit.limited());
-    row.set_calls_per_second(limit.limited() ? limit.calls_per_second() : 0);
+    endpoint.row.set_limited(stated.has_value());
+    endpoint.row.set_calls_per_second(stated.value_or(0));
     return true;
 }
 
--- a/Source/membership/endpoint_directory.h
+++ b/Source/membership/endpoint_directory.h
@@ -1,9 +1,8 @@
 #pragma once
 #include "kernel/kernel.h"
 #include "wire/generated/pistachiolatch.pb.h"
-#include <algorithm>
-#include <cmath>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -23,13 +22,16 @@
     milliseconds goneAfter { 30000 };
 };
 
-/// Whether two limits differ by more than the noise in what an endpoint measures of itself. Thread safety: any thread.
-inline bool differsNoticeably(double left, double right)
+/// The limit in calls per second that a row or a statement of an endpoint contains, if any. Thread safety: any thread.
+template <typename Message>
+std::optional<double> limitIn(const Message& message)
 {
-    constexpr double tolerance = 0.05;
-    return std::abs(left - right) > tolerance * std::max(left, right);
+    return message.limited() ? std::optional(message.calls_per_second()) : std::nullopt;
 }
 
+/// Whether two limits differ by no more than the noise in what an endpoint measures of itself. Thread safety: any thread.
+bool isSameLimit(std::optional<double> left, std::optional<double> right);
+
 /// A page of changed endpoints.
 struct directory_page {
     std::vector<wire::endpoint_row> rows;
