Tests: Share the reports of endpoints and the planners' rows, and read Server-Limit

EndpointLimitTest had its own loop that reports endpoints, beside BusyServiceTest's; both use endpoint_reporter now. The tests of the two gates share their rows and requests. The cases and their assertions are the same. New: the header is named literally, with malformed values, which must neither set a limit nor take one back.

--- a/Tests/Platform/BusyServiceTest.cpp
+++ b/Tests/Platform/BusyServiceTest.cpp
@@ -123,32 +123,6 @@
     }
     return 0;
 }
-
-/// Sends the reports of endpoints to all control processes in turn until it is destroyed.
-class reporter {
-public:
-    reporter(platform_fleet& fleet, std::vector<fake_endpoint*> endpoints)
-        : m_thread([this, &fleet, endpoints = std::move(endpoints)] {
-            for (int control = 1; !m_stopped; control = control % fleet.controls() + 1) {
-                for (auto* endpoint : endpoints)
-                    fleet.sendReport(*endpoint, "ready", control);
-                std::this_thread::sleep_for(std::chrono::milliseconds(200));
-            }
-        })
-    {
-    }
-    ~reporter()
-    {
-        m_stopped = true;
-        m_thread.join();
-    }
-    reporter(const reporter&) = delete;
-    reporter& operator=(const reporter&) = delete;
-
-private:
-    std::atomic<bool> m_stopped { false };
-    std::thread m_thread;
-};
 }
 
 TEST_CASE("Calls to a busy service are placed by one owner, and go on when it or an entry is killed")
@@ -160,7 +134,7 @@
     app2.setDelay(serviceTime);
     fleet.start();
     REQUIRE(fleet.submitConfiguration(exampleConfiguration(7, 10'000'000)) == 200);
-    reporter reports(fleet, { &app1, &app2 });
+    endpoint_reporter reports(fleet, { &app1, &app2 });
     CHECK(eventually([&] { return fleet.isEntryReady(1) && fleet.isEntryReady(2); }));
     {
         booking_load load(fleet);
@@ -198,7 +172,7 @@
     app.setDelay(serviceTime);
     fleet.start();
     REQUIRE(fleet.submitConfiguration(exampleConfiguration(7, 10'000'000)) == 200);
-    reporter reports(fleet, { &app });
+    endpoint_reporter reports(fleet, { &app });
     REQUIRE(eventually([&] { return fleet.isEntryReady(1) && fleet.isEntryReady(2); }));
     auto callsLeft = [&] {
         int left = 0;
--- a/Tests/Platform/EndpointLimitTest.cpp
+++ b/Tests/Platform/EndpointLimitTest.cpp
@@ -1,9 +1,11 @@
 // Guards against endpoints that get more requests than the limit that their responses name allows, from all entries together.
 #include "Platform/platform_fleet.h"
+#include "platform_call_codec.h"
 #include "platform_names.h"
 #include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <thread>
 
 using namespace pistachiolatch;
@@ -14,7 +16,6 @@
 constexpr int callerCount = 24;
 constexpr milliseconds callTimeout { 6000 };
 constexpr milliseconds callerPause { 20 };
-constexpr milliseconds reportInterval { 300 };
 /// A refusal after this long would have kept its caller waiting in vain.
 constexpr milliseconds refusalBound { 500 };
 /// The limit binds from this long after it was named.
@@ -42,25 +43,17 @@
             apps.push_back(std::make_unique<fake_endpoint>(fmt::format("app-{}", n), platform.endpointAddress(n), "app", ""));
         for (int n = 1; n <= 3; ++n)
             engines.push_back(std::make_unique<fake_endpoint>(fmt::format("engine-{}", n), platform.endpointAddress(3 + n), "llm", n == 1 ? "prefill" : "decode"));
-        m_reporter = std::thread([this] {
-            while (!m_stopped) {
-                for (const auto* group : { &apps, &engines }) {
-                    for (const auto& endpoint : *group)
-                        report(*endpoint);
-                }
-                std::this_thread::sleep_for(reportInterval);
-            }
-        });
+        std::vector<fake_endpoint*> endpoints;
+        for (const auto* group : { &apps, &engines }) {
+            for (const auto& endpoint : *group)
+                endpoints.push_back(endpoint.get());
+        }
+        m_reporter.emplace(platform, std::move(endpoints));
         for (int n = 1; n <= entryCount; ++n)
             REQUIRE(eventually([&] { return platform.isEntryReady(n) && send(n, "/read/x").status == 200 && send(n, "/report/x").status == 200; }));
     }
 
-    ~limited_fleet()
-    {
-        stopLoad();
-        m_stopped = true;
-        m_reporter.join();
-    }
+    ~limited_fleet() { stopLoad(); }
     limited_fleet(const limited_fleet&) = delete;
     limited_fleet& operator=(const limited_fleet&) = delete;
 
@@ -79,6 +72,12 @@
         m_callers.clear();
     }
 
+    void killControl()
+    {
+        for (int n = 1; n <= platform.controls(); ++n)
+            platform.control(n).kill();
+    }
+
     /// Lets the endpoints name the limit until it binds. Returns the time from which on it does.
     static time_point bindLimit(const std::vector<std::unique_ptr<fake_endpoint>>& endpoints, double limit)
     {
@@ -113,14 +112,6 @@
     std::atomic<int> withoutRetryAfter { 0 };
 
 private:
-    void report(fake_endpoint& endpoint)
-    {
-        for (int control = 1; control <= platform.controls(); ++control) {
-            if (platform.sendReport(endpoint, "ready", control).status == 200)
-                return;
-        }
-    }
-
     simple_response send(int entry, const std::string& path)
     {
         auto id = fmt::format("id-{}", ++m_requestCount);
@@ -145,11 +136,10 @@
         }
     }
 
-    std::atomic<bool> m_stopped { false };
     std::atomic<bool> m_loading { false };
     std::atomic<int> m_requestCount { 0 };
     std::vector<std::thread> m_callers;
-    std::thread m_reporter;
+    std::optional<endpoint_reporter> m_reporter;
 };
 }
 
@@ -192,8 +182,7 @@
     REQUIRE(leader > 0);
     fleet.platform.control(leader).kill();
     std::this_thread::sleep_for(std::chrono::seconds(5));
-    for (int n = 1; n <= fleet.platform.controls(); ++n)
-        fleet.platform.control(n).kill();
+    fleet.killControl();
     std::this_thread::sleep_for(std::chrono::seconds(3));
     CHECK(limited_fleet::mostInWindow(fleet.apps, binds, std::chrono::steady_clock::now()) <= allowedInWindow(limit));
 }
@@ -204,8 +193,7 @@
     fleet.startLoad({ "/read/x", "/book/x" });
     constexpr double limit = 5;
     auto binds = limited_fleet::bindLimit(fleet.apps, limit);
-    for (int n = 1; n <= fleet.platform.controls(); ++n)
-        fleet.platform.control(n).kill();
+    fleet.killControl();
     for (int n = 1; n <= fleet.platform.controls(); ++n)
         fleet.platform.startControl(n, false);
     std::this_thread::sleep_for(std::chrono::seconds(8));
@@ -224,3 +212,22 @@
     CHECK(limited_fleet::mostInWindow(fleet.engines, binds, std::chrono::steady_clock::now()) <= allowedInWindow(limit));
     CHECK(fleet.answered > answeredBefore);
 }
+
+// Guards against reading another header than endpoints send, and against a limit that a malformed value sets or takes back.
+TEST_CASE("An endpoint's limit is the decimal number in Server-Limit")
+{
+    auto limitIn = [](const std::string& value) {
+        header_fields fields;
+        fields.insert("Server-Limit", value);
+        return platform_call_codec::parseResponse(fields);
+    };
+    CHECK(limitIn("7.8").callLimit == 7.8);
+    CHECK(limitIn("0").callLimit == 0.0);
+    for (const auto* malformed : { "", "many", "-1", "nan", "inf", "7.8 a second" }) {
+        INFO(malformed);
+        CHECK_FALSE(limitIn(malformed).callLimit);
+        CHECK(limitIn(malformed).namesCallLimit);
+    }
+    CHECK_FALSE(platform_call_codec::parseResponse({}).callLimit);
+    CHECK_FALSE(platform_call_codec::parseResponse({}).namesCallLimit);
+}
--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -144,6 +144,23 @@
     return call(readyAddress(n), "GET", platform_names::readyPath, {}, {}, milliseconds(1000)).status == 200;
 }
 
+endpoint_reporter::endpoint_reporter(platform_fleet& fleet, std::vector<fake_endpoint*> endpoints)
+    : m_thread([this, &fleet, endpoints = std::move(endpoints)] {
+        for (int control = 1; !m_stopped; control = control % fleet.controls() + 1) {
+            for (auto* endpoint : endpoints)
+                fleet.sendReport(*endpoint, "ready", control);
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        }
+    })
+{
+}
+
+endpoint_reporter::~endpoint_reporter()
+{
+    m_stopped = true;
+    m_thread.join();
+}
+
 int platform_fleet::findLeader(int killed) const
 {
     for (int n = 1; n <= m_controlCount; ++n) {
--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -2,8 +2,11 @@
 #include "Platform/fake_endpoint.h"
 #include "Support/child_process.h"
 #include "Support/fleet.h"
+#include <atomic>
 #include <map>
 #include <memory>
+#include <thread>
+#include <vector>
 
 namespace pistachiolatch::test {
 
@@ -71,6 +74,20 @@
     std::map<int, child_process> m_entries;
 };
 
+/// Reports endpoints periodically, to one control process after the other, until it is destroyed.
+class endpoint_reporter {
+public:
+    /// Precondition: the fleet and the endpoints outlive the reporter.
+    endpoint_reporter(platform_fleet& fleet, std::vector<fake_endpoint*> endpoints);
+    ~endpoint_reporter();
+    endpoint_reporter(const endpoint_reporter&) = delete;
+    endpoint_reporter& operator=(const endpoint_reporter&) = delete;
+
+private:
+    std::atomic<bool> m_stopped { false };
+    std::thread m_thread;
+};
+
 /// A configuration with a plain service ("app"), a model service ("llm"), an organisation with key "key-1", and routes:
 /// /read/ is idempotent, /book/ is not, /once/ is a stream that must not be resumed, /report/ is a resumable stream.
 std::string exampleConfiguration(std::uint64_t version, std::uint64_t ratePerS = 100000);
--- a/Tests/Scheduling/CallLimitGateTest.cpp
+++ b/Tests/Scheduling/CallLimitGateTest.cpp
@@ -1,8 +1,9 @@
 // Guards against endpoints that get more calls than the limits that they name allow.
-#include "scheduling/scheduling.h"
+#include "Scheduling/paced_endpoints.h"
 #include <catch2/catch.hpp>
 
 using namespace pistachiolatch;
+using namespace pistachiolatch::test;
 
 namespace {
 constexpr double limit = 5;
@@ -10,29 +11,12 @@
 
 wire::endpoint_row makeRow(const std::string& id, wire::endpoint_stage stage, std::optional<double> callsPerSecond)
 {
-    wire::endpoint_row row;
-    auto& report = *row.mutable_report();
-    report.set_id(id);
-    report.set_born_ms(1);
-    report.set_service("s");
-    report.set_slots(1000);
-    report.set_stage(stage);
+    auto row = makePacedRow(id, stage);
     row.set_limited(callsPerSecond.has_value());
     row.set_calls_per_second(callsPerSecond.value_or(0));
     return row;
 }
 
-placement_request makeRequest(std::uint64_t id)
-{
-    placement_request request;
-    request.callId = id;
-    request.service = "s";
-    request.promptTokens = 10;
-    request.outputTokens = 10;
-    request.memoryTokens = 1'000'000;
-    return request;
-}
-
 /// Places as many calls as the planner lets through for a while. Returns the number by endpoint, of either stage.
 template <typename Planner>
 std::map<std::string, int> placeAll(Planner& planner, time_point& now, duration period)
@@ -40,7 +24,7 @@
     std::map<std::string, int> counts;
     std::uint64_t id = 0;
     for (auto end = now + period; now < end; now += milliseconds(5)) {
-        auto placement = planner.place("entry", makeRequest(++id), now);
+        auto placement = planner.place("entry", makePacedRequest(++id), now);
         ++counts[placement.decode];
         ++counts[placement.prefill];
         planner.release("entry", id, {}, now);
@@ -89,7 +73,7 @@
     CHECK(counts["decode"] <= limit * 4 + 2);
     CHECK(counts["decode"] >= 1);
     // A prompt that no prefill engine takes for seconds does not count as one that waits for a short queue.
-    auto refused = planner.place("entry", makeRequest(10'000), now);
+    auto refused = planner.place("entry", makePacedRequest(10'000), now);
     CHECK((!refused.full || !refused.prefillBusy));
 }
 
@@ -118,7 +102,7 @@
         queued_request queued;
         queued.ticket = ++id;
         queued.entry = "entry";
-        queued.request = makeRequest(id);
+        queued.request = makePacedRequest(id);
         queued.waitDeadline = now + patience;
         queued.firstEventDeadline = now + patience + std::chrono::seconds(1);
         added[id] = now;
--- a/Tests/Scheduling/ColdStartGateTest.cpp
+++ b/Tests/Scheduling/ColdStartGateTest.cpp
@@ -1,23 +1,18 @@
 // Guards against endpoints that crash right after their start because every entry sends its calls to the emptiest ones.
-#include "scheduling/scheduling.h"
+#include "Scheduling/paced_endpoints.h"
 #include <catch2/catch.hpp>
 #include <deque>
 
 using namespace pistachiolatch;
+using namespace pistachiolatch::test;
 
 namespace {
 constexpr double coldRate = 6;
 
 wire::endpoint_row makeRow(const std::string& id, wire::endpoint_stage stage, milliseconds cold, std::uint64_t bornMs = 1)
 {
-    wire::endpoint_row row;
-    auto& report = *row.mutable_report();
-    report.set_id(id);
-    report.set_born_ms(bornMs);
-    report.set_service("s");
-    report.set_slots(1000);
-    report.set_stage(stage);
-    report.set_cold_ms(static_cast<std::uint32_t>(cold.count()));
+    auto row = makePacedRow(id, stage, bornMs);
+    row.mutable_report()->set_cold_ms(static_cast<std::uint32_t>(cold.count()));
     return row;
 }
 
@@ -29,17 +24,6 @@
     planner.updateEndpoint(row);
 }
 
-placement_request makeRequest(std::uint64_t id)
-{
-    placement_request request;
-    request.callId = id;
-    request.service = "s";
-    request.promptTokens = 10;
-    request.outputTokens = 10;
-    request.memoryTokens = 1'000'000;
-    return request;
-}
-
 /// Calls per second at one endpoint, at the most in any second.
 class call_rate {
 public:
@@ -70,7 +54,7 @@
     std::map<std::string, call_rate> rates;
     std::uint64_t id = 0;
     for (; now - start < milliseconds(2990); now += milliseconds(10)) {
-        auto placement = planner.place("entry", makeRequest(++id), now);
+        auto placement = planner.place("entry", makePacedRequest(++id), now);
         REQUIRE_FALSE(placement.full);
         rates[placement.decode].add(now);
         rates[placement.prefill].add(now);
@@ -88,7 +72,7 @@
     addEndpoint(planner, makeRow("e", wire::STAGE_ANY, milliseconds(1000)), now);
     now += milliseconds(1001);
     for (std::uint64_t id = 1; id <= 50; ++id)
-        REQUIRE_FALSE(planner.place("entry", makeRequest(id), now).full);
+        REQUIRE_FALSE(planner.place("entry", makePacedRequest(id), now).full);
 }
 
 TEST_CASE("Calls wait for cold endpoints as long as the rate lets them start in time, and the others are refused at once")
@@ -101,7 +85,7 @@
         queued_request queued;
         queued.ticket = id;
         queued.entry = "entry";
-        queued.request = makeRequest(id);
+        queued.request = makePacedRequest(id);
         queued.waitDeadline = now + milliseconds(700);
         queued.firstEventDeadline = now + milliseconds(900);
         queue.add(queued, now);
