Forwarding: Log how the body of an endpoint's response ended

A stream that was broken off was logged as answered, so the log could not tell an engine that closes the connection of a response without framing from one that resets it. call_ended and attempt_failed state body_end (length, last_chunk, close, reset), and a counter for each counts them.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -143,6 +143,8 @@
     void releaseUnusedConnection(const std::string& endpointId);
     void releaseConnection(const std::string& endpointId, const response_metadata& response);
     void logCallEnded();
+    /// Records how the body of an endpoint's response ended.
+    void recordBodyEnd(body_end end);
     /// Logs why a response that has started is cut off, with the inputs to that decision.
     void logTruncation(std::string_view cause) const;
 
@@ -189,6 +191,8 @@
     std::string m_fallbackResponse;
     unsigned m_fallbackStatus = 0;
     unsigned m_status = 0;
+    /// How the body of the last response that was read for the caller ended.
+    body_end m_bodyEnd = body_end::Open;
     std::string m_outcome;
     milliseconds m_firstEventLatency { -1 };
     /// Identifies the attempt to the planner; 0 if this entry chose the endpoint of a service without engines.
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -404,7 +404,7 @@
                                                                                                                          : reason::EndpointFailed;
     if (allowed)
         m_shared.counters.countRetry(cause);
-    logEvent("attempt_failed", { { "request", m_metadata.id }, { "endpoint", endpointId }, { "why", reasonName(cause) }, { "stalled", outcome == attempt_outcome::Stalled ? 1 : 0 }, { "may_have_run_at", m_possibleRuns }, { "again", allowed ? 1 : 0 }, { "no_retry_reason", noRetryReasonName(m_noRetryReason) }, { "age_ms", age().count() } });
+    logEvent("attempt_failed", { { "request", m_metadata.id }, { "endpoint", endpointId }, { "why", reasonName(cause) }, { "stalled", outcome == attempt_outcome::Stalled ? 1 : 0 }, { "may_have_run_at", m_possibleRuns }, { "body_end", bodyEndName(m_bodyEnd) }, { "again", allowed ? 1 : 0 }, { "no_retry_reason", noRetryReasonName(m_noRetryReason) }, { "age_ms", age().count() } });
     return allowed;
 }
 
@@ -418,6 +418,7 @@
         m_shared.retryBudget.recordFirstAttempt(m_service->name, m_shared.clock.now());
     ++m_possibleRuns;
     m_attemptExpired = false;
+    m_bodyEnd = body_end::Open;
     m_endpointIds += (m_endpointIds.empty() ? "" : ",") + endpoint.id;
     options.timeLeft = timeLeft();
     m_sentAt = m_shared.clock.now();
@@ -514,6 +515,13 @@
     logEvent("answer_cut", { { "request", m_metadata.id }, { "why", cause }, { "route", m_route->name }, { "version", m_table->version() }, { "latest_version", latestVersion }, { "events", m_eventsForwarded }, { "may_have_run_at", m_possibleRuns }, { "most_endpoints", m_route->maxEndpoints }, { "resumable", isResumable() ? 1 : 0 }, { "deadline_ms", m_metadata.deadline.value_or(milliseconds(0)).count() }, { "timeout_ms", m_route->timeout.count() }, { "time_left_ms", timeLeft().count() }, { "endpoint_wait_ms", m_endpointWait.count() }, { "engines_full", m_enginesFull ? 1 : 0 }, { "draining", m_shared.draining ? 1 : 0 }, { "age_ms", age().count() } });
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::recordBodyEnd(body_end end)
+{
+    m_bodyEnd = end;
+    m_shared.counters.count(fmt::format("endpoint_body_end_{}", bodyEndName(end)));
+}
+
 template <call_codec Codec>
 void call_forwarder<Codec>::handleShutdown()
 {
@@ -533,7 +541,7 @@
     if (std::exchange(m_endLogged, true))
         return;
     m_shared.counters.observe("call_seconds", age());
-    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "endpoints", m_endpointIds }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "endpoint_wait_ms", m_endpointWait.count() }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
+    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "body_end", bodyEndName(m_bodyEnd) }, { "endpoints", m_endpointIds }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "endpoint_wait_ms", m_endpointWait.count() }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -100,6 +100,7 @@
     std::string body;
     auto status = m_connection->status();
     auto failure = co_await m_connection->readRemainingBody(body, forwarding_detail::maxResponseBytes);
+    recordBodyEnd(m_connection->bodyEnd());
     if (failure != call_failure::None) {
         if (!isAborted())
             recordOutcome(endpoint.id, endpoint_outcome::Failed);
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -134,6 +134,8 @@
         std::string chunk;
         m_waitingSince = m_shared.clock.now();
         auto failure = co_await connection->readBodyChunk(chunk);
+        if (auto end = connection->bodyEnd(); end != body_end::Open)
+            recordBodyEnd(end);
         if (failure != call_failure::None) {
             if (!isAborted())
                 recordOutcome(endpoint.id, m_leftAliveEndpoint ? endpoint_outcome::Refused : endpoint_outcome::Unreachable);
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -67,8 +67,10 @@
     auto& body = m_parser->get().body();
     while (body.empty() && !m_parser->is_done()) {
         auto [error, bytes] = co_await http::async_read_some(m_socket, m_buffer, *m_parser, asTuple);
-        if (error || m_closed)
+        if (error || m_closed) {
+            m_readFailed = true;
             co_return call_failure::Broken;
+        }
     }
     chunk = std::move(body);
     body.clear();
@@ -91,6 +93,11 @@
     co_return call_failure::None;
 }
 
+body_end endpoint_connection::bodyEnd() const
+{
+    return m_readFailed ? body_end::Reset : parsedBodyEnd(*m_parser);
+}
+
 bool endpoint_connection::isReusable() const
 {
     return !m_closed && m_sendComplete && isResponseComplete() && m_parser->keep_alive() && m_buffer.size() == 0;
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -30,6 +30,8 @@
     task_of<call_failure> readRemainingBody(std::string& body, std::size_t maxBytes);
     /// Whether the complete response has been read.
     bool isResponseComplete() const { return m_parser && m_parser->is_done(); }
+    /// How the body of the current response ended. Precondition: readResponseHead() returned None.
+    body_end bodyEnd() const;
     /// Whether the connection can carry another call: the request was sent, the response is complete and no data follows.
     bool isReusable() const;
     /// Whether a pooled connection is still open and has no unread data. Unexpected data, such as a second response,
@@ -47,6 +49,7 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     std::string m_sendBuffer;
     bool m_sendComplete = false;
+    bool m_readFailed = false;
     bool m_closed = false;
 };
 
--- a/Source/http/http.h
+++ b/Source/http/http.h
@@ -6,5 +6,6 @@
 #include "http/http_exchange.h"
 #include "http/http_server.h"
 #include "http/pending_reply.h"
+#include "http/response_body.h"
 #include "http/sse_parser.h"
 #include "http/traffic_threads.h"
