--- /dev/null
+++ b/Tests/Platform/scripted_endpoint.cpp
@@ -0,0 +1,99 @@
+#include "Platform/scripted_endpoint.h"
+
+#include "platform_names.h"
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+
+namespace pistachiolatch::test {
+
+namespace {
+    namespace asio = boost::asio;
+    namespace http = boost::beast::http;
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr std::size_t missingBytes = 10;
+    /// Bytes that are still unread when the socket is closed are lost with a reset, so the peer reads them first.
+    constexpr milliseconds resetDelay { 60 };
+
+    std::string encode(const scripted_response& response)
+    {
+        auto bytes = fmt::format("HTTP/1.1 {} Scripted\r\n", response.status);
+        for (const auto& [name, value] : response.headers)
+            bytes += fmt::format("{}: {}\r\n", name, value);
+        switch (response.framing) {
+        case body_framing::Length:
+            return bytes + fmt::format("Content-Length: {}\r\n\r\n{}", response.body.size() + (response.truncated ? missingBytes : 0), response.body);
+        case body_framing::Chunked:
+            bytes += "Transfer-Encoding: chunked\r\n\r\n";
+            if (!response.body.empty())
+                bytes += fmt::format("{:x}\r\n{}\r\n", response.body.size(), response.body);
+            return bytes + (response.truncated ? "" : "0\r\n\r\n");
+        case body_framing::None:
+            break;
+        }
+        return bytes + "\r\n" + response.body;
+    }
+}
+
+scripted_endpoint::scripted_endpoint(const std::string& address, script respond)
+    : m_respond(std::move(respond))
+    , m_acceptor(m_context, parseAddress(address))
+{
+    asio::co_spawn(m_context, accept(), asio::detached);
+    m_thread = std::thread([this] { m_context.run(); });
+}
+
+scripted_endpoint::~scripted_endpoint()
+{
+    m_context.stop();
+    m_thread.join();
+}
+
+std::map<std::string, int> scripted_endpoint::requestCounts() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_requestCounts;
+}
+
+task_of<void> scripted_endpoint::accept()
+{
+    while (true) {
+        auto [error, socket] = co_await m_acceptor.async_accept(asTuple);
+        if (error)
+            co_return;
+        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+    }
+}
+
+task_of<void> scripted_endpoint::serve(asio::ip::tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    while (true) {
+        http_exchange::request request;
+        auto [readError, readBytes] = co_await http::async_read(socket, buffer, request, asTuple);
+        if (readError)
+            co_return;
+        auto id = std::string(request[platform_names::requestId]);
+        {
+            std::lock_guard lock(m_mutex);
+            ++m_requestCounts[id];
+        }
+        auto response = m_respond(request);
+        response.headers.emplace_back(platform_names::requestId, id);
+        auto bytes = encode(response);
+        auto [writeError, writtenBytes] = co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
+        if (writeError)
+            co_return;
+        if (response.end == connection_end::Close)
+            co_return;
+        if (response.end == connection_end::Reset) {
+            asio::steady_timer timer(m_context, resetDelay);
+            co_await timer.async_wait(asTuple);
+            socket.set_option(asio::socket_base::linger(true, 0));
+            // The destructor would turn the option off again.
+            socket.close();
+            co_return;
+        }
+    }
+}
+
+} // namespace pistachiolatch::test
--- /dev/null
+++ b/Tests/Platform/scripted_endpoint.h
@@ -0,0 +1,65 @@
+#pragma once
+#include "http/http.h"
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace pistachiolatch::test {
+
+/// How a scripted response announces the end of its body.
+enum class body_framing {
+    Length,
+    Chunked,
+    /// Neither a length nor chunks: the body ends with the connection.
+    None,
+};
+
+/// What happens to the connection after the body.
+enum class connection_end {
+    KeepOpen,
+    Close,
+    /// Closed with a TCP reset.
+    Reset,
+};
+
+/// A response that is written byte by byte, also one that no conforming server would send.
+struct scripted_response {
+    unsigned status = 200;
+    body_framing framing = body_framing::None;
+    connection_end end = connection_end::Close;
+    std::string body;
+    /// Bytes that the framing announces beyond the body: a larger length, or a missing last chunk.
+    bool truncated = false;
+    http_headers headers;
+};
+
+/// An endpoint of the users' platform whose responses a test writes, with framing that fake_endpoint doesn't produce.
+class scripted_endpoint {
+public:
+    using script = std::function<scripted_response(const http_exchange::request&)>;
+
+    /// Precondition: the script may be called on another thread until the endpoint is destroyed.
+    scripted_endpoint(const std::string& address, script respond);
+    ~scripted_endpoint();
+    scripted_endpoint(const scripted_endpoint&) = delete;
+    scripted_endpoint& operator=(const scripted_endpoint&) = delete;
+
+    /// The number of requests that arrived, by request ID.
+    std::map<std::string, int> requestCounts() const;
+
+private:
+    task_of<void> accept();
+    task_of<void> serve(boost::asio::ip::tcp::socket socket);
+
+    script m_respond;
+    mutable std::mutex m_mutex;
+    std::map<std::string, int> m_requestCounts;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+} // namespace pistachiolatch::test
