Forwarding, HTTP: Decide by one typed answer whether a body is complete

Callers got streams of crashed engines as complete, with pieces missing. An engine's response may have neither a length nor chunks and end with its connection; a crash in the middle of an event then looks like its end, and the entry passed on half an event and the last chunk. The record shows it: the run crashes, and in the same millisecond the entry logs outcome=answered, sends=1. A stream with a length or chunks that ended inside an event was taken as complete in the same way.

Every reader of a response now asks how its body ended: by length, last chunk, close or reset. isCompleteBody() and isCompleteStream() decide from that for plain calls, prompts, refusals, late responses and streams. A stream that ends inside an event, whatever frames it, or with its connection before any event, was broken off: a resumable one goes on elsewhere behind its last whole event, any other is cut towards its caller. A scanner finds events that end in LF, CRLF or CR, also across reads; it replaces three searches for two line feeds, so tokens of engines that write CRLF are delivered and counted too.

The crash also counts as one now: before, such an engine was recorded as healthy and the request's crash was not reported.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -106,7 +106,7 @@
     std::uint64_t estimateOutputTokens() const;
     milliseconds placementTimeout() const;
     wire::engine_plan_request makePlanRequest(std::uint64_t callId, milliseconds timeout);
-    void countEvents(std::string_view chunk);
+    void countEvents(std::uint64_t count);
     idle_stream measureIdleTime(const std::string& endpointId) const;
     void scheduleStallCheck(selected_endpoint endpoint, milliseconds delay);
     void requestMigration(const selected_endpoint& endpoint);
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -373,6 +373,7 @@
     endpoint_reservation reservation(m_shared.endpoints, endpoint.id, 0);
     if (m_callId != 0)
         m_shared.endpoints.addRunningCall(m_callId, endpoint.id, 0, 0);
+    m_endpointEvents = 0;
     auto options = makeAttemptOptions(endpoint);
     auto outcome = co_await sendAttempt(endpoint, std::move(options));
     m_shared.endpoints.removeRunningCall(m_callId);
@@ -512,7 +513,7 @@
 void call_forwarder<Codec>::logTruncation(std::string_view cause) const
 {
     auto latestVersion = m_shared.link.routeTable() ? m_shared.link.routeTable()->version() : 0;
-    logEvent("answer_cut", { { "request", m_metadata.id }, { "why", cause }, { "route", m_route->name }, { "version", m_table->version() }, { "latest_version", latestVersion }, { "events", m_eventsForwarded }, { "may_have_run_at", m_possibleRuns }, { "most_endpoints", m_route->maxEndpoints }, { "resumable", isResumable() ? 1 : 0 }, { "deadline_ms", m_metadata.deadline.value_or(milliseconds(0)).count() }, { "timeout_ms", m_route->timeout.count() }, { "time_left_ms", timeLeft().count() }, { "endpoint_wait_ms", m_endpointWait.count() }, { "engines_full", m_enginesFull ? 1 : 0 }, { "draining", m_shared.draining ? 1 : 0 }, { "age_ms", age().count() } });
+    logEvent("answer_cut", { { "request", m_metadata.id }, { "why", cause }, { "route", m_route->name }, { "version", m_table->version() }, { "latest_version", latestVersion }, { "events", m_eventsForwarded }, { "body_end", bodyEndName(m_bodyEnd) }, { "partial_event_bytes", m_eventSplitter.remainder().size() }, { "may_have_run_at", m_possibleRuns }, { "most_endpoints", m_route->maxEndpoints }, { "resumable", isResumable() ? 1 : 0 }, { "deadline_ms", m_metadata.deadline.value_or(milliseconds(0)).count() }, { "timeout_ms", m_route->timeout.count() }, { "time_left_ms", timeLeft().count() }, { "endpoint_wait_ms", m_endpointWait.count() }, { "engines_full", m_enginesFull ? 1 : 0 }, { "draining", m_shared.draining ? 1 : 0 }, { "age_ms", age().count() } });
 }
 
 template <call_codec Codec>
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -272,11 +272,12 @@
     response_metadata response;
     std::string body;
     auto failure = co_await readMatchingHead(response);
+    auto end = body_end::Reset;
     if (failure == call_failure::None)
-        failure = co_await connection->readRemainingBody(body, forwarding_detail::maxResponseBytes);
+        end = co_await connection->readRemainingBody(body, forwarding_detail::maxResponseBytes);
     cancelAttemptTimer();
     m_connection.reset();
-    if (failure != call_failure::None) {
+    if (!isCompleteBody(end)) {
         connection->close();
         if (!isAborted())
             recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -23,9 +23,9 @@
         std::string discarded;
         if (stray == forwarding_detail::maxStrayResponses || !response.sealed)
             co_return call_failure::Broken;
-        failure = co_await m_connection->readRemainingBody(discarded, forwarding_detail::maxResponseBytes);
-        if (failure != call_failure::None)
-            co_return failure;
+        auto end = co_await m_connection->readRemainingBody(discarded, forwarding_detail::maxResponseBytes);
+        if (!isCompleteBody(end))
+            co_return call_failure::Broken;
     }
 }
 
@@ -48,8 +48,9 @@
         recordCallLimit(endpoint, response, response.sealed && status < 500);
     if (response.guaranteedNotRun || status == forwarding_detail::misdirected) {
         std::string discarded;
-        failure = co_await m_connection->readRemainingBody(discarded, forwarding_detail::maxResponseBytes);
-        if (failure == call_failure::None)
+        auto end = co_await m_connection->readRemainingBody(discarded, forwarding_detail::maxResponseBytes);
+        recordBodyEnd(end);
+        if (isCompleteBody(end))
             releaseConnection(endpoint.id, response);
         // 421 means that another endpoint has taken over the address; the expected one is unreachable until it
         // announces its new address.
@@ -84,8 +85,9 @@
 task_of<attempt_outcome> call_forwarder<Codec>::storeFallbackResponse(const selected_endpoint& endpoint, const response_metadata& response)
 {
     std::string body;
-    auto failure = co_await m_connection->readRemainingBody(body, forwarding_detail::maxResponseBytes);
-    if (failure != call_failure::None || !response.sealed)
+    auto end = co_await m_connection->readRemainingBody(body, forwarding_detail::maxResponseBytes);
+    recordBodyEnd(end);
+    if (!isCompleteBody(end) || !response.sealed)
         co_return attempt_outcome::MayHaveRun;
     m_fallbackStatus = m_connection->status();
     // A shutdown may start while the call waits for another endpoint, so this response always closes the connection.
@@ -99,9 +101,9 @@
 {
     std::string body;
     auto status = m_connection->status();
-    auto failure = co_await m_connection->readRemainingBody(body, forwarding_detail::maxResponseBytes);
-    recordBodyEnd(m_connection->bodyEnd());
-    if (failure != call_failure::None) {
+    auto end = co_await m_connection->readRemainingBody(body, forwarding_detail::maxResponseBytes);
+    recordBodyEnd(end);
+    if (!isCompleteBody(end)) {
         if (!isAborted())
             recordOutcome(endpoint.id, endpoint_outcome::Failed);
         recordBrokenConnection(endpoint);
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -11,12 +11,8 @@
 }
 
 template <call_codec Codec>
-void call_forwarder<Codec>::countEvents(std::string_view chunk)
+void call_forwarder<Codec>::countEvents(std::uint64_t count)
 {
-    constexpr std::string_view eventEnd = "\n\n";
-    std::uint64_t count = 0;
-    for (auto at = chunk.find(eventEnd); at != std::string_view::npos; at = chunk.find(eventEnd, at + eventEnd.size()))
-        ++count;
     if (count == 0)
         return;
     if (m_generationStartedAt == time_point {}) {
@@ -133,30 +129,24 @@
     while (true) {
         std::string chunk;
         m_waitingSince = m_shared.clock.now();
-        auto failure = co_await connection->readBodyChunk(chunk);
-        if (auto end = connection->bodyEnd(); end != body_end::Open)
+        auto end = co_await connection->readBodyChunk(chunk);
+        if (end != body_end::Open)
             recordBodyEnd(end);
-        if (failure != call_failure::None) {
-            if (!isAborted())
-                recordOutcome(endpoint.id, m_leftAliveEndpoint ? endpoint_outcome::Refused : endpoint_outcome::Unreachable);
-            recordBrokenConnection(endpoint);
-            co_return attempt_outcome::MayHaveRun;
-        }
+        m_eventSplitter.append(chunk);
+        auto events = m_eventSplitter.takeCompleteEvents();
+        bool isLast = isCompleteStream(end, m_eventSplitter.isInsideEvent(), m_endpointEvents + events.count > 0);
+        // Only complete events of a resumable stream are passed on, because another endpoint resumes it behind them.
+        if (isResumable())
+            chunk = isLast ? events.bytes.append(m_eventSplitter.remainder()) : events.bytes;
         m_longestPause = std::max(m_longestPause, std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_waitingSince));
         // While a slow caller blocks the stream, the endpoint is not stalled.
         m_waitingSince = time_point {};
-        m_shared.endpoints.recordActivity(endpoint.id);
-        bool isLast = connection->isResponseComplete();
-        if (isResumable()) {
-            m_eventSplitter.append(chunk);
-            chunk = m_eventSplitter.takeCompleteEvents();
-            if (isLast)
-                chunk += m_eventSplitter.remainder();
-        }
+        if (end != body_end::Reset)
+            m_shared.endpoints.recordActivity(endpoint.id);
         std::string out = chunk.empty() ? std::string() : encodeChunk(chunk);
         if (isLast)
             out += encodeChunk({});
-        countEvents(chunk);
+        countEvents(events.count);
         if (!chunk.empty() && m_firstEventLatency < milliseconds(0)) {
             m_firstEventLatency = age();
             m_shared.counters.observe("first_event_seconds", m_firstEventLatency);
@@ -170,6 +160,12 @@
         }
         if (isLast)
             break;
+        if (end != body_end::Open) {
+            if (!isAborted())
+                recordOutcome(endpoint.id, m_leftAliveEndpoint ? endpoint_outcome::Refused : endpoint_outcome::Unreachable);
+            recordBrokenConnection(endpoint);
+            co_return attempt_outcome::MayHaveRun;
+        }
     }
     m_outcome = "answered";
     recordOutcome(endpoint.id, endpoint_outcome::Succeeded);
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -61,7 +61,7 @@
     }
 }
 
-task_of<call_failure> endpoint_connection::readBodyChunk(std::string& chunk)
+task_of<body_end> endpoint_connection::readBodyChunk(std::string& chunk)
 {
     auto self = shared_from_this();
     auto& body = m_parser->get().body();
@@ -69,28 +69,27 @@
         auto [error, bytes] = co_await http::async_read_some(m_socket, m_buffer, *m_parser, asTuple);
         if (error || m_closed) {
             m_readFailed = true;
-            co_return call_failure::Broken;
+            co_return body_end::Reset;
         }
     }
     chunk = std::move(body);
     body.clear();
-    co_return call_failure::None;
+    co_return bodyEnd();
 }
 
-task_of<call_failure> endpoint_connection::readRemainingBody(std::string& body, std::size_t maxBytes)
+task_of<body_end> endpoint_connection::readRemainingBody(std::string& body, std::size_t maxBytes)
 {
-    while (!isResponseComplete()) {
+    auto end = body_end::Open;
+    while (end == body_end::Open) {
         std::string chunk;
-        auto failure = co_await readBodyChunk(chunk);
-        if (failure != call_failure::None)
-            co_return failure;
+        end = co_await readBodyChunk(chunk);
         body += chunk;
-        if (body.size() > maxBytes)
-            co_return call_failure::Broken;
+        if (body.size() > maxBytes) {
+            close();
+            co_return body_end::Reset;
+        }
     }
-    // The parser may have finished the body while it read the head.
-    body += std::exchange(m_parser->get().body(), {});
-    co_return call_failure::None;
+    co_return end;
 }
 
 body_end endpoint_connection::bodyEnd() const
@@ -100,7 +99,7 @@
 
 bool endpoint_connection::isReusable() const
 {
-    return !m_closed && m_sendComplete && isResponseComplete() && m_parser->keep_alive() && m_buffer.size() == 0;
+    return !m_closed && m_sendComplete && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
 }
 
 bool endpoint_connection::isOpenAndIdle()
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -24,14 +24,11 @@
     unsigned status() const { return m_parser->get().result_int(); }
     std::string reasonPhrase() const { return std::string(m_parser->get().reason()); }
     const header_fields& fields() const { return m_parser->get(); }
-    /// Reads the next bytes of the body; empty at its end. Precondition: readResponseHead() returned None.
-    task_of<call_failure> readBodyChunk(std::string& chunk);
-    /// Reads the rest of the body. Returns Broken if the body exceeds maxBytes.
-    task_of<call_failure> readRemainingBody(std::string& body, std::size_t maxBytes);
-    /// Whether the complete response has been read.
-    bool isResponseComplete() const { return m_parser && m_parser->is_done(); }
-    /// How the body of the current response ended. Precondition: readResponseHead() returned None.
-    body_end bodyEnd() const;
+    /// Reads the next bytes of the body. Returns how the body ended, or Open if more may follow. Precondition:
+    /// readResponseHead() returned None.
+    task_of<body_end> readBodyChunk(std::string& chunk);
+    /// Reads the rest of the body; never returns Open. A body of more than maxBytes is given up, which is a Reset.
+    task_of<body_end> readRemainingBody(std::string& body, std::size_t maxBytes);
     /// Whether the connection can carry another call: the request was sent, the response is complete and no data follows.
     bool isReusable() const;
     /// Whether a pooled connection is still open and has no unread data. Unexpected data, such as a second response,
@@ -44,6 +41,8 @@
     milliseconds maxIdleTime { 0 };
 
 private:
+    body_end bodyEnd() const;
+
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
--- a/Source/forwarding/event_splitter.cpp
+++ b/Source/forwarding/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/event_splitter.h"
 
+#include <utility>
+
 namespace pistachiolatch {
 
 namespace {
@@ -9,49 +11,44 @@
     std::string_view findLastId(std::string_view events)
     {
         std::string_view id;
-        std::size_t begin = 0;
-        while (begin < events.size()) {
-            auto end = events.find('\n', begin);
-            auto line = events.substr(begin, end - begin);
-            if (!line.empty() && line.back() == '\r')
-                line.remove_suffix(1);
-            if (line.substr(0, idField.size()) == idField) {
-                id = line.substr(idField.size());
-                while (!id.empty() && id.front() == ' ')
-                    id.remove_prefix(1);
-            }
-            if (end == std::string_view::npos)
-                break;
-            begin = end + 1;
+        while (!events.empty()) {
+            auto line = takeLine(events);
+            if (!line.starts_with(idField))
+                continue;
+            id = line.substr(idField.size());
+            while (!id.empty() && id.front() == ' ')
+                id.remove_prefix(1);
         }
         return id;
     }
+}
 
-    /// Returns the offset of the end of the last complete event, or 0 if there is none.
-    std::size_t findLastEventEnd(std::string_view bytes)
-    {
-        auto lfEnd = bytes.rfind("\n\n");
-        auto crlfEnd = bytes.rfind("\r\n\r\n");
-        std::size_t end = 0;
-        if (lfEnd != std::string_view::npos)
-            end = lfEnd + 2;
-        if (crlfEnd != std::string_view::npos)
-            end = std::max(end, crlfEnd + 4);
-        return end;
+void event_splitter::append(std::string_view bytes)
+{
+    m_buffer.append(bytes);
+    while (auto end = m_scanner.scan(bytes)) {
+        bytes.remove_prefix(end->offset);
+        m_completeBytes = m_buffer.size() - bytes.size();
+        m_completeCount += end->hasFields ? 1 : 0;
     }
 }
 
-std::string event_splitter::takeCompleteEvents()
+complete_events event_splitter::takeCompleteEvents()
 {
-    auto end = findLastEventEnd(m_buffer);
-    if (end == 0)
-        return {};
-    auto events = m_buffer.substr(0, end);
-    m_buffer.erase(0, end);
-    auto id = findLastId(events);
+    complete_events events { m_buffer.substr(0, m_completeBytes), std::exchange(m_completeCount, 0) };
+    m_buffer.erase(0, std::exchange(m_completeBytes, 0));
+    auto id = findLastId(events.bytes);
     if (!id.empty())
         m_lastEventId = std::string(id);
     return events;
 }
 
+void event_splitter::discardRemainder()
+{
+    m_buffer.clear();
+    m_completeBytes = 0;
+    m_completeCount = 0;
+    m_scanner = {};
+}
+
 } // namespace pistachiolatch
--- a/Source/http/http.h
+++ b/Source/http/http.h
@@ -2,6 +2,7 @@
 /// HTTP/1.1 client and server based on Boost.Beast.
 /// This is the library's only public header.
 #include "http/admin_server.h"
+#include "http/event_scanner.h"
 #include "http/http_client.h"
 #include "http/http_exchange.h"
 #include "http/http_server.h"
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -88,8 +88,10 @@
             co_return call_failure::None;
         m_stream.expires_after(timeout);
         auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, asTuple);
-        if (error)
+        if (error) {
+            m_readFailed = true;
             co_return toCallFailure(error);
+        }
     }
 }
 
--- a/Source/http/http_client.h
+++ b/Source/http/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "http/http_exchange.h"
+#include "http/response_body.h"
 #include <boost/beast/http/parser.hpp>
 #include <optional>
 
@@ -52,8 +53,8 @@
     http_headers headers() const;
     /// Reads the next part of the body; empty at the end. Precondition: readHead() succeeded.
     task_of<call_failure> readPiece(std::string& piece, milliseconds timeout);
-    /// Whether the response was read completely.
-    bool isComplete() const { return m_parser && m_parser->is_done(); }
+    /// How the body ended, as far as it was read. Precondition: readHead() succeeded.
+    body_end bodyEnd() const { return m_readFailed ? body_end::Reset : parsedBodyEnd(*m_parser); }
 
     /// Sends a request and reads the whole response.
     static task_of<http_response> fetch(const std::string& address, const http_request& request, milliseconds connectTimeout, milliseconds timeout);
@@ -62,6 +63,7 @@
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    bool m_readFailed = false;
 };
 
 } // namespace pistachiolatch
--- a/Source/http/response_body.h
+++ b/Source/http/response_body.h
@@ -43,10 +43,10 @@
 }
 
 /// Whether a stream of events has arrived in full. A stream that ends inside an event was broken off, whatever its
-/// framing says.
-constexpr bool isCompleteStream(body_end end, bool insideEvent)
+/// framing says. One that ends with its connection before any event has not begun.
+constexpr bool isCompleteStream(body_end end, bool insideEvent, bool hasEvents)
 {
-    return isCompleteBody(end) && !insideEvent;
+    return isCompleteBody(end) && !insideEvent && (hasEvents || end != body_end::Close);
 }
 
 /// How far a Beast response parser has read the body. The parser itself doesn't know of a failed connection, so that the
--- a/Source/http/sse_parser.cpp
+++ b/Source/http/sse_parser.cpp
@@ -4,25 +4,30 @@
 
 namespace {
     constexpr std::string_view dataField = "data: ";
+
+    std::string joinData(std::string_view event)
+    {
+        std::string data;
+        while (!event.empty()) {
+            auto line = takeLine(event);
+            if (line.starts_with(dataField))
+                data.append(line.substr(dataField.size()));
+        }
+        return data;
+    }
 }
 
 std::optional<std::string> sse_parser::next()
 {
-    auto end = m_buffer.find("\n\n");
-    if (end == std::string::npos)
-        return std::nullopt;
-    auto event = m_buffer.substr(0, end);
-    m_buffer.erase(0, end + 2);
-    std::string data;
-    std::size_t position = 0;
-    while (position < event.size()) {
-        auto lineEnd = std::min(event.find('\n', position), event.size());
-        auto line = std::string_view(event).substr(position, lineEnd - position);
-        if (line.starts_with(dataField))
-            data.append(line.substr(dataField.size()));
-        position = lineEnd + 1;
+    while (auto end = m_scanner.scan(std::string_view(m_buffer).substr(m_scannedBytes))) {
+        auto event = m_buffer.substr(0, m_scannedBytes + end->offset);
+        m_buffer.erase(0, event.size());
+        m_scannedBytes = 0;
+        if (end->hasFields)
+            return joinData(event);
     }
-    return data;
+    m_scannedBytes = m_buffer.size();
+    return std::nullopt;
 }
 
 std::string sseEvent(std::string_view data)
--- a/Source/http/sse_parser.h
+++ b/Source/http/sse_parser.h
@@ -1,4 +1,5 @@
 #pragma once
+#include "http/event_scanner.h"
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,7 +14,10 @@
     std::optional<std::string> next();
 
 private:
+    event_scanner m_scanner;
     std::string m_buffer;
+    /// Bytes of the buffer that were scanned without finding the end of an event.
+    std::size_t m_scannedBytes = 0;
 };
 
 /// Formats an event. Precondition: the data contains no line break.
--- a/Source/load/load_runner.cpp
+++ b/Source/load/load_runner.cpp
@@ -134,7 +134,7 @@
         }
     }
     outcome.finishedAt = sinceStart();
-    validateResponse(response, client.isComplete(), request, outcome);
+    validateResponse(response, isCompleteBody(client.bodyEnd()), request, outcome);
     recordOutcome(std::move(outcome));
 }
 
--- a/Tests/Forwarding/ForwardingDecisionsTest.cpp
+++ b/Tests/Forwarding/ForwardingDecisionsTest.cpp
@@ -159,15 +159,15 @@
 {
     event_splitter events;
     events.append("id: 1\ndata: a\n\nid: 2\nda");
-    CHECK(events.takeCompleteEvents() == "id: 1\ndata: a\n\n");
+    CHECK(events.takeCompleteEvents().bytes == "id: 1\ndata: a\n\n");
     CHECK(events.lastEventId() == "1");
-    CHECK(events.takeCompleteEvents().empty());
+    CHECK(events.takeCompleteEvents().bytes.empty());
     events.append("ta: b\n\nid:3\r\ndata: c\r\n\r\nid: 4");
-    CHECK(events.takeCompleteEvents() == "id: 2\ndata: b\n\nid:3\r\ndata: c\r\n\r\n");
+    CHECK(events.takeCompleteEvents().bytes == "id: 2\ndata: b\n\nid:3\r\ndata: c\r\n\r\n");
     CHECK(events.lastEventId() == "3");
     events.discardRemainder();
     events.append("id: 4\n\n");
-    CHECK(events.takeCompleteEvents() == "id: 4\n\n");
+    CHECK(events.takeCompleteEvents().bytes == "id: 4\n\n");
 }
 
 TEST_CASE("Endpoints in the entry's own data centre are preferred until they are loaded")
--- a/Tests/Platform/UnframedResponseTest.cpp
+++ b/Tests/Platform/UnframedResponseTest.cpp
@@ -117,6 +117,14 @@
     CHECK(answer.body == body);
 }
 
+TEST_CASE("A stream whose connection is closed before its first event is broken off", "[promise]")
+{
+    scripted_fleet fleet;
+    fleet.addEndpoint("llm", "decode", [](const auto&) { return makeResponse(body_framing::None, connection_end::Close, ""); });
+    auto answer = fleet.send("/once/x");
+    CHECK((answer.status != 200 || answer.broken));
+}
+
 TEST_CASE("A stream whose connection is reset is broken off", "[promise]")
 {
     scripted_fleet fleet;
