--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -86,7 +86,22 @@
 void platform_fleet::startEntry(int n)
 {
     auto path = writeSettings("entry", entryIp(n), n, false);
-    m_entries[n] = child_process(PISTACHIOLATCH_BUILD_FOLDER "/pistachiolatch-platform-entry", { "--settings", path }, fmt::format("{}/entry-{}", m_folder, n));
+    const auto* program = m_partitionable ? PISTACHIOLATCH_BUILD_FOLDER "/partitioned-entry" : PISTACHIOLATCH_BUILD_FOLDER "/pistachiolatch-platform-entry";
+    child_process::environment variables { { "PARTITION_FILE", partitionFile(n) } };
+    m_entries[n] = child_process(program, { "--settings", path }, fmt::format("{}/entry-{}", m_folder, n), variables);
+}
+
+std::string platform_fleet::partitionFile(int n) const
+{
+    return fmt::format("{}/entry-{}.partition", m_folder, n);
+}
+
+void platform_fleet::partitionEntry(int n, const std::string& mode) const
+{
+    // Renamed into place, so that the process never reads half of it.
+    auto path = partitionFile(n);
+    std::ofstream(path + ".new") << (mode.empty() ? "" : fmt::format("{} {}.3.", mode, m_subnet));
+    std::filesystem::rename(path + ".new", path);
 }
 
 void platform_fleet::start()
--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -36,6 +36,11 @@
     void start();
     void startControl(int n, bool firstStart);
     void startEntry(int n);
+    /// Has entries that are started from now on run with sockets that partitionEntry() can cut.
+    void makePartitionable() { m_partitionable = true; }
+    /// Cuts an entry from the endpoints in a mode of partitioned_sockets.cpp, or lifts the cut if the mode is empty.
+    /// Precondition: makePartitionable() was called before the entry was started.
+    void partitionEntry(int n, const std::string& mode) const;
     /// Deletes the data of a control process. Precondition: it is not running.
     void eraseControlData(int n) const;
     /// Sends a request and reads the response, which is marked as broken if it is incomplete.
@@ -63,10 +68,12 @@
     const std::string& folder() const { return m_folder; }
 
 private:
+    std::string partitionFile(int n) const;
     std::string writeSettings(const std::string& role, const std::string& ip, int n, bool firstStart) const;
 
     int m_controlCount;
     int m_entryCount;
+    bool m_partitionable = false;
     loopback_subnet m_reservedSubnet;
     std::string m_subnet;
     std::string m_folder;
--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -1,6 +1,7 @@
 #include "Support/child_process.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <fstream>
@@ -15,7 +16,7 @@
 
 namespace pistachiolatch::test {
 
-child_process::child_process(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputPrefix)
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputPrefix, const environment& variables)
 {
     std::vector<char*> argv { const_cast<char*>(program.c_str()) };
     for (const auto& argument : arguments)
@@ -32,6 +33,8 @@
     ::dup2(::open(err.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600), STDERR_FILENO);
     // A write beyond RLIMIT_FSIZE must fail, as on a full disk, instead of ending the process.
     ::signal(SIGXFSZ, SIG_IGN);
+    for (const auto& [name, value] : variables)
+        ::setenv(name.c_str(), value.c_str(), 1);
     ::execv(program.c_str(), argv.data());
     ::_exit(127);
 }
--- a/Tests/Support/child_process.h
+++ b/Tests/Support/child_process.h
@@ -8,8 +8,11 @@
 /// A process that a test started, with its output in files. The destructor kills it.
 class child_process {
 public:
+    using environment = std::vector<std::pair<std::string, std::string>>;
+
     child_process() = default;
-    child_process(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputPrefix);
+    /// The variables are added to the environment of this process.
+    child_process(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputPrefix, const environment& variables = {});
     ~child_process();
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&& other) noexcept;
--- /dev/null
+++ b/Tests/Support/partitioned_sockets.cpp
@@ -0,0 +1,142 @@
+// Socket calls that take the place of the system's in a program of the tests and cut it from some addresses, as a
+// partition of the network would. The file that PARTITION_FILE names holds how they are cut and the prefix of the
+// addresses; without it, nothing is.
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <dlfcn.h>
+#include <fstream>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+enum class cut {
+    None,
+    /// New connections get no answer, and nothing moves on open ones.
+    Hang,
+    /// New connections are refused, and open ones are reset when they are used.
+    Reset,
+    /// New connections are refused; open ones live on.
+    Refuse,
+};
+
+cut cutTo(const sockaddr* address)
+{
+    const auto* path = std::getenv("PARTITION_FILE");
+    if (!path || address->sa_family != AF_INET)
+        return cut::None;
+    std::ifstream file(path);
+    std::string mode;
+    std::string prefix;
+    if (!(file >> mode >> prefix))
+        return cut::None;
+    std::array<char, INET_ADDRSTRLEN> text {};
+    ::inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in*>(address)->sin_addr, text.data(), text.size());
+    if (std::string(text.data()).rfind(prefix, 0) != 0)
+        return cut::None;
+    return mode == "hang" ? cut::Hang : mode == "reset" ? cut::Reset
+                                                        : cut::Refuse;
+}
+
+cut cutOfPeer(int descriptor)
+{
+    sockaddr_in peer {};
+    socklen_t size = sizeof peer;
+    if (::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) != 0)
+        return cut::None;
+    return cutTo(reinterpret_cast<const sockaddr*>(&peer));
+}
+
+template <typename Function>
+Function original(const char* name)
+{
+    return reinterpret_cast<Function>(::dlsym(RTLD_NEXT, name));
+}
+
+/// The address of a listener that takes no more connections, so that the kernel drops whatever opens one.
+sockaddr_in deadAddress()
+{
+    static const sockaddr_in address = [] {
+        sockaddr_in dead {};
+        dead.sin_family = AF_INET;
+        dead.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto* bytes = reinterpret_cast<sockaddr*>(&dead);
+        socklen_t size = sizeof dead;
+        int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        ::bind(listener, bytes, size);
+        ::listen(listener, 0);
+        ::getsockname(listener, bytes, &size);
+        for (int i = 0; i < 4; ++i)
+            original<int (*)(int, const sockaddr*, socklen_t)>("connect")(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), bytes, size);
+        return dead;
+    }();
+    return address;
+}
+}
+
+extern "C" int connect(int descriptor, const sockaddr* address, socklen_t size)
+{
+    auto connectReally = original<int (*)(int, const sockaddr*, socklen_t)>("connect");
+    switch (cutTo(address)) {
+    case cut::None:
+        return connectReally(descriptor, address, size);
+    case cut::Hang: {
+        auto dead = deadAddress();
+        return connectReally(descriptor, reinterpret_cast<const sockaddr*>(&dead), sizeof dead);
+    }
+    case cut::Reset:
+    case cut::Refuse:
+        break;
+    }
+    errno = ECONNREFUSED;
+    return -1;
+}
+
+extern "C" ssize_t recvmsg(int descriptor, msghdr* message, int flags)
+{
+    auto mode = cutOfPeer(descriptor);
+    if (mode == cut::Hang || mode == cut::Reset) {
+        errno = mode == cut::Hang ? EAGAIN : ECONNRESET;
+        return -1;
+    }
+    return original<ssize_t (*)(int, msghdr*, int)>("recvmsg")(descriptor, message, flags);
+}
+
+extern "C" ssize_t recv(int descriptor, void* buffer, size_t size, int flags)
+{
+    auto mode = cutOfPeer(descriptor);
+    if (mode == cut::Hang || mode == cut::Reset) {
+        errno = mode == cut::Hang ? EAGAIN : ECONNRESET;
+        return -1;
+    }
+    return original<ssize_t (*)(int, void*, size_t, int)>("recv")(descriptor, buffer, size, flags);
+}
+
+extern "C" ssize_t sendmsg(int descriptor, const msghdr* message, int flags)
+{
+    auto mode = cutOfPeer(descriptor);
+    if (mode == cut::Reset) {
+        errno = ECONNRESET;
+        return -1;
+    }
+    if (mode != cut::Hang)
+        return original<ssize_t (*)(int, const msghdr*, int)>("sendmsg")(descriptor, message, flags);
+    // Taken by the kernel, but never acknowledged.
+    ssize_t total = 0;
+    for (size_t i = 0; i < message->msg_iovlen; ++i)
+        total += static_cast<ssize_t>(message->msg_iov[i].iov_len);
+    return total;
+}
+
+extern "C" ssize_t send(int descriptor, const void* buffer, size_t size, int flags)
+{
+    iovec part { const_cast<void*>(buffer), size };
+    msghdr message {};
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    return sendmsg(descriptor, &message, flags);
+}
