Forwarding, Coordination: Serve the callers of cut entries through others

An entry's own connections were its only way to an endpoint, and it took every endpoint that it could not reach for down, and had the leader tell all others.

An entry now has another entry open the connection and passes the call over it. Nothing else moves: the entry that the caller chose selects the endpoint, counts limits, retries and crashes, keeps the deadline, and closes the connection to cancel. A connection that could not be opened carried nothing, so at most once holds as on the direct path. The relay frames what it passes back, so that an end in order, a reset and the death of the relay differ. It serves only holders of the token that the leader distributes, only endpoints that it knows and reaches itself, and never relays twice; on SIGTERM it opens none, and stays until those that it carries are closed.

Which path a connection takes is decided by endpoint_paths: an endpoint that another entry reached after this one failed is blocked; two of them without a direct success in between, and all are relayed.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -111,6 +111,8 @@
     m_limits.fillUnreported(*sync.mutable_limits(), m_clock.now());
     m_endpoints.fillLoad(*sync.mutable_load());
     m_endpoints.fillCalls(*sync.mutable_calls());
+    if (m_relays)
+        *sync.mutable_relay() = m_relays->offer();
     sync_request request { ++m_lastSync, address, m_clock.now() };
     m_pendingSync = request.number;
     m_syncTimeoutTimer.expires_after(timeout);
@@ -163,6 +165,8 @@
         m_limits.markReported(request.sentAt);
     }
     m_endpoints.onLoad(update.load());
+    if (m_relays && update.has_relays())
+        m_relays->onOffers(update.relays());
     // The version was the newest when the leader last confirmed its leadership. The lease starts at the send time minus
     // the age of that confirmation, so that network delay never extends it.
     m_lease.confirm(update.document_version(), request.sentAt - milliseconds(update.confirmed_age_ms()) + m_settings.lease);
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -6,6 +6,7 @@
 #include "coordination/endpoint_listener.h"
 #include "coordination/entry_coordinator.h"
 #include "coordination/leader_search.h"
+#include "coordination/relay_participant.h"
 #include "peering/peering.h"
 #include "routing/routing.h"
 #include "scheduling/scheduling.h"
@@ -55,6 +56,8 @@
     control_link(boost::asio::io_context& context, peer_network& network, const clock_source& clock, metrics& counters,
         control_link_settings settings, configuration_decoder decode, endpoint_listener& endpoints);
 
+    /// Has syncs state the participant's offer and passes others' offers to it. Precondition: it outlives the link.
+    void setRelayParticipant(relay_participant& participant) { m_relays = &participant; }
     void start();
     void stop();
     /// Adds addresses of control processes to contact.
@@ -117,6 +120,7 @@
     control_link_settings m_settings;
     configuration_decoder m_decode;
     endpoint_listener& m_endpoints;
+    relay_participant* m_relays = nullptr;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_syncTimeoutTimer;
     boost::asio::steady_timer m_fetchTimer;
--- a/Source/coordination/coordination.h
+++ b/Source/coordination/coordination.h
@@ -4,4 +4,5 @@
 #include "coordination/control_link.h"
 #include "coordination/endpoint_listener.h"
 #include "coordination/entry_coordinator.h"
+#include "coordination/relay_participant.h"
 #include "coordination/token_limiter.h"
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -161,6 +161,7 @@
         session.directoryVersion = sync.directory_version();
         session.evacuationRevision = sync.evacuation_revision();
         m_loads.replace(session.name, sync.load());
+        m_relays.update(session.name, sync.relay());
         // A control process that was restarted knows no blocks. During its first lease period it adopts those of entries.
         if (m_clock.now() - m_leaderSince < m_settings.entryLease)
             m_blocks.adopt(sync.blocked(), m_clock.now());
@@ -180,6 +181,11 @@
         if (!sync.leaving()) {
             fillUpdate(update, session);
             m_loads.fillOthers(session.name, *update.mutable_load());
+            // Sent with replies only: when many entries are cut off at once, each change would go to all of them.
+            if (session.relaysVersion != m_relays.version()) {
+                *update.mutable_relays() = m_relays.offersFor(session.name);
+                session.relaysVersion = m_relays.version();
+            }
         }
     }
     peer_network::reply(from, message, std::move(reply));
@@ -236,6 +242,7 @@
     m_entries.clear();
     m_pacer.clear();
     m_loads.clear();
+    m_relays.clear();
     m_pendingLimits.clear();
     m_pendingPlans.clear();
     m_planQueue.clear();
@@ -265,6 +272,7 @@
     m_slotPlanner.removeEntry(found->second.name);
     m_slotQueue.removeEntry(found->second.name);
     m_loads.remove(found->second.name);
+    m_relays.remove(found->second.name);
     m_pacer.remove(entry);
     m_entries.erase(found);
 }
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 #include "coordination/document_cache.h"
 #include "coordination/entry_loads.h"
+#include "coordination/relay_directory.h"
 #include "coordination/request_blocks.h"
 #include "coordination/stage_order_client.h"
 #include "coordination/transfer_pacer.h"
@@ -90,6 +91,8 @@
         std::uint64_t queuedServicesVersion = 0;
         /// The revision of the evacuations that the entry has, or that was sent last.
         std::uint64_t evacuationRevision = 0;
+        /// The version of the relay offers that was sent last.
+        std::uint64_t relaysVersion = 0;
         time_point lastSyncAt;
         /// False for entries of an earlier version, which need whole documents.
         bool supportsPieces = false;
@@ -164,6 +167,7 @@
     request_blocks m_blocks;
     std::map<peer_connection*, entry_session> m_entries;
     entry_loads m_loads;
+    relay_directory m_relays;
     document_cache m_documents;
     transfer_pacer<peer_connection*> m_pacer;
     boost::asio::steady_timer m_pieceTimer;
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -2,6 +2,7 @@
 #include "coordination/coordination.h"
 #include "forwarding/caller_connection.h"
 #include "forwarding/connection_pool.h"
+#include "forwarding/endpoint_connector.h"
 #include "forwarding/endpoint_registry.h"
 #include "forwarding/event_splitter.h"
 #include "forwarding/response_writer.h"
@@ -22,6 +23,7 @@
     token_limiter& tokenLimiter;
     endpoint_registry& endpoints;
     connection_pool& pool;
+    endpoint_connector& connector;
     shared_retry_budget& retryBudget;
     output_estimator& outputEstimator;
     std::mt19937_64& random;
@@ -52,8 +54,7 @@
 
 private:
     struct prefill_result {
-        std::string endpointAddress;
-        std::string dataCentre;
+        selected_endpoint endpoint;
         std::string handle;
         time_point completedAt;
     };
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -8,9 +8,6 @@
 
 namespace forwarding_detail {
     constexpr auto asTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
-    /// Connecting within a region takes milliseconds. A lost SYN is retransmitted only after one second, which is too
-    /// long for callers with a latency target of 100 ms.
-    constexpr milliseconds connectTimeout { 250 };
     /// Timeout of an attempt that can be retried, as a multiple of the route's latency target.
     constexpr int attemptTimeoutTargets = 4;
     /// Size limit of responses that are buffered before they are forwarded; the same as for callers' requests.
@@ -275,22 +272,14 @@
 template <call_codec Codec>
 task_of<std::shared_ptr<endpoint_connection>> call_forwarder<Codec>::openConnection(const selected_endpoint& endpoint, bool idempotent)
 {
-    m_connection = m_shared.pool.acquire(endpoint.id, idempotent);
-    if (!m_connection) {
-        auto fresh = std::make_shared<endpoint_connection>(m_shared.context.get_executor());
-        m_connection = fresh;
-        startAttemptTimer(forwarding_detail::connectTimeout);
-        bool connected = co_await fresh->connect(endpoint.address);
-        cancelAttemptTimer();
-        if (!connected || isAborted()) {
-            fresh->close();
-            m_connection.reset();
-            if (!isAborted()) {
-                recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
-                m_shared.link.reportUnreachable(endpoint.id, endpoint.incarnation);
-            }
-            co_return nullptr;
-        }
+    std::function<bool()> aborted = [this] { return isAborted(); };
+    bool opened = co_await m_shared.connector.open(endpoint, idempotent, m_connection, aborted);
+    if (!opened) {
+        closeCurrentConnection();
+        m_connection.reset();
+        if (!isAborted())
+            recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
+        co_return nullptr;
     }
     // The data centre may have been evacuated after the endpoint was chosen, such as while the prompt was processed.
     if (m_shared.endpoints.isEvacuated(endpoint.id)) {
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -191,7 +191,7 @@
         co_return attempt_outcome::NotSent;
     auto options = makeAttemptOptions(placement.decode);
     if (m_prefill) {
-        options.prefillAddress = m_prefill->endpointAddress;
+        options.prefillAddress = m_prefill->endpoint.address;
         options.prefillHandle = m_prefill->handle;
     }
     auto outcome = co_await sendAttempt(placement.decode, std::move(options));
@@ -246,7 +246,7 @@
         if (handle) {
             m_hasPrefilled = true;
             m_prefillEndpointId = endpoint->id;
-            m_prefill = prefill_result { endpoint->address, endpoint->dataCentre, *handle, m_shared.clock.now() };
+            m_prefill = prefill_result { *endpoint, *handle, m_shared.clock.now() };
             m_measurements.prefillTokens = m_metadata.tokens ? m_metadata.tokens->prompt : 0;
             m_prefillDuration = std::chrono::duration_cast<milliseconds>(m_prefill->completedAt - now);
             m_measurements.prefillTime = m_prefillDuration;
@@ -307,16 +307,18 @@
     if (!unused || m_shared.clock.now() - unused->completedAt > m_service->engine->handleLifetime)
         return;
     // The result won't be fetched, so free its memory at the endpoint before it expires.
-    auto connection = std::make_shared<endpoint_connection>(m_shared.context.get_executor());
-    auto release = [](std::shared_ptr<endpoint_connection> endpointConnection, prefill_result prefill) -> task_of<void> {
-        bool connected = co_await endpointConnection->connect(prefill.endpointAddress);
-        if (connected) {
-            endpointConnection->startSend(Codec::encodePrefillRelease(prefill.endpointAddress, prefill.handle));
-            co_await endpointConnection->readResponseHead(false);
+    auto release = [](endpoint_connector& connector, prefill_result prefill) -> task_of<void> {
+        std::shared_ptr<endpoint_connection> connection;
+        std::function<bool()> neverAborted = [] { return false; };
+        bool opened = co_await connector.open(prefill.endpoint, true, connection, neverAborted);
+        if (opened) {
+            connection->startSend(Codec::encodePrefillRelease(prefill.endpoint.address, prefill.handle));
+            co_await connection->readResponseHead(false);
         }
-        endpointConnection->close();
+        if (connection)
+            connection->close();
     };
-    boost::asio::co_spawn(m_shared.context, release(connection, std::move(*unused)), boost::asio::detached);
+    boost::asio::co_spawn(m_shared.context, release(m_shared.connector, std::move(*unused)), boost::asio::detached);
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -35,8 +35,11 @@
     response_metadata response;
     auto failure = co_await readMatchingHead(response);
     if (failure != call_failure::None) {
-        if (!isAborted())
+        if (!isAborted()) {
             recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
+            // Its idle connections may hang as well.
+            m_shared.pool.discard(endpoint.id);
+        }
         recordBrokenConnection(endpoint);
         co_return attempt_outcome::MayHaveRun;
     }
--- a/Source/forwarding/connection_pool.cpp
+++ b/Source/forwarding/connection_pool.cpp
@@ -47,6 +47,16 @@
     idle.push_back(std::move(connection));
 }
 
+void connection_pool::discard(const std::string& endpointId)
+{
+    auto found = m_idle.find(endpointId);
+    if (found == m_idle.end())
+        return;
+    for (const auto& connection : found->second)
+        connection->close();
+    m_idle.erase(found);
+}
+
 void connection_pool::closeExpired()
 {
     auto now = m_clock.now();
--- a/Source/forwarding/connection_pool.h
+++ b/Source/forwarding/connection_pool.h
@@ -19,6 +19,8 @@
     std::shared_ptr<endpoint_connection> acquire(const std::string& endpointId, bool idempotent);
     /// Returns a reusable connection to the pool.
     void release(const std::string& endpointId, std::shared_ptr<endpoint_connection> connection, std::optional<std::chrono::seconds> keepAlive);
+    /// Closes the idle connections to an endpoint.
+    void discard(const std::string& endpointId);
     /// Closes connections that have reached their idle timeout.
     void closeExpired();
     std::size_t size() const;
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace pistachiolatch {
@@ -15,34 +14,49 @@
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
     constexpr unsigned firstFinalStatus = 200;
-    /// A connection whose data stays unacknowledged for this long is dead. Far longer than any delay on a live
-    /// connection, shorter than callers wait.
-    constexpr unsigned tcpUserTimeoutMs = 1200;
 }
 
 endpoint_connection::endpoint_connection(const asio::any_io_executor& executor)
-    : m_socket(executor)
+    : m_stream(executor)
 {
 }
 
 task_of<bool> endpoint_connection::connect(const std::string& address)
 {
     auto self = shared_from_this();
-    auto [error] = co_await m_socket.async_connect(parseAddress(address), asTuple);
+    auto [error] = co_await m_stream.socket().async_connect(parseAddress(address), asTuple);
     if (error || m_closed)
         co_return false;
-    beast::error_code ignored;
-    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof tcpUserTimeoutMs);
+    configureEndpointSocket(m_stream.socket());
     co_return true;
 }
 
+task_of<wire::relay_status> endpoint_connection::connectThrough(const std::string& relayAddress, const wire::relay_open& request)
+{
+    auto self = shared_from_this();
+    bool connected = co_await connect(relayAddress);
+    if (!connected)
+        co_return wire::RELAY_UNAVAILABLE;
+    bool sent = co_await writeRelayMessage(m_stream.socket(), request);
+    wire::relay_opened reply;
+    bool received = false;
+    if (sent)
+        received = co_await readRelayMessage(m_stream.socket(), reply);
+    if (!received || m_closed)
+        co_return wire::RELAY_UNAVAILABLE;
+    if (reply.status() == wire::RELAY_OPENED) {
+        m_stream.startFrames();
+        m_relayed = true;
+    }
+    co_return reply.status();
+}
+
 void endpoint_connection::startSend(std::string bytes)
 {
     m_sendBuffer = std::move(bytes);
     m_sendComplete = false;
     auto self = shared_from_this();
-    asio::async_write(m_socket, asio::buffer(m_sendBuffer), [self](beast::error_code error, std::size_t) { self->m_sendComplete = !error; });
+    asio::async_write(m_stream, asio::buffer(m_sendBuffer), [self](beast::error_code error, std::size_t) { self->m_sendComplete = !error; });
 }
 
 task_of<call_failure> endpoint_connection::readResponseHead(bool noBody)
@@ -53,7 +67,7 @@
         m_parser->header_limit(maxHeaderBytes);
         m_parser->body_limit(boost::none);
         m_parser->skip(noBody);
-        auto [error, bytes] = co_await http::async_read_header(m_socket, m_buffer, *m_parser, asTuple);
+        auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, asTuple);
         if (error)
             co_return call_failure::Broken;
         if (status() >= firstFinalStatus)
@@ -66,7 +80,7 @@
     auto self = shared_from_this();
     auto& body = m_parser->get().body();
     while (body.empty() && !m_parser->is_done()) {
-        auto [error, bytes] = co_await http::async_read_some(m_socket, m_buffer, *m_parser, asTuple);
+        auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, asTuple);
         if (error || m_closed) {
             m_readFailed = true;
             co_return body_end::Reset;
@@ -99,13 +113,13 @@
 
 bool endpoint_connection::isReusable() const
 {
-    return !m_closed && m_sendComplete && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+    return !m_closed && !m_relayed && m_sendComplete && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
 }
 
 bool endpoint_connection::isOpenAndIdle()
 {
     char byte = 0;
-    auto received = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    auto received = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -113,7 +127,7 @@
 {
     m_closed = true;
     beast::error_code ignored;
-    m_socket.close(ignored);
+    m_stream.socket().close(ignored);
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -1,6 +1,8 @@
 #pragma once
 #include "forwarding/call_types.h"
+#include "forwarding/endpoint_stream.h"
 #include "http/http.h"
+#include "wire/generated/pistachiolatch.pb.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -17,6 +19,9 @@
 
     /// Connects. Returns false if this fails or close() is called meanwhile.
     task_of<bool> connect(const std::string& address);
+    /// Connects to another entry and has it connect to an endpoint. Once opened, the connection is used like a direct one;
+    /// it can't be reused.
+    task_of<wire::relay_status> connectThrough(const std::string& relayAddress, const wire::relay_open& request);
     /// Starts to send a request. The response may be read at once: an endpoint may respond before it has read everything.
     void startSend(std::string bytes);
     /// Reads a response head and skips interim responses. Precondition: startSend() was called since the last response.
@@ -43,12 +48,13 @@
 private:
     body_end bodyEnd() const;
 
-    boost::asio::ip::tcp::socket m_socket;
+    endpoint_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     std::string m_sendBuffer;
     bool m_sendComplete = false;
     bool m_readFailed = false;
+    bool m_relayed = false;
     bool m_closed = false;
 };
 
--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -343,6 +343,15 @@
     endpoint.backoffUntil = now + std::min(initialBackoff * (1 << doublings), maxBackoff);
 }
 
+void endpoint_registry::recordReachable(const std::string& id)
+{
+    auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    found->second.consecutiveFailures = 0;
+    found->second.backoffUntil = {};
+}
+
 void endpoint_registry::recordActivity(const std::string& id)
 {
     auto found = m_endpoints.find(id);
--- a/Source/forwarding/endpoint_registry.h
+++ b/Source/forwarding/endpoint_registry.h
@@ -88,6 +88,8 @@
     void addRequest(const std::string& id, std::uint64_t tokens);
     void removeRequest(const std::string& id, std::uint64_t tokens);
     void recordOutcome(const std::string& id, endpoint_outcome outcome);
+    /// Ends the backoff of an endpoint that is reachable after all.
+    void recordReachable(const std::string& id);
     /// Records that response data arrived from the endpoint.
     void recordActivity(const std::string& id);
     /// When response data last arrived from the endpoint; zero if never.
--- /dev/null
+++ b/Source/forwarding/relay_server.cpp
@@ -0,0 +1,229 @@
+#include "forwarding/relay_server.h"
+
+#include <boost/asio.hpp>
+#include <openssl/crypto.h>
+#include <random>
+
+namespace pistachiolatch {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    /// An entry sends its request as soon as it is connected.
+    constexpr milliseconds requestTimeout { 1000 };
+    /// Shorter than the time for which the other entry waits, so that it learns that the endpoint didn't answer.
+    constexpr milliseconds connectTimeout { 250 };
+    /// After the endpoint's data has ended, the other entry closes within a round trip.
+    constexpr milliseconds closeTimeout { 1000 };
+    /// Bounds memory and descriptors. An entry carries far fewer calls of its own.
+    constexpr std::size_t maxSessions = 512;
+    constexpr std::size_t copyBufferBytes = 16UL * 1024;
+    constexpr milliseconds acceptRetryDelay { 20 };
+
+    std::string generateToken()
+    {
+        std::random_device random;
+        std::string token;
+        for (int i = 0; i < 4; ++i)
+            token += fmt::format("{:08x}", random());
+        return token;
+    }
+}
+
+struct relay_server::session {
+    tcp::socket entry;
+    tcp::socket endpoint;
+    asio::steady_timer timer;
+
+    explicit session(tcp::socket accepted)
+        : entry(std::move(accepted))
+        , endpoint(entry.get_executor())
+        , timer(entry.get_executor())
+    {
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        timer.cancel();
+        entry.close(ignored);
+        endpoint.close(ignored);
+    }
+
+    /// Closes both connections after a delay, unless stopTimer() is called before.
+    static void startTimer(const std::shared_ptr<session>& relayed, milliseconds delay)
+    {
+        relayed->timer.expires_after(delay);
+        relayed->timer.async_wait([relayed](boost::system::error_code error) {
+            if (!error)
+                relayed->close();
+        });
+    }
+};
+
+relay_server::relay_server(asio::io_context& context, metrics& counters, const endpoint_registry& endpoints, endpoint_paths& paths, std::string listenAddress, unreachable_handler onUnreachable)
+    : m_context(context)
+    , m_metrics(counters)
+    , m_endpoints(endpoints)
+    , m_paths(paths)
+    , m_listenAddress(std::move(listenAddress))
+    , m_onUnreachable(std::move(onUnreachable))
+    , m_token(generateToken())
+    , m_acceptor(context)
+{
+}
+
+result<void> relay_server::listen()
+{
+    if (m_listenAddress.empty())
+        return ok();
+    BOOST_OUTCOME_TRYV(listenOn(m_acceptor, m_listenAddress));
+    accept();
+    return ok();
+}
+
+void relay_server::stop()
+{
+    m_stopped = true;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (const auto& relayed : std::set<session_ptr>(m_sessions))
+        relayed->close();
+}
+
+wire::relay_offer relay_server::offer(const std::string& dataCentre) const
+{
+    wire::relay_offer offer;
+    if (m_listenAddress.empty() || m_draining)
+        return offer;
+    offer.set_address(m_listenAddress);
+    offer.set_token(m_token);
+    offer.set_data_centre(dataCentre);
+    offer.set_cut_off(m_paths.isCutOff());
+    return offer;
+}
+
+bool relay_server::isAuthorised(const std::string& token) const
+{
+    return token.size() == m_token.size() && CRYPTO_memcmp(token.data(), m_token.data(), token.size()) == 0;
+}
+
+void relay_server::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+        if (m_stopped)
+            return;
+        if (error) {
+            // Probably out of file descriptors: retry after other connections had time to close.
+            auto timer = std::make_shared<asio::steady_timer>(m_context, acceptRetryDelay);
+            timer->async_wait([this, timer](boost::system::error_code) { accept(); });
+            return;
+        }
+        asio::co_spawn(m_context, serve(std::make_shared<session>(std::move(socket))), asio::detached);
+        accept();
+    });
+}
+
+task_of<void> relay_server::serve(session_ptr relayed)
+{
+    configureEndpointSocket(relayed->entry);
+    session::startTimer(relayed, requestTimeout);
+    wire::relay_open request;
+    bool received = co_await readRelayMessage(relayed->entry, request);
+    relayed->timer.cancel();
+    if (!received || !isAuthorised(request.token())) {
+        m_metrics.count("relay_unauthorised");
+        logEvent("relay_refused", { { "why", received ? "token" : "malformed" }, { "endpoint", request.endpoint() } });
+        relayed->close();
+        co_return;
+    }
+    m_sessions.insert(relayed);
+    wire::relay_opened reply;
+    auto status = co_await openEndpoint(relayed, request);
+    reply.set_status(status);
+    m_metrics.count(status == wire::RELAY_OPENED ? "relay_opened" : "relay_not_opened");
+    bool replied = co_await writeRelayMessage(relayed->entry, reply);
+    if (replied && status == wire::RELAY_OPENED) {
+        asio::co_spawn(m_context, copyToEndpoint(relayed), asio::detached);
+        co_await copyToEntry(relayed);
+    } else {
+        relayed->close();
+    }
+    m_sessions.erase(relayed);
+}
+
+task_of<wire::relay_status> relay_server::openEndpoint(session_ptr relayed, wire::relay_open request)
+{
+    auto endpoint = m_endpoints.find(request.endpoint());
+    bool isKnown = endpoint && endpoint->incarnation == request.born_ms();
+    if (m_draining || m_stopped || m_sessions.size() > maxSessions || !isKnown || m_paths.isCutOff())
+        co_return wire::RELAY_UNAVAILABLE;
+    if (m_paths.isBlocked(request.endpoint()))
+        co_return wire::RELAY_ENDPOINT_BLOCKED;
+    asio::steady_timer timer(m_context, connectTimeout);
+    timer.async_wait([relayed](boost::system::error_code expired) {
+        boost::system::error_code ignored;
+        if (!expired)
+            relayed->endpoint.close(ignored);
+    });
+    auto [connectError] = co_await relayed->endpoint.async_connect(parseAddress(endpoint->address), asTuple);
+    timer.cancel();
+    if (connectError || !relayed->endpoint.is_open()) {
+        m_paths.recordDirectFailure(request.endpoint());
+        if (!request.probe())
+            m_onUnreachable(*endpoint);
+        co_return wire::RELAY_ENDPOINT_UNREACHABLE;
+    }
+    m_paths.recordDirectSuccess(request.endpoint());
+    configureEndpointSocket(relayed->endpoint);
+    co_return wire::RELAY_OPENED;
+}
+
+task_of<void> relay_server::copyToEndpoint(session_ptr relayed)
+{
+    std::array<char, copyBufferBytes> buffer {};
+    bool endpointTakesData = true;
+    while (true) {
+        auto [readError, count] = co_await relayed->entry.async_read_some(asio::buffer(buffer), asTuple);
+        if (readError) {
+            // The other entry has its response or has given up; closing the endpoint's connection cancels the call.
+            relayed->close();
+            co_return;
+        }
+        // An endpoint may respond and close before it has read the whole request. The rest is read and dropped, because
+        // closing a connection with unread data would reset it and lose the response.
+        if (!endpointTakesData)
+            continue;
+        auto [writeError, written] = co_await asio::async_write(relayed->endpoint, asio::buffer(buffer, count), asTuple);
+        endpointTakesData = !writeError;
+    }
+}
+
+task_of<void> relay_server::copyToEntry(session_ptr relayed)
+{
+    std::array<char, copyBufferBytes> buffer {};
+    while (true) {
+        auto [readError, count] = co_await relayed->endpoint.async_read_some(asio::buffer(buffer), asTuple);
+        bool ended = readError == asio::error::eof;
+        if (readError && !ended) {
+            // Closing without an empty frame tells the other entry that the endpoint's connection broke.
+            relayed->close();
+            co_return;
+        }
+        auto length = encodeFrameLength(ended ? 0 : count);
+        std::array<asio::const_buffer, 2> frame { asio::buffer(length), asio::buffer(buffer, ended ? 0 : count) };
+        auto [writeError, written] = co_await asio::async_write(relayed->entry, frame, asTuple);
+        if (writeError) {
+            relayed->close();
+            co_return;
+        }
+        if (ended) {
+            session::startTimer(relayed, closeTimeout);
+            co_return;
+        }
+    }
+}
+
+} // namespace pistachiolatch
--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -100,6 +100,7 @@
 {
     // Renamed into place, so that the process never reads half of it.
     auto path = partitionFile(n);
+    std::lock_guard lock(m_partitionMutex);
     std::ofstream(path + ".new") << (mode.empty() ? "" : fmt::format("{} {}.3.", mode, m_subnet));
     std::filesystem::rename(path + ".new", path);
 }
--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -74,6 +75,7 @@
     int m_controlCount;
     int m_entryCount;
     bool m_partitionable = false;
+    mutable std::mutex m_partitionMutex;
     loopback_subnet m_reservedSubnet;
     std::string m_subnet;
     std::string m_folder;
--- a/Tests/Soak/soak_main.cpp
+++ b/Tests/Soak/soak_main.cpp
@@ -40,10 +40,11 @@
 
     class soak_run {
     public:
-        soak_run(std::uint64_t seed, int entries, bool fullDisks)
+        soak_run(std::uint64_t seed, int entries, bool fullDisks, bool partitions)
             : m_seed(seed)
             , m_entryCount(entries)
             , m_fullDisks(fullDisks)
+            , m_partitions(partitions)
             , m_fleet(controls, entries)
             , m_entryFaults(static_cast<std::size_t>(entries) + 1)
         {
@@ -60,6 +61,8 @@
 
         int run(std::chrono::seconds length)
         {
+            if (m_partitions)
+                m_fleet.makePartitionable();
             m_fleet.start();
             if (m_fleet.submitConfiguration(makeConfiguration(1, true)) != 200)
                 m_checks.addFailure("the first configuration was not accepted");
@@ -109,11 +112,30 @@
             while (steady::now() < end) {
                 if (m_fullDisks && randomUpTo(random, 2) == 1)
                     injectFaultWithFullDisk(random);
+                else if (m_partitions && randomUpTo(random, 2) == 1)
+                    injectPartition(random);
                 else
                     injectFault(random);
             }
         }
 
+        /// Cuts some entries, at most all, from all endpoints, and lifts the cut one after the other.
+        void injectPartition(random_engine& random)
+        {
+            constexpr const char* modes[] = { "hang", "reset", "refuse" };
+            const auto* mode = modes[randomUpTo(random, 3) - 1];
+            int first = randomUpTo(random, m_entryCount);
+            int count = randomUpTo(random, m_entryCount);
+            auto entryAt = [&](int i) { return (first + i) % m_entryCount + 1; };
+            for (int i = 0; i < count; ++i)
+                m_fleet.partitionEntry(entryAt(i), mode);
+            sleepRandomly(random, 200, 4000);
+            for (int i = 0; i < count; ++i) {
+                m_fleet.partitionEntry(entryAt(i), "");
+                sleepRandomly(random, 0, 200);
+            }
+        }
+
         /// Lets an endpoint of the plain service name a limit, change it and take it back, again and again.
         void changeLimits()
         {
@@ -237,6 +259,8 @@
 
         void clearFaults()
         {
+            for (int n = 1; n <= m_entryCount; ++n)
+                m_fleet.partitionEntry(n, "");
             for (int n = 1; n <= endpointCount; ++n) {
                 auto address = m_fleet.endpointAddress(n);
                 m_proxy.setRule("", address.substr(0, address.rfind(':')), {});
@@ -387,6 +411,7 @@
         std::uint64_t m_seed;
         int m_entryCount;
         bool m_fullDisks;
+        bool m_partitions;
         platform_fleet m_fleet;
         /// Held while a fault lasts. A thread that fills a disk injects another fault meanwhile, possibly in the same process.
         std::deque<std::recursive_mutex> m_entryFaults;
@@ -412,15 +437,17 @@
     int entries = 2;
     int seconds = 12;
     bool fullDisks = false;
+    bool partitions = false;
     app.add_option("--seed", first, "the first seed");
     app.add_option("--seeds", seeds, "the number of seeds to run one after the other");
     app.add_option("--seconds", seconds, "the seconds of fault injection for each seed");
     app.add_option("--entries", entries, "the number of entries, each with two callers")->check(CLI::Range(1, 60));
     app.add_flag("--full-disks", fullDisks, "fill the disks of control processes at random times");
+    app.add_flag("--partitions", partitions, "cut entries from all endpoints at random times");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     int failedSeeds = 0;
     for (int i = 0; i < seeds; ++i)
-        failedSeeds += pistachiolatch::test::soak_run(first + static_cast<std::uint64_t>(i), entries, fullDisks).run(std::chrono::seconds(seconds));
+        failedSeeds += pistachiolatch::test::soak_run(first + static_cast<std::uint64_t>(i), entries, fullDisks, partitions).run(std::chrono::seconds(seconds));
     return failedSeeds == 0 ? 0 : 1;
 }
