Forwarding, Coordination: Say who relayed a call, and resend offers of relays

call_ended did not name the entry that carried a call. A relayed connection on which nothing was sent, because the endpoint was evacuated meanwhile, went to the pool and kept the relay from shutting down for seconds; the pool closes it. An entry that dropped a late reply had no offers until the next change; the leader repeats them every 5 s.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -15,6 +15,8 @@
     constexpr milliseconds electionDuration { 1500 };
     /// Timeout of the leader's confirmation that an endpoint leaves. Endpoints try the next VM after a second.
     constexpr milliseconds confirmTimeout { 700 };
+    /// Unchanged relay offers are sent again after this time, in case an entry dropped a late reply.
+    constexpr milliseconds relaysResendInterval { 5000 };
     /// Delay before entries are told of endpoints that serve, so that many of them go in one message.
     constexpr milliseconds announcementDelay { 50 };
 }
@@ -182,9 +184,11 @@
             fillUpdate(update, session);
             m_loads.fillOthers(session.name, *update.mutable_load());
             // Sent with replies only: when many entries are cut off at once, each change would go to all of them.
-            if (session.relaysVersion != m_relays.version()) {
+            bool mayBeLost = m_clock.now() - session.relaysSentAt > relaysResendInterval;
+            if (session.relaysVersion != m_relays.version() || mayBeLost) {
                 *update.mutable_relays() = m_relays.offersFor(session.name);
                 session.relaysVersion = m_relays.version();
+                session.relaysSentAt = m_clock.now();
             }
         }
     }
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -93,6 +93,7 @@
         std::uint64_t evacuationRevision = 0;
         /// The version of the relay offers that was sent last.
         std::uint64_t relaysVersion = 0;
+        time_point relaysSentAt {};
         time_point lastSyncAt;
         /// False for entries of an earlier version, which need whole documents.
         bool supportsPieces = false;
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -182,6 +182,8 @@
     unsigned m_possibleRuns = 0;
     std::set<std::string> m_triedEndpoints;
     std::string m_endpointIds;
+    /// Address of the entry that relayed the last connection to an endpoint; empty if it was direct.
+    std::string m_relayedBy;
     std::optional<prefill_result> m_prefill;
     bool m_hasPrefilled = false;
     /// The endpoint of the last successful prefill; empty if decode endpoints process the prompt themselves.
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -281,6 +281,7 @@
             recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
         co_return nullptr;
     }
+    m_relayedBy = m_connection->relayAddress();
     // The data centre may have been evacuated after the endpoint was chosen, such as while the prompt was processed.
     if (m_shared.endpoints.isEvacuated(endpoint.id)) {
         releaseUnusedConnection(endpoint.id);
@@ -531,7 +532,7 @@
     if (std::exchange(m_endLogged, true))
         return;
     m_shared.counters.observe("call_seconds", age());
-    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "body_end", bodyEndName(m_bodyEnd) }, { "endpoints", m_endpointIds }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "endpoint_wait_ms", m_endpointWait.count() }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
+    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "body_end", bodyEndName(m_bodyEnd) }, { "endpoints", m_endpointIds }, { "relayed_by", m_relayedBy }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "endpoint_wait_ms", m_endpointWait.count() }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/connection_pool.cpp
+++ b/Source/forwarding/connection_pool.cpp
@@ -37,8 +37,10 @@
 
 void connection_pool::release(const std::string& endpointId, std::shared_ptr<endpoint_connection> connection, std::optional<std::chrono::seconds> keepAlive)
 {
+    // An idle connection through another entry would keep that entry from shutting down.
+    bool isRelayed = !connection->relayAddress().empty();
     auto& idle = m_idle[endpointId];
-    if (idle.size() >= maxIdlePerEndpoint) {
+    if (isRelayed || idle.size() >= maxIdlePerEndpoint) {
         connection->close();
         return;
     }
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -46,7 +46,7 @@
         co_return wire::RELAY_UNAVAILABLE;
     if (reply.status() == wire::RELAY_OPENED) {
         m_stream.startFrames();
-        m_relayed = true;
+        m_relayAddress = relayAddress;
     }
     co_return reply.status();
 }
@@ -113,7 +113,7 @@
 
 bool endpoint_connection::isReusable() const
 {
-    return !m_closed && !m_relayed && m_sendComplete && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+    return !m_closed && m_relayAddress.empty() && m_sendComplete && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
 }
 
 bool endpoint_connection::isOpenAndIdle()
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -40,6 +40,8 @@
     /// would be taken for the response to the next call.
     bool isOpenAndIdle();
     void close();
+    /// Address of the entry that relays the connection; empty if it is direct.
+    const std::string& relayAddress() const { return m_relayAddress; }
 
     /// When the connection was returned to the pool, and for how long it may be reused after that.
     time_point idleSince {};
@@ -54,7 +56,7 @@
     std::string m_sendBuffer;
     bool m_sendComplete = false;
     bool m_readFailed = false;
-    bool m_relayed = false;
+    std::string m_relayAddress;
     bool m_closed = false;
 };
 
--- a/Source/forwarding/relay_server.cpp
+++ b/Source/forwarding/relay_server.cpp
@@ -52,7 +52,7 @@
         endpoint.close(ignored);
     }
 
-    /// Closes both connections after a delay, unless stopTimer() is called before.
+    /// Closes both connections after a delay, unless the timer is cancelled before.
     static void startTimer(const std::shared_ptr<session>& relayed, milliseconds delay)
     {
         relayed->timer.expires_after(delay);
--- a/Tests/Platform/EntryCutOffTest.cpp
+++ b/Tests/Platform/EntryCutOffTest.cpp
@@ -4,6 +4,7 @@
 #include "platform_names.h"
 #include <algorithm>
 #include <atomic>
+#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fstream>
@@ -53,6 +54,27 @@
         return platform.call(platform.entryAddress(entry), "POST", path, headers, id, deadline + milliseconds(1000));
     }
 
+    /// Begins a stream at an entry and closes the connection after its first event.
+    void leaveStream(int entry, const std::string& id)
+    {
+        boost::asio::io_context context;
+        auto leave = [&]() -> task_of<void> {
+            http_request call { "POST", "/once/x",
+                { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, id }, { platform_names::tokenUsage, "500,432" }, { platform_names::deadlineMs, "8000" } },
+                "prompt" };
+            http_client client(context.get_executor());
+            auto failed = co_await client.send(platform.entryAddress(entry), call, milliseconds(1000), milliseconds(1000));
+            if (failed == call_failure::None)
+                failed = co_await client.readHead(milliseconds(5000));
+            std::string event;
+            if (failed == call_failure::None)
+                failed = co_await client.readPiece(event, milliseconds(5000));
+            CHECK(failed == call_failure::None);
+        };
+        boost::asio::co_spawn(context, leave, boost::asio::detached);
+        context.run();
+    }
+
     /// Cuts the first entries from all endpoints: "hang", "reset" or "refuse" (partitioned_sockets.cpp).
     void cut(const std::string& mode, int entries)
     {
@@ -157,13 +179,17 @@
     REQUIRE(fleet.becomesCutOff(1));
     for (const auto& endpoint : fleet.endpoints)
         endpoint->setDelay(milliseconds(300));
-    http_headers headers { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, "left" },
-        { platform_names::tokenUsage, "500,432" }, { platform_names::deadlineMs, "8000" } };
-    // The caller gives up after this time without an event.
-    fleet.platform.call(fleet.platform.entryAddress(1), "POST", "/once/x", headers, "prompt", milliseconds(150));
-    CHECK(eventually([&] { return fleet.platform.fetchMetrics(fleet.platform.entryIp(1)).find("endpoints_cut_off") != std::string::npos; }));
-    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
-    CHECK(fleet.entryLog(1).find("outcome=caller_gone") != std::string::npos);
+    fleet.leaveStream(1, "left");
+    // Longer than the rest of the stream takes.
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    int runs = 0;
+    for (const auto& endpoint : fleet.endpoints) {
+        auto counts = endpoint->runCounts();
+        runs += counts.count("left") ? counts.at("left") : 0;
+        CHECK(endpoint->completedStreams().count("left") == 0);
+    }
+    CHECK(runs == 1);
+    CHECK(fleet.entryLog(1).find("request=left route=once organisation=org-1 version=7 outcome=caller_gone") != std::string::npos);
 }
 
 // Guards against streams that are taken for complete, or calls that run twice, because the entry that carried them ended.
--- a/Tests/Platform/fake_endpoint.cpp
+++ b/Tests/Platform/fake_endpoint.cpp
@@ -63,6 +63,12 @@
     return m_runCounts;
 }
 
+std::set<std::string> fake_endpoint::completedStreams() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_completedStreams;
+}
+
 void fake_endpoint::recordRequest(const http_exchange& exchange)
 {
     auto line = fmt::format("{} {} {}", m_id, exchange.method(), std::string(exchange.message().target()));
@@ -153,7 +159,10 @@
         pause.expires_after(m_delay.load());
         co_await pause.async_wait(boost::asio::use_awaitable);
     }
-    co_await exchange.endStream();
+    bool ended = co_await exchange.endStream();
+    std::lock_guard lock(m_mutex);
+    if (ended)
+        m_completedStreams.insert(exchange.header(names::requestId));
 }
 
 } // namespace pistachiolatch::test
--- a/Tests/Platform/fake_endpoint.h
+++ b/Tests/Platform/fake_endpoint.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,8 @@
     std::string makeReport(const std::string& state);
     /// Returns the executed requests, one line each, and clears the log.
     std::vector<std::string> takeRequestLog();
+    /// IDs of the requests whose streams were sent to their end.
+    std::set<std::string> completedStreams() const;
     /// The number of executions by request ID.
     std::map<std::string, int> runCounts() const;
     const std::string& id() const { return m_id; }
@@ -82,6 +85,7 @@
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requestLog;
     std::map<std::string, int> m_runCounts;
+    std::set<std::string> m_completedStreams;
     std::vector<time_point> m_arrivals;
     traffic_threads m_threads { 1 };
     http_server m_server;
