Forwarding, Platform: Log software versions and the attempt that a caller continues

The log couldn't tell which hypothesis of docs/incidents/streams-of-two-versions.md holds: reports state the software version of an endpoint, but the decoder dropped it, and nothing said whether a call continues a stream.

No choice regards any of it yet.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -167,6 +167,8 @@
     const organisation_config* m_organisation = nullptr;
     const service_config* m_service = nullptr;
     std::uint64_t m_tokens = 0;
+    /// The software version of the current attempt's endpoint; empty if unknown.
+    std::string m_attemptVersion;
     std::shared_ptr<endpoint_connection> m_connection;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_attemptTimer;
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -405,6 +405,7 @@
     auto connection = co_await openConnection(endpoint, isIdempotent());
     if (!connection)
         co_return isAborted() ? attempt_outcome::Stalled : attempt_outcome::NotSent;
+    m_attemptVersion = endpoint.softwareVersion;
     if (m_sendCount++ == 0)
         m_shared.retryBudget.recordFirstAttempt(m_service->name, m_shared.clock.now());
     ++m_possibleRuns;
@@ -532,7 +533,7 @@
     if (std::exchange(m_endLogged, true))
         return;
     m_shared.counters.observe("call_seconds", age());
-    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "body_end", bodyEndName(m_bodyEnd) }, { "endpoints", m_endpointIds }, { "relayed_by", m_relayedBy }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "endpoint_wait_ms", m_endpointWait.count() }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
+    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "body_end", bodyEndName(m_bodyEnd) }, { "endpoints", m_endpointIds }, { "relayed_by", m_relayedBy }, { "software_version", m_attemptVersion }, { "first_attempt", m_metadata.firstAttemptId }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "endpoint_wait_ms", m_endpointWait.count() }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/call_types.h
+++ b/Source/forwarding/call_types.h
@@ -30,6 +30,10 @@
     std::optional<std::uint64_t> outputTokensHint;
     /// Id of the last stream event that the caller has received; empty for a new stream.
     std::string resumeAfterEventId;
+    /// Whether the caller continues a stream that it has part of.
+    bool continuesStream = false;
+    /// Id of the caller's attempt that brought the stream's first event; empty if it names none, or several.
+    std::string firstAttemptId;
 };
 
 /// The stage of a model call that an endpoint is asked to run.
--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -82,7 +82,7 @@
     auto& endpoint = m_endpoints[report.id()];
     bool restarted = endpoint.report.born_ms() != report.born_ms();
     if (restarted || endpoint.report.state() != report.state() || endpoint.report.stage() != report.stage() || endpoint.silent != row.silent()) {
-        logEvent("endpoint_known", { { "endpoint", report.id() }, { "born", report.born_ms() }, { "address", report.address() }, { "service", report.service() }, { "leaving", report.state() == wire::ENDPOINT_LEAVING ? 1 : 0 }, { "stage", static_cast<int>(report.stage()) }, { "silent", row.silent() ? 1 : 0 } });
+        logEvent("endpoint_known", { { "endpoint", report.id() }, { "born", report.born_ms() }, { "address", report.address() }, { "service", report.service() }, { "software_version", report.software_version() }, { "leaving", report.state() == wire::ENDPOINT_LEAVING ? 1 : 0 }, { "stage", static_cast<int>(report.stage()) }, { "silent", row.silent() ? 1 : 0 } });
     }
     // A restarted endpoint is a new process, so earlier failures don't count.
     if (restarted) {
@@ -241,7 +241,7 @@
     }
     if (!best)
         return std::nullopt;
-    return selected_endpoint { best->report.id(), best->report.address(), best->report.data_centre(), best->report.born_ms() };
+    return makeSelected(best->report);
 }
 
 const endpoint_registry::endpoint_record* endpoint_registry::selectBest(const endpoint_query& query)
@@ -275,8 +275,12 @@
     auto found = m_endpoints.find(id);
     if (found == m_endpoints.end() || found->second.report.state() != wire::ENDPOINT_SERVING || isEvacuated(found->second))
         return std::nullopt;
-    const auto& report = found->second.report;
-    return selected_endpoint { report.id(), report.address(), report.data_centre(), report.born_ms() };
+    return makeSelected(found->second.report);
+}
+
+selected_endpoint endpoint_registry::makeSelected(const wire::endpoint_report& report)
+{
+    return { report.id(), report.address(), report.data_centre(), report.born_ms(), report.software_version() };
 }
 
 std::vector<std::string> endpoint_registry::unhealthyEndpoints(const std::string& service) const
--- a/Source/forwarding/endpoint_registry.h
+++ b/Source/forwarding/endpoint_registry.h
@@ -39,6 +39,8 @@
     std::string dataCentre;
     /// Identifies the run of the endpoint process.
     std::uint64_t incarnation = 0;
+    /// The software version of that run; empty if unknown.
+    std::string softwareVersion;
 };
 
 /// Outcome of a request to an endpoint as a signal of the endpoint's health.
@@ -126,6 +128,7 @@
     const endpoint_record* selectBest(const endpoint_query& query);
     const endpoint_record* selectFromSample(const std::vector<const endpoint_record*>& candidates, const endpoint_query& query);
     void applyRow(const wire::endpoint_row& row);
+    static selected_endpoint makeSelected(const wire::endpoint_report& report);
 
     const clock_source& m_clock;
     std::string m_dataCentre;
--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -19,7 +19,7 @@
     {
         return left.born_ms() == right.born_ms() && left.service() == right.service() && left.address() == right.address()
             && left.data_centre() == right.data_centre() && left.slots() == right.slots() && left.state() == right.state()
-            && left.stage() == right.stage() && (left.cold_ms() > 0) == (right.cold_ms() > 0);
+            && left.stage() == right.stage() && left.software_version() == right.software_version() && (left.cold_ms() > 0) == (right.cold_ms() > 0);
     }
 }
 
@@ -144,10 +144,14 @@
     if (resolveAddressConflict(report))
         return m_version != before;
     auto& endpoint = found == m_endpoints.end() ? m_endpoints[report.id()] : found->second;
-    bool changed = found == m_endpoints.end() || endpoint.row.silent() || !isEquivalentForReaders(report, endpoint.row.report())
-        || isColdAgain(endpoint, report, now);
     bool isNewRun = found == m_endpoints.end() || endpoint.row.report().born_ms() != report.born_ms();
-    *endpoint.row.mutable_report() = report;
+    auto current = report;
+    // A control process of an earlier version passes reports on without it; a run has only one.
+    if (!isNewRun && current.software_version().empty())
+        current.set_software_version(endpoint.row.report().software_version());
+    bool changed = found == m_endpoints.end() || endpoint.row.silent() || !isEquivalentForReaders(current, endpoint.row.report())
+        || isColdAgain(endpoint, report, now);
+    *endpoint.row.mutable_report() = std::move(current);
     if (isNewRun) {
         endpoint.row.set_limited(false);
         endpoint.limitStatedAt = {};
