Tests: Show that streams go on at another software version

Engines that name their version in each event, and a witness that checks what they are asked to continue.

The fake endpoints answer a request for their status with the start of their run, as endpoints of the platform do.

--- a/Tests/Platform/fake_endpoint.cpp
+++ b/Tests/Platform/fake_endpoint.cpp
@@ -38,13 +38,25 @@
 
 std::string fake_endpoint::makeReport(const std::string& state)
 {
-    boost::json::object body { { "service", m_service }, { "address", m_reportedAddress }, { "zone", m_dataCentre }, { "version", "v1" }, { "slots", 4 }, { "state", state },
+    boost::json::object body { { "service", m_service }, { "address", m_reportedAddress }, { "zone", m_dataCentre }, { "version", m_version }, { "slots", 4 }, { "state", state },
         { "coldRemainingMs", m_coldTime.load().count() }, { "born", m_startTime.load() }, { "sequence", ++m_sequence } };
     if (!m_stage.empty())
         body["stage"] = m_stage;
     return boost::json::serialize(body);
 }
 
+void fake_endpoint::setVersion(const std::string& version, stream_witness* witness)
+{
+    m_version = version;
+    m_namesVersion = true;
+    m_witness = witness;
+}
+
+std::string fake_endpoint::makeEvent(std::uint64_t number) const
+{
+    return fmt::format("id: {}\n{}data: piece {}\n\n", number, m_namesVersion ? "event: " + m_version + "\n" : "", number);
+}
+
 std::vector<std::string> fake_endpoint::takeRequestLog()
 {
     std::lock_guard lock(m_mutex);
@@ -92,6 +104,11 @@
         exchange.abortStream();
         co_return;
     }
+    if (exchange.path() == names::reportPath) {
+        auto status = boost::json::serialize(boost::json::object { { names::startTime, m_startTime.load() } });
+        co_await exchange.respond(200, "application/json", status);
+        co_return;
+    }
     auto id = exchange.header(names::requestId);
     auto mode = m_mode.load();
     http_headers headers { { names::requestId, id } };
@@ -141,6 +158,11 @@
         co_return;
     boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor);
     auto first = firstEventToSend(exchange);
+    auto resumed = exchange.header(names::resumes);
+    auto stream = resumed.empty() ? exchange.header(names::requestId) : resumed;
+    std::uint64_t run = m_witness ? m_witness->beginRun() : 0;
+    if (m_witness && first > 0)
+        m_witness->recordContinuation(stream, m_version);
     for (auto i = first; i < eventsPerStream; ++i) {
         if (mode == fake_endpoint_mode::AbortMidStream && first == 0 && i == 2) {
             std::string partialEvent = fmt::format("id: {}\nda", i);
@@ -152,7 +174,9 @@
             pause.expires_after(milliseconds(10));
             co_await pause.async_wait(boost::asio::use_awaitable);
         }
-        std::string event = fmt::format("id: {}\ndata: piece {}\n\n", i, i);
+        if (m_witness && i == 0)
+            m_witness->recordFirstEvent(stream, run, m_version);
+        auto event = makeEvent(i);
         bool written = co_await exchange.writeChunk(event);
         if (!written)
             co_return;
--- a/Tests/Platform/fake_endpoint.h
+++ b/Tests/Platform/fake_endpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "http/http.h"
+#include "Platform/stream_witness.h"
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -37,6 +38,9 @@
     void setMode(fake_endpoint_mode mode) { m_mode = mode; }
     /// Sets the data centre stated in its reports.
     void setDataCentre(const std::string& dataCentre) { m_dataCentre = dataCentre; }
+    /// Sets the software version stated in its reports. Its events name it from now on, and the witness, if any, learns what it
+    /// begins and continues. Precondition: called before the endpoint gets requests; the witness outlives the endpoint.
+    void setVersion(const std::string& version, stream_witness* witness);
     /// Sets how long its next reports say that it stays cold.
     void setColdTime(milliseconds remaining) { m_coldTime = remaining; }
     /// Sets the duration of a plain request and of each stream event.
@@ -63,10 +67,12 @@
     static constexpr std::uint64_t firstStartTime = 1700000000000;
     /// Sets the start time stated in its reports.
     void setStartTime(std::uint64_t startTime) { m_startTime = startTime; }
+    std::uint64_t startTime() const { return m_startTime; }
 
 private:
     task_of<void> handle(http_exchange& exchange);
     task_of<void> sendStream(http_exchange& exchange, const http_headers& headers, fake_endpoint_mode mode);
+    std::string makeEvent(std::uint64_t number) const;
     void recordRequest(const http_exchange& exchange);
 
     std::string m_id;
@@ -75,6 +81,9 @@
     std::string m_service;
     std::string m_stage;
     std::string m_dataCentre = "a";
+    std::string m_version = "v1";
+    bool m_namesVersion = false;
+    stream_witness* m_witness = nullptr;
     std::atomic<milliseconds> m_coldTime { milliseconds(0) };
     std::atomic<fake_endpoint_mode> m_mode { fake_endpoint_mode::Normal };
     std::atomic<milliseconds> m_delay { milliseconds(5) };
--- a/Tests/Platform/scripted_endpoint.cpp
+++ b/Tests/Platform/scripted_endpoint.cpp
@@ -1,5 +1,6 @@
 #include "Platform/scripted_endpoint.h"
 
+#include "Platform/fake_endpoint.h"
 #include "platform_names.h"
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
@@ -72,6 +73,16 @@
         auto [readError, readBytes] = co_await http::async_read(socket, buffer, request, asTuple);
         if (readError)
             co_return;
+        if (request.target() == platform_names::reportPath) {
+            scripted_response status;
+            status.framing = body_framing::Length;
+            status.body = fmt::format("{{\"{}\":{}}}", platform_names::startTime, fake_endpoint::firstStartTime);
+            auto bytes = encode(status);
+            auto [statusError, statusBytes] = co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
+            if (statusError)
+                co_return;
+            continue;
+        }
         auto id = std::string(request[platform_names::requestId]);
         {
             std::lock_guard lock(m_mutex);
