Coordination, Forwarding: Continue streams only at the version that began them

Callers whose streams had been broken off took them up again and got the rest from an endpoint of another software version; so did streams that an entry continued after a broken attempt, or moved because they stalled.

Cause: no process knew software versions, and every choice of an endpoint to continue a stream was that for a new one. The class is a request bound to the process that began it that is judged by its service alone.

Now a stream is bound to the version of its first event. One object, version_requirement, brings the version into each choice, at the leader and at entries. Where a stream began is kept by all control processes and by the entry that began it, bounded in number and time, known by a hash of the organisation and the caller's attempt: the leader records a placement when it makes it, before the first event, and passes it on within 10 ms; an entry tells all control processes of placements that no leader made. Whoever gets a stream to continue asks all control processes at once, so that neither the entry that began it nor the leader has to be alive. Without a record, only a majority that has seen one version for as long as a stream may last tells the version; else the call is refused as not run. A restart under the same id may bring another version, so a resumable stream is sent only on a connection on which the endpoint has told the run that it reported. Streams that only leaving endpoints can continue reach them in the first half of the time for which these go on serving.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -40,6 +40,7 @@
     , m_syncTimeoutTimer(context)
     , m_fetchTimer(context)
     , m_limits(generateIncarnation())
+    , m_origins(network, clock, [this] { return known_controls { { m_search.controls().begin(), m_search.controls().end() }, m_leader }; })
 {
     addControls(m_settings.controls);
 }
@@ -109,6 +110,7 @@
     m_crashes.expire(m_clock.now());
     m_crashes.fillUnreported(*sync.mutable_crashes(), m_clock.now());
     m_limits.fillUnreported(*sync.mutable_limits(), m_clock.now());
+    m_origins.fillUnreported(*sync.mutable_origins());
     m_endpoints.fillLoad(*sync.mutable_load());
     m_endpoints.fillCalls(*sync.mutable_calls());
     if (m_relays)
@@ -163,6 +165,7 @@
     if (request.address == m_leader) {
         m_crashes.markReported(request.sentAt);
         m_limits.markReported(request.sentAt);
+        m_origins.markReported(request.sentAt);
     }
     m_endpoints.onLoad(update.load());
     if (m_relays && update.has_relays())
@@ -197,6 +200,7 @@
     m_queuedServices.clear();
     m_crashes.onLeaderChanged();
     m_limits.onLeaderChanged();
+    m_origins.onLeaderChanged();
     failPlanRequests();
     m_fetch.onLeaderChanged();
     continueFetch();
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -7,6 +7,7 @@
 #include "coordination/entry_coordinator.h"
 #include "coordination/leader_search.h"
 #include "coordination/relay_participant.h"
+#include "coordination/stream_origin_client.h"
 #include "peering/peering.h"
 #include "routing/routing.h"
 #include "scheduling/scheduling.h"
@@ -82,6 +83,8 @@
     void onResponse(const std::string& endpoint, std::uint64_t incarnation, std::optional<double> limit, time_point sentAt);
     /// The limits that endpoints name.
     endpoint_limits& endpointLimits() { return m_limits; }
+    /// Where streams began.
+    stream_origin_client& streamOrigins() { return m_origins; }
     /// Reports that the connection to an endpoint broke while it ran a request. The handler receives the number of
     /// crashes that the leader counts against the request, or those that this entry saw if no leader replies in time.
     void reportCrash(const wire::crash_report& report, std::function<void(std::uint32_t crashes)> handler);
@@ -141,6 +144,7 @@
     std::map<std::uint64_t, bool> m_blocked;
     crash_journal m_crashes;
     endpoint_limits m_limits;
+    stream_origin_client m_origins;
     /// Kept while no leader is known: an entry that is out of touch must not return work to an evacuated data centre.
     evacuation_table m_evacuations;
     std::set<std::string> m_queuedServices;
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -32,6 +32,7 @@
     , m_decode(std::move(decode))
     , m_directory(generateIncarnation(), settings.directory)
     , m_blocks({ settings.directory.silentAfter })
+    , m_origins(context, network, clock, counters, [this] { return m_replica.isLeader() ? m_replica.peers() : std::vector<std::string>(); })
     , m_pieceTimer(context)
     , m_planner(generateIncarnation())
     , m_slotPlanner(generateIncarnation())
@@ -62,6 +63,7 @@
     m_slotTimer.timer.cancel();
     m_announcementTimer.timer.cancel();
     m_pieceTimer.cancel();
+    m_origins.stop();
 }
 
 void entry_coordinator::armTimer(one_shot_timer& timer, milliseconds delay, void (entry_coordinator::*action)())
@@ -131,7 +133,7 @@
         onLimitRequest(message, from);
         return true;
     default:
-        return false;
+        return m_origins.onMessage(message, from);
     }
 }
 
@@ -171,6 +173,8 @@
             recordCrash(crash);
         for (const auto& limit : sync.limits())
             applyLimit(limit);
+        for (const auto& origin : sync.origins())
+            m_origins.record(origin);
         std::vector<wire::running_call> calls(sync.calls().begin(), sync.calls().end());
         updatePlanner();
         m_planner.replaceCalls(session.name, calls, m_clock.now());
@@ -332,6 +336,7 @@
     auto blocksBefore = m_blocks.version();
     bool changed = m_directory.applyReport(report, now);
     m_blocks.onReport(report, now);
+    m_origins.onReport(report);
     if (changed)
         updateBlocks();
     return changed || m_blocks.version() != blocksBefore;
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -4,6 +4,7 @@
 #include "coordination/relay_directory.h"
 #include "coordination/request_blocks.h"
 #include "coordination/stage_order_client.h"
+#include "coordination/stream_origin_service.h"
 #include "coordination/transfer_pacer.h"
 #include "limits/limits.h"
 #include "membership/membership.h"
@@ -136,6 +137,8 @@
     static queued_request decodeQueuedRequest(const wire::engine_plan_request& request, time_point now);
     /// Tells the entries if other services than before are queued.
     void updateQueuedServices();
+    /// Records which version of its service will begin the stream of a placed call, if it is one. Returns the version.
+    std::string recordOrigin(const wire::engine_plan_request& request, const std::string& endpoint);
     void sendPlanReply(std::uint64_t ticket, const engine_placement& plan, milliseconds retryAfter);
     void removeEntry(peer_connection* entry);
     void updatePlanner();
@@ -169,6 +172,7 @@
     std::map<peer_connection*, entry_session> m_entries;
     entry_loads m_loads;
     relay_directory m_relays;
+    stream_origin_service m_origins;
     document_cache m_documents;
     transfer_pacer<peer_connection*> m_pacer;
     boost::asio::steady_timer m_pieceTimer;
--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -22,6 +22,7 @@
         ask.memoryTokens = request.memory_tokens();
         ask.exclude = { request.exclude().begin(), request.exclude().end() };
         ask.avoid = { request.avoid().begin(), request.avoid().end() };
+        ask.version.required = request.software_version();
         return ask;
     }
 
@@ -109,10 +110,27 @@
         m_metrics.count("engines_full");
         answer.set_retry_after_ms(static_cast<std::uint32_t>(retryAfter.count()));
     }
+    if (!plan.full)
+        answer.set_software_version(recordOrigin(found->second.message.engine_plan_request(), plan.decode));
     peer_network::reply(found->second.peer, found->second.message, std::move(reply));
     m_pendingPlans.erase(found);
 }
 
+std::string entry_coordinator::recordOrigin(const wire::engine_plan_request& request, const std::string& endpoint)
+{
+    const auto* row = request.stream() == 0 ? nullptr : m_directory.find(endpoint);
+    if (!row)
+        return {};
+    wire::stream_origin origin;
+    origin.set_stream(request.stream());
+    origin.set_service(request.service());
+    origin.set_software_version(row->report().software_version());
+    origin.set_placement(request.placement());
+    origin.set_lifetime_ms(request.stream_lifetime_ms());
+    m_origins.record(origin);
+    return origin.software_version();
+}
+
 template <typename Planner>
 void entry_coordinator::placeWaiting(placement_queue<Planner>& queue, Planner& planner)
 {
--- a/Source/coordination/entry_coordinator_state.cpp
+++ b/Source/coordination/entry_coordinator_state.cpp
@@ -45,8 +45,11 @@
     bool known = session.directorySource == m_directory.source();
     auto maxRows = session.supportsPieces ? endpointsPerUpdate : m_directory.size();
     auto page = m_directory.pageSince(known ? session.directoryVersion : 0, maxRows);
-    for (auto& row : page.rows)
+    for (auto& row : page.rows) {
+        auto leavingFor = std::min(m_directory.leavingFor(row.report().id(), m_clock.now()), maxReportedAge);
+        row.set_leaving_ms(static_cast<std::uint32_t>(leavingFor.count()));
         *update.add_endpoints() = std::move(row);
+    }
     update.set_directory_source(m_directory.source());
     update.set_directory_version(page.version);
     update.set_more_endpoints(page.more);
--- a/Source/coordination/leader_search.h
+++ b/Source/coordination/leader_search.h
@@ -21,6 +21,7 @@
     /// The process to ask next; empty if none is known.
     std::string next();
     std::size_t size() const { return m_controls.size(); }
+    const std::set<std::string>& controls() const { return m_controls; }
 
 private:
     std::set<std::string> m_controls;
--- /dev/null
+++ b/Source/coordination/software_version_history.cpp
@@ -0,0 +1,48 @@
+#include "coordination/software_version_history.h"
+
+#include <algorithm>
+
+namespace pistachiolatch {
+
+namespace {
+    /// An endpoint that doesn't reach control may go on serving entries until it counts as gone.
+    constexpr milliseconds unreportedServing { 30000 };
+    /// More than a service has during a release; the number tells that there are several all the same.
+    constexpr std::size_t maxVersions = 16;
+    constexpr std::size_t maxServices = 1024;
+}
+
+void software_version_history::onReport(const wire::endpoint_report& report, time_point now)
+{
+    if (report.state() == wire::ENDPOINT_GONE || (m_services.size() >= maxServices && !m_services.count(report.service())))
+        return;
+    auto& versions = m_services[report.service()];
+    auto found = versions.find(report.software_version());
+    if (found != versions.end()) {
+        found->second = now;
+        return;
+    }
+    if (versions.size() >= maxVersions)
+        versions.erase(std::min_element(versions.begin(), versions.end(), [](const auto& left, const auto& right) { return left.second < right.second; }));
+    versions.emplace(report.software_version(), now);
+}
+
+std::optional<stream_origin> software_version_history::soleOrigin(const google::protobuf::RepeatedPtrField<std::string>& services, milliseconds maxAge, time_point now) const
+{
+    std::optional<stream_origin> sole;
+    for (const auto& service : services) {
+        auto found = m_services.find(service);
+        if (found == m_services.end())
+            continue;
+        for (const auto& [version, reportedAt] : found->second) {
+            if (now - reportedAt > maxAge + unreportedServing)
+                continue;
+            if (sole || version.empty())
+                return std::nullopt;
+            sole = stream_origin { service, version };
+        }
+    }
+    return sole;
+}
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Source/coordination/software_version_history.h
@@ -0,0 +1,28 @@
+#pragma once
+#include "coordination/stream_origin_table.h"
+#include <google/protobuf/repeated_field.h>
+
+namespace pistachiolatch {
+
+/// The software versions that the endpoints of each service have reported, also of endpoints that are gone or restarted under
+/// the same id. Tells where a stream began whose caller doesn't name it, if only one version can have. Pure; not thread-safe.
+class software_version_history {
+public:
+    explicit software_version_history(time_point startedAt)
+        : m_startedAt(startedAt)
+    {
+    }
+
+    void onReport(const wire::endpoint_report& report, time_point now);
+    /// Whether every version of the last `maxAge` is known, as far as reports arrived.
+    bool covers(milliseconds maxAge, time_point now) const { return now - m_startedAt >= maxAge; }
+    /// The one version that the services had in the last `maxAge`; empty if there were several or none.
+    std::optional<stream_origin> soleOrigin(const google::protobuf::RepeatedPtrField<std::string>& services, milliseconds maxAge, time_point now) const;
+
+private:
+    time_point m_startedAt;
+    /// When each version of a service was last reported.
+    std::map<std::string, std::map<std::string, time_point>> m_services;
+};
+
+} // namespace pistachiolatch
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -27,6 +27,8 @@
     shared_retry_budget& retryBudget;
     output_estimator& outputEstimator;
     std::mt19937_64& random;
+    /// How long endpoints go on serving after the confirmation that they leave.
+    milliseconds endpointDrainTime;
     /// Whether the entry is shutting down; responses then close their connections.
     const bool& draining;
 };
@@ -77,7 +79,42 @@
         std::uint64_t callId = 0;
     };
 
+    /// What an endpoint tells of its run.
+    enum class run_check {
+        Expected,
+        /// Another run than expected has the endpoint's id.
+        Other,
+        /// The endpoint answers, but doesn't tell its run.
+        Untold,
+        Failed,
+    };
+
     std::optional<error_response> admit();
+    /// Finds out which software version began the stream that the caller continues. Returns an error if that is not known, or
+    /// if the route doesn't lead to its service any more.
+    task_of<std::optional<error_response>> resolveOrigin();
+    /// Whether no endpoint can continue the stream, so that the call ends with that cause.
+    bool stopIfVersionGone(reason& cause);
+    /// Whether all endpoints that can continue the stream are leaving. They still take it for a while, and nobody else can.
+    bool onlyLeavingCanContinue() const;
+    /// How long ago an endpoint may have begun to leave to be selected for such a stream, and to get it: its prompt is processed
+    /// in between.
+    milliseconds maxLeavingTimeToSelect() const { return m_shared.endpointDrainTime / 2; }
+    milliseconds maxLeavingTimeToSend() const { return m_shared.endpointDrainTime * 3 / 4; }
+    /// Whether the endpoint has the software version that began the stream, or nobody has any part of the stream.
+    bool mayUse(const selected_endpoint& endpoint) const;
+    /// Restricts a query to the endpoints that may continue the stream, if its caller has part of it.
+    void requireOrigin(endpoint_query& query) const;
+    /// Asks the leader to record the placement as the origin of a resumable stream.
+    void describeStream(wire::engine_plan_request& request);
+    /// How long the caller may continue the stream.
+    milliseconds streamLifetime() const;
+    /// Records where a resumable stream is placed, before the request is sent there.
+    void recordPlacement();
+    /// Opens a connection on which the attempt may be sent. A resumable stream needs one to the run that the endpoint reported:
+    /// another run under the same id may have another software version. Returns whether m_connection is such a connection.
+    task_of<bool> openVerifiedConnection(const selected_endpoint& endpoint);
+    task_of<run_check> checkRun(const selected_endpoint& endpoint);
     /// Returns an error if the request is blocked because endpoints crash while running it.
     std::optional<error_response> checkPoisonBlock();
     /// Hash of the request's organisation, method, host, path and body, computed on first use.
@@ -100,6 +137,7 @@
     void reportPlacedCallEnded();
     task_of<void> runModelCall();
     task_of<std::optional<model_placement>> awaitPlacement();
+    task_of<void> pauseBeforePoll();
     task_of<std::optional<wire::engine_plan_reply>> requestPlan();
     /// A query for endpoints that this entry selects itself.
     endpoint_query makeQuery() const;
@@ -151,6 +189,8 @@
 
     bool isAborted() const { return m_callerGone || m_deadlinePassed; }
     bool isIdempotent() const { return m_route->kind == call_kind::Idempotent || isResumable(); }
+    /// The software version that the next endpoint must have; empty if any will do.
+    std::string requiredVersion() const { return m_origin ? m_origin->softwareVersion : std::string(); }
     bool isResumable() const { return m_route->kind == call_kind::Stream && m_route->resumable; }
     milliseconds timeLeft() const { return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(m_deadlineAt - m_shared.clock.now())); }
     milliseconds age() const { return std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_receivedAt); }
@@ -167,6 +207,14 @@
     const organisation_config* m_organisation = nullptr;
     const service_config* m_service = nullptr;
     std::uint64_t m_tokens = 0;
+    /// Identifies the stream to all processes; 0 if the call is no resumable stream.
+    std::uint64_t m_stream = 0;
+    /// Where the stream began, once its caller has part of it.
+    std::optional<stream_origin> m_origin;
+    /// Placements of this call that were recorded.
+    std::uint32_t m_placements = 0;
+    /// The software version that the leader recorded for the placement that it chose.
+    std::optional<std::string> m_leaderVersion;
     /// The software version of the current attempt's endpoint; empty if unknown.
     std::string m_attemptVersion;
     std::shared_ptr<endpoint_connection> m_connection;
@@ -182,6 +230,8 @@
     bool m_keepAlive = true;
     unsigned m_sendCount = 0;
     unsigned m_possibleRuns = 0;
+    /// Refusals by endpoints that were asked to continue the stream.
+    unsigned m_refusals = 0;
     std::set<std::string> m_triedEndpoints;
     std::string m_endpointIds;
     /// Address of the entry that relayed the last connection to an endpoint; empty if it was direct.
@@ -237,4 +287,5 @@
 #include "forwarding/call_forwarder_common.h"
 #include "forwarding/call_forwarder_models.h"
 #include "forwarding/call_forwarder_responses.h"
+#include "forwarding/call_forwarder_resumption.h"
 #include "forwarding/call_forwarder_streams.h"
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -25,6 +25,8 @@
     /// Retry-After while all endpoints of a service are evacuated. Operators take such an order back within seconds; none
     /// of them says when.
     constexpr milliseconds evacuatedRetryAfter { 2000 };
+    /// Refusals after which an endpoint isn't asked again to continue a stream.
+    constexpr unsigned maxRefusalsToContinue = 8;
     /// Minimum Retry-After for a caller over its rate limit.
     constexpr milliseconds minRateRetryAfter { 200 };
     /// Returns the cost of a call against the organisation's limit; a call that declares no tokens costs plainTokens.
@@ -76,13 +78,19 @@
         m_callerGone = true;
         closeCurrentConnection();
     });
-    auto decision = co_await acquireTokens();
-    if (!decision.granted && !isAborted()) {
+    if (m_route->kind == call_kind::Stream && m_metadata.continuesStream)
+        refused = co_await resolveOrigin();
+    token_decision decision;
+    if (!refused)
+        decision = co_await acquireTokens();
+    if (refused && !isAborted()) {
+        co_await sendErrorResponse(*refused);
+    } else if (!decision.granted && !isAborted()) {
         auto cause = decision.overRate ? reason::OverRate : reason::LimitUnreachable;
         error_response error { cause, httpStatus(cause), std::max(decision.retryAfter, forwarding_detail::minRateRetryAfter) };
         co_await sendErrorResponse(error);
     } else if (!isAborted()) {
-        auto& service = chooseService(*m_route, std::uniform_real_distribution<double>()(m_shared.random));
+        const auto& service = m_origin ? m_origin->service : chooseService(*m_route, std::uniform_real_distribution<double>()(m_shared.random));
         m_service = m_table->findService(service);
         bool isModelCall = m_service->engine && m_route->kind == call_kind::Stream;
         if (isModelCall)
@@ -130,6 +138,8 @@
         return refused;
     m_deadlineAt = std::min(m_deadlineAt, m_receivedAt + m_route->timeout);
     m_tokens = m_metadata.tokens ? m_metadata.tokens->prompt + m_metadata.tokens->output : 0;
+    if (isResumable())
+        m_stream = streamKey(m_organisation ? m_organisation->name : std::string(), m_metadata.firstAttemptId.empty() ? m_metadata.id : m_metadata.firstAttemptId);
     return std::nullopt;
 }
 
@@ -305,7 +315,7 @@
 {
     reason cause = reason::NoEndpoint;
     while (!isAborted()) {
-        if (stopIfEvacuated(cause))
+        if (stopIfEvacuated(cause) || stopIfVersionGone(cause))
             break;
         auto waitStartedAt = m_shared.clock.now();
         auto endpoint = co_await awaitSlot();
@@ -337,7 +347,7 @@
 {
     m_callId = 0;
     m_enginesFull = false;
-    if (!m_service->engine && m_shared.link.isQueued(m_service->name)) {
+    if (!m_service->engine && m_shared.link.isQueued(m_service->name) && !onlyLeavingCanContinue()) {
         m_callId = m_shared.endpoints.nextCallId();
         auto plan = co_await requestPlan();
         m_enginesFull = plan && plan->full();
@@ -346,14 +356,18 @@
             co_return std::nullopt;
         }
         auto planned = plan ? m_shared.endpoints.find(plan->decode()) : std::nullopt;
-        if (planned)
+        if (planned && mayUse(*planned)) {
+            m_leaderVersion = plan->software_version();
             co_return planned;
+        }
         if (plan)
             reportPlacedCallEnded();
         m_callId = 0;
     }
+    m_leaderVersion.reset();
     auto query = makeQuery();
     query.exclude = m_triedEndpoints;
+    requireOrigin(query);
     co_return m_shared.endpoints.select(std::move(query));
 }
 
@@ -382,7 +396,10 @@
 template <call_codec Codec>
 bool call_forwarder<Codec>::prepareRetry(attempt_outcome outcome, const std::string& endpointId)
 {
-    m_triedEndpoints.insert(endpointId);
+    // Few endpoints may have the version that began a stream; one that was full has room again while the stream waits.
+    bool mayAskAgain = m_origin && outcome == attempt_outcome::RefusedNotRun && ++m_refusals <= forwarding_detail::maxRefusalsToContinue;
+    if (!mayAskAgain)
+        m_triedEndpoints.insert(endpointId);
     m_noRetryReason = determineNoRetryReason({ outcome, m_route->kind, m_route->resumable, m_possibleRuns, m_route->maxEndpoints, timeLeft() });
     if (m_crashes >= crash_tracker::crashesToBlock)
         m_noRetryReason = no_retry_reason::Poison;
@@ -402,10 +419,18 @@
 template <call_codec Codec>
 task_of<attempt_outcome> call_forwarder<Codec>::sendAttempt(const selected_endpoint& endpoint, attempt_options options)
 {
-    auto connection = co_await openConnection(endpoint, isIdempotent());
-    if (!connection)
+    if (!mayUse(endpoint))
+        co_return attempt_outcome::NotSent;
+    bool opened = co_await openVerifiedConnection(endpoint);
+    // An endpoint must get nothing that it may not end before it is gone.
+    if (opened && m_origin && m_shared.endpoints.isLeavingLongerThan(endpoint.id, maxLeavingTimeToSend())) {
+        releaseUnusedConnection(endpoint.id);
+        opened = false;
+    }
+    if (!opened)
         co_return isAborted() ? attempt_outcome::Stalled : attempt_outcome::NotSent;
-    m_attemptVersion = endpoint.softwareVersion;
+    recordPlacement();
+    auto connection = m_connection;
     if (m_sendCount++ == 0)
         m_shared.retryBudget.recordFirstAttempt(m_service->name, m_shared.clock.now());
     ++m_possibleRuns;
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -36,7 +36,7 @@
 {
     reason cause = reason::NoCapacity;
     while (!isAborted()) {
-        if (stopIfEvacuated(cause))
+        if (stopIfEvacuated(cause) || (!m_nextPlacement && stopIfVersionGone(cause)))
             break;
         auto placement = std::exchange(m_nextPlacement, std::nullopt);
         if (!placement) {
@@ -74,6 +74,8 @@
             recordMigration(placement->decode.id);
         else if (!prepareRetry(outcome, placement->decode.id))
             break;
+        if (m_origin && outcome == attempt_outcome::RefusedNotRun)
+            co_await pauseBeforePoll();
         m_eventSplitter.discardRemainder();
     }
     co_await finishUnanswered(cause);
@@ -87,6 +89,7 @@
     query.tokens = m_tokens;
     query.memoryTokens = m_service->engine->memoryTokens;
     query.exclude = m_triedEndpoints;
+    requireOrigin(query);
     return query;
 }
 
@@ -102,7 +105,7 @@
 milliseconds call_forwarder<Codec>::placementTimeout() const
 {
     // Once a stream has started, giving up early has no benefit: its caller would get a truncated stream.
-    if (m_responseStarted)
+    if (m_responseStarted || m_origin)
         return maxToleratedPause(m_route->latencyTarget, m_route->gapTarget) / forwarding_detail::resumeTimeoutDivisor;
     auto startBy = m_receivedAt + m_route->latencyTarget * forwarding_detail::placementTimeoutTenths / 10;
     return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(startBy - m_shared.clock.now()));
@@ -116,7 +119,8 @@
     planRequest.set_target_left_ms(static_cast<std::uint32_t>(std::max(milliseconds(0), m_route->latencyTarget - age()).count()));
     planRequest.set_deadline_left_ms(static_cast<std::uint32_t>(timeLeft().count()));
     // A completed prefill may wait for a decode engine for its handle's lifetime; refusing the call would waste it.
-    planRequest.set_begun(m_responseStarted || m_prefill);
+    planRequest.set_begun(m_responseStarted || m_prefill || m_origin);
+    planRequest.set_software_version(requiredVersion());
     planRequest.set_call_id(callId);
     planRequest.set_service(m_service->name);
     planRequest.set_data_centre(m_shared.endpoints.dataCentre());
@@ -139,7 +143,9 @@
 task_of<std::optional<wire::engine_plan_reply>> call_forwarder<Codec>::requestPlan()
 {
     pending_reply<std::optional<wire::engine_plan_reply>> reply(m_shared.context.get_executor());
-    m_shared.link.requestPlan(makePlanRequest(m_callId, placementTimeout()), reply.completer());
+    auto planRequest = makePlanRequest(m_callId, placementTimeout());
+    describeStream(planRequest);
+    m_shared.link.requestPlan(std::move(planRequest), reply.completer());
     auto plan = co_await reply.wait(timeLeft());
     if (!plan)
         co_return std::nullopt;
@@ -150,7 +156,7 @@
 std::optional<typename call_forwarder<Codec>::model_placement> call_forwarder<Codec>::placementFromPlan(const wire::engine_plan_reply& plan, std::uint64_t callId) const
 {
     auto decode = m_shared.endpoints.find(plan.decode());
-    if (!decode)
+    if (!decode || !mayUse(*decode))
         return std::nullopt;
     return model_placement { *decode, m_shared.endpoints.find(plan.prefill()), true, callId };
 }
@@ -158,17 +164,23 @@
 template <call_codec Codec>
 task_of<std::optional<typename call_forwarder<Codec>::model_placement>> call_forwarder<Codec>::awaitPlacement()
 {
-    auto plan = co_await requestPlan();
+    // The leader places nothing at endpoints that leave.
+    std::optional<wire::engine_plan_reply> plan;
+    if (!onlyLeavingCanContinue())
+        plan = co_await requestPlan();
     m_enginesFull = plan && plan->full();
     if (m_enginesFull) {
         m_retryAfter = milliseconds(plan->retry_after_ms());
         co_return std::nullopt;
     }
     auto planned = plan ? placementFromPlan(*plan, m_callId) : std::nullopt;
-    if (planned)
+    m_leaderVersion.reset();
+    if (planned) {
+        m_leaderVersion = plan->software_version();
         co_return planned;
+    }
     // Without a leader, or if the plan names an endpoint that this entry doesn't know yet, the entry selects itself.
-    auto waitDeadline = m_shared.clock.now() + m_route->latencyTarget * forwarding_detail::unplannedTimeoutTenths / 10;
+    auto waitDeadline = m_shared.clock.now() + (m_origin ? placementTimeout() : m_route->latencyTarget * forwarding_detail::unplannedTimeoutTenths / 10);
     while (!isAborted()) {
         auto decode = m_shared.endpoints.select(makeDecodeQuery());
         if (decode && canPrefillSoon(*decode))
@@ -177,12 +189,18 @@
             break;
         // Endpoints tried before may be available again: their queues drain while this call waits.
         m_triedEndpoints.clear();
-        boost::asio::steady_timer timer(m_shared.context, forwarding_detail::capacityPollInterval);
-        co_await timer.async_wait(forwarding_detail::asTuple);
+        co_await pauseBeforePoll();
     }
     co_return std::nullopt;
 }
 
+template <call_codec Codec>
+task_of<void> call_forwarder<Codec>::pauseBeforePoll()
+{
+    boost::asio::steady_timer timer(m_shared.context, forwarding_detail::capacityPollInterval);
+    co_await timer.async_wait(forwarding_detail::asTuple);
+}
+
 template <call_codec Codec>
 task_of<attempt_outcome> call_forwarder<Codec>::attemptModelCall(const model_placement& placement)
 {
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -53,6 +53,8 @@
 template <call_codec Codec>
 void call_forwarder<Codec>::requestMigration(const selected_endpoint& endpoint)
 {
+    if (m_origin && m_origin->softwareVersion.empty())
+        return;
     // The stream is closed only once another endpoint has been selected. Otherwise it would end for its caller if no
     // endpoint had capacity, although its own endpoint might have continued it.
     auto callId = m_shared.endpoints.nextCallId();
@@ -95,6 +97,7 @@
     auto stream = measureIdleTime(endpoint.id);
     logEvent("stream_moves", { { "request", m_metadata.id }, { "from", endpoint.id }, { "to", placement.decode.id }, { "quiet_ms", stream.idleTime.count() }, { "endpoint_quiet_ms", stream.endpointIdleTime.count() }, { "events", m_eventsForwarded } });
     m_leftAliveEndpoint = isEndpointAlive(stream);
+    m_leaderVersion.reset();
     m_nextPlacement = placement;
     m_attemptExpired = true;
     closeCurrentConnection();
@@ -147,6 +150,8 @@
         if (isLast)
             out += encodeChunk({});
         countEvents(events.count);
+        if (isResumable() && !m_origin && events.count > 0)
+            m_origin = stream_origin { m_service->name, m_attemptVersion };
         if (!chunk.empty() && m_firstEventLatency < milliseconds(0)) {
             m_firstEventLatency = age();
             m_shared.counters.observe("first_event_seconds", m_firstEventLatency);
--- a/Source/forwarding/call_types.h
+++ b/Source/forwarding/call_types.h
@@ -112,6 +112,12 @@
     {
         T::encodePrefillRelease(text, text)
         } -> std::same_as<std::string>;
+    {
+        T::encodeStatusRequest(text)
+        } -> std::same_as<std::string>;
+    {
+        T::parseStatusIncarnation(text)
+        } -> std::same_as<std::optional<std::uint64_t>>;
 };
 
 } // namespace pistachiolatch
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -111,9 +111,9 @@
     return m_readFailed ? body_end::Reset : parsedBodyEnd(*m_parser);
 }
 
-bool endpoint_connection::isReusable() const
+bool endpoint_connection::isReadyForRequest() const
 {
-    return !m_closed && m_relayAddress.empty() && m_sendComplete && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+    return !m_closed && m_sendComplete && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
 }
 
 bool endpoint_connection::isOpenAndIdle()
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -34,8 +34,10 @@
     task_of<body_end> readBodyChunk(std::string& chunk);
     /// Reads the rest of the body; never returns Open. A body of more than maxBytes is given up, which is a Reset.
     task_of<body_end> readRemainingBody(std::string& body, std::size_t maxBytes);
-    /// Whether the connection can carry another call: the request was sent, the response is complete and no data follows.
-    bool isReusable() const;
+    /// Whether another request may be sent: the last one was sent, its response is complete and no data follows.
+    bool isReadyForRequest() const;
+    /// Whether the connection can carry another call.
+    bool isReusable() const { return m_relayAddress.empty() && isReadyForRequest(); }
     /// Whether a pooled connection is still open and has no unread data. Unexpected data, such as a second response,
     /// would be taken for the response to the next call.
     bool isOpenAndIdle();
@@ -43,6 +45,8 @@
     /// Address of the entry that relays the connection; empty if it is direct.
     const std::string& relayAddress() const { return m_relayAddress; }
 
+    /// The run of the endpoint process at the other end, if it told.
+    std::optional<std::uint64_t> incarnation;
     /// When the connection was returned to the pool, and for how long it may be reused after that.
     time_point idleSince {};
     milliseconds maxIdleTime { 0 };
--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -92,6 +92,9 @@
     }
     if (restarted || report.sequence() != endpoint.report.sequence())
         endpoint.coldUntil = m_clock.now() + milliseconds(report.cold_ms());
+    bool isLeaving = report.state() == wire::ENDPOINT_LEAVING;
+    if (restarted || !isLeaving || endpoint.leavingSince == time_point {})
+        endpoint.leavingSince = isLeaving ? m_clock.now() - milliseconds(row.leaving_ms()) : time_point {};
     endpoint.report = report;
     endpoint.silent = row.silent();
     endpoint.unconfirmedSince = {};
@@ -154,6 +157,28 @@
     });
 }
 
+bool endpoint_registry::isServing(const endpoint_record& endpoint, milliseconds maxLeavingTime, time_point now)
+{
+    if (endpoint.report.state() == wire::ENDPOINT_SERVING)
+        return true;
+    return endpoint.leavingSince != time_point {} && now - endpoint.leavingSince < maxLeavingTime;
+}
+
+bool endpoint_registry::isLeavingLongerThan(const std::string& id, milliseconds time) const
+{
+    auto found = m_endpoints.find(id);
+    return found != m_endpoints.end() && !isServing(found->second, time, m_clock.now());
+}
+
+bool endpoint_registry::hasVersion(const std::string& service, const std::string& version, milliseconds maxLeavingTime) const
+{
+    auto now = m_clock.now();
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+        const auto& report = item.second.report;
+        return report.service() == service && report.software_version() == version && report.stage() != wire::STAGE_PREFILL && isServing(item.second, maxLeavingTime, now) && !isEvacuated(item.second);
+    });
+}
+
 void endpoint_registry::onEvacuated(const std::set<std::string>& dataCentres)
 {
     // Endpoints may have become cold while their data centre was evacuated; their next reports tell.
@@ -188,9 +213,9 @@
 bool endpoint_registry::isEligible(const endpoint_record& endpoint, const endpoint_query& query, time_point now) const
 {
     const auto& report = endpoint.report;
-    if (report.service() != query.service || report.stage() != query.stage || report.state() != wire::ENDPOINT_SERVING || isEvacuated(endpoint))
+    if (report.service() != query.service || report.stage() != query.stage || !isServing(endpoint, query.maxLeavingTime, now) || isEvacuated(endpoint))
         return false;
-    if (query.exclude.count(report.id()) || (endpoint.silent && now - endpoint.lastSuccessAt > recentSuccessPeriod))
+    if (!query.version.allows(report) || query.exclude.count(report.id()) || (endpoint.silent && now - endpoint.lastSuccessAt > recentSuccessPeriod))
         return false;
     if (query.excludeCold && now < endpoint.coldUntil)
         return false;
--- a/Source/forwarding/endpoint_registry.h
+++ b/Source/forwarding/endpoint_registry.h
@@ -31,6 +31,9 @@
     std::string preferredDataCentre;
     /// Ids of endpoints that must not be selected, such as those already tried.
     std::set<std::string> exclude;
+    version_requirement version {};
+    /// How long ago an endpoint may have begun to leave; zero selects none that leaves.
+    milliseconds maxLeavingTime { 0 };
 };
 
 struct selected_endpoint {
@@ -86,6 +89,11 @@
     const std::string& dataCentre() const { return m_dataCentre; }
     /// Whether the service has a serving endpoint for this stage, regardless of its load.
     bool hasServing(const std::string& service, wire::endpoint_stage stage) const;
+    /// Whether the service has an endpoint of this software version that serves, or began to leave less than a time ago,
+    /// regardless of its load.
+    bool hasVersion(const std::string& service, const std::string& version, milliseconds maxLeavingTime) const;
+    /// Whether the endpoint leaves and began to do so longer ago than a time.
+    bool isLeavingLongerThan(const std::string& id, milliseconds time) const;
     /// Adds or removes a request's load on an endpoint. Unknown endpoints are ignored: they may have left meanwhile.
     void addRequest(const std::string& id, std::uint64_t tokens);
     void removeRequest(const std::string& id, std::uint64_t tokens);
@@ -108,6 +116,8 @@
         wire::endpoint_report report;
         bool silent = false;
         time_point coldUntil {};
+        /// When it began to leave; zero while it serves.
+        time_point leavingSince {};
         unsigned ownRequests = 0;
         std::uint64_t ownTokens = 0;
         unsigned otherRequests = 0;
@@ -122,6 +132,8 @@
         time_point unconfirmedSince {};
     };
     bool isEligible(const endpoint_record& endpoint, const endpoint_query& query, time_point now) const;
+    /// Whether the endpoint serves, or began to leave less than a time ago.
+    static bool isServing(const endpoint_record& endpoint, milliseconds maxLeavingTime, time_point now);
     bool isEvacuated(const endpoint_record& endpoint) const { return m_evacuated.count(endpoint.report.data_centre()) > 0; }
     bool isInBackoff(const endpoint_record& endpoint, time_point now) const;
     static double cost(const endpoint_record& endpoint, const endpoint_query& query);
--- a/Source/forwarding/retry_policy.cpp
+++ b/Source/forwarding/retry_policy.cpp
@@ -22,6 +22,8 @@
         return "retry_budget_spent";
     case no_retry_reason::NoEndpoint:
         return "no_endpoint";
+    case no_retry_reason::VersionUnavailable:
+        return "version_unavailable";
     case no_retry_reason::Poison:
         return "poison";
     }
--- a/Source/forwarding/retry_policy.h
+++ b/Source/forwarding/retry_policy.h
@@ -49,6 +49,8 @@
     RetryBudgetSpent,
     /// No endpoint had capacity for the call in time.
     NoEndpoint,
+    /// No endpoint of the software version that began the stream serves.
+    VersionUnavailable,
     /// The number of confirmed and suspected crashes attributed to the request has reached the limit.
     Poison,
 };
@@ -57,7 +59,8 @@
 std::string_view noRetryReasonName(no_retry_reason value);
 
 /// Returns why the call must not be retried after this attempt, or None if it may be. Does not consider the retry
-/// budget, the availability of endpoints or crashes, so it never returns RetryBudgetSpent, NoEndpoint or Poison.
+/// budget, the availability of endpoints or crashes, so it never returns RetryBudgetSpent, NoEndpoint, VersionUnavailable
+/// or Poison.
 /// Pure. Thread safety: any thread.
 no_retry_reason determineNoRetryReason(const failed_attempt& attempt);
 
--- a/Source/kernel/reason.h
+++ b/Source/kernel/reason.h
@@ -29,6 +29,8 @@
     NoScheduler,
     NoEndpoint,
     Evacuated,
+    StreamOriginUnknown,
+    StreamVersionUnavailable,
     NoCapacity,
     DeadlineUnreachable,
     DeadlinePassed,
--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -157,6 +157,9 @@
         endpoint.limitStatedAt = {};
         applyEarlyLimit(endpoint);
     }
+    bool isLeaving = report.state() == wire::ENDPOINT_LEAVING;
+    if (isNewRun || !isLeaving || endpoint.leavingSince == time_point {})
+        endpoint.leavingSince = isLeaving ? now : time_point {};
     updateAddressIndex(endpoint, report.address());
     endpoint.goneWithoutIncarnation = false;
     endpoint.row.set_silent(false);
@@ -269,6 +272,13 @@
     return found == m_endpoints.end() ? nullptr : &found->second.row;
 }
 
+milliseconds endpoint_directory::leavingFor(const std::string& id, time_point now) const
+{
+    auto found = m_endpoints.find(id);
+    bool isLeaving = found != m_endpoints.end() && found->second.leavingSince != time_point {};
+    return isLeaving ? std::chrono::duration_cast<milliseconds>(now - found->second.leavingSince) : milliseconds(0);
+}
+
 directory_page endpoint_directory::pageSince(std::uint64_t version, std::size_t maxRows) const
 {
     directory_page page;
--- a/Source/membership/endpoint_directory.h
+++ b/Source/membership/endpoint_directory.h
@@ -68,6 +68,8 @@
     /// At most `maxRows` of these endpoints, in the order in which they changed.
     directory_page pageSince(std::uint64_t version, std::size_t maxRows) const;
     std::size_t size() const { return m_endpoints.size(); }
+    /// How long ago the endpoint first reported that it leaves; zero if it is unknown or doesn't leave.
+    milliseconds leavingFor(const std::string& id, time_point now) const;
     /// Whether any endpoint that isn't gone reports from the data centre.
     bool hasDataCentre(const std::string& dataCentre) const;
     /// The row of an endpoint, or null if it is unknown.
@@ -85,6 +87,8 @@
         /// The incarnation that reported after such a GONE report, and since when.
         std::uint64_t reportingIncarnation = 0;
         time_point reportingSince {};
+        /// When it first reported that it leaves; zero while it serves.
+        time_point leavingSince {};
         /// When the newest statement about its limit was made.
         time_point limitStatedAt {};
     };
--- a/Source/membership/membership.h
+++ b/Source/membership/membership.h
@@ -8,3 +8,4 @@
 #include "membership/session_lease.h"
 #include "membership/session_table.h"
 #include "membership/shard_assigner.h"
+#include "membership/software_version.h"
--- a/Source/scheduling/engine_planner.cpp
+++ b/Source/scheduling/engine_planner.cpp
@@ -59,13 +59,24 @@
 {
     candidate_groups<engine> groups;
     for (auto& [id, candidate] : m_engines) {
-        bool eligible = isUsable(candidate, request.service) && candidate.row.report().stage() == stage && !request.exclude.count(id);
+        const auto& report = candidate.row.report();
+        // A prompt may be processed at any version: only what generates events must not change within a stream.
+        bool versionAllowed = stage == wire::STAGE_PREFILL || request.version.allows(report);
+        bool eligible = isUsable(candidate, request.service) && report.stage() == stage && versionAllowed && !request.exclude.count(id);
         if (eligible && !isChangingStage(candidate, now) && now >= candidate.backoffUntil)
             groups.add(candidate, id, request.avoid, m_breaker, now);
     }
     return groups.preferred();
 }
 
+bool engine_planner::hasEndpoints(const placement_request& request) const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
+        const auto& report = item.second.row.report();
+        return isUsable(item.second, request.service) && report.stage() != wire::STAGE_PREFILL && request.version.allows(report) && !request.exclude.count(item.first);
+    });
+}
+
 const engine_speed_model& engine_planner::speedModelOf(const std::string& endpoint) const
 {
     static const engine_speed_model defaults;
--- a/Source/scheduling/engine_planner.h
+++ b/Source/scheduling/engine_planner.h
@@ -75,6 +75,8 @@
     void startStageChange(const stage_change& change, time_point deadline);
     /// The order for the change failed: makes the engine available again.
     void cancelStageChange(const std::string& engine, time_point now);
+    /// Whether any engine could generate the call's answer, apart from its load.
+    bool hasEndpoints(const placement_request& request) const;
     /// The last report of an engine; null if it is unknown.
     const wire::endpoint_report* findReport(const std::string& engine) const;
     /// Expected time from placement to the first event if no prompts are queued ahead.
--- a/Source/scheduling/placement_types.h
+++ b/Source/scheduling/placement_types.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "kernel/kernel.h"
+#include "membership/membership.h"
 #include <algorithm>
 #include <cstdint>
 #include <set>
@@ -27,6 +28,7 @@
     std::set<std::string> exclude;
     /// Endpoints that recently failed at this entry; used only if no other endpoint is available.
     std::set<std::string> avoid;
+    version_requirement version {};
 
     /// Work of the call, compared between the organisations of a service.
     double cost() const { return static_cast<double>(std::max<std::uint64_t>(1, promptTokens + outputTokens)); }
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -97,7 +97,7 @@
 {
     candidate_groups<endpoint> groups;
     for (auto& [id, candidate] : m_endpoints) {
-        if (isUsable(candidate, request.service) && !request.exclude.count(id) && now >= candidate.backoffUntil)
+        if (isUsable(candidate, request.service) && request.version.allows(candidate.row.report()) && !request.exclude.count(id) && now >= candidate.backoffUntil)
             groups.add(candidate, id, request.avoid, m_breaker, now);
     }
     return groups.preferred();
@@ -106,7 +106,7 @@
 bool slot_planner::hasEndpoints(const placement_request& request) const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
-        return isUsable(item.second, request.service) && !request.exclude.count(item.first);
+        return isUsable(item.second, request.service) && request.version.allows(item.second.row.report()) && !request.exclude.count(item.first);
     });
 }
 
--- a/Tests/Membership/EndpointDirectoryTest.cpp
+++ b/Tests/Membership/EndpointDirectoryTest.cpp
@@ -274,6 +274,33 @@
     CHECK_FALSE(directory.applyLimit(named, clock.now()));
 }
 
+// Guards against a stream that goes on at an endpoint of another version, or that leaves for too long.
+TEST_CASE("A row tells the software version of the endpoint's run and since when the endpoint leaves")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    auto report = reportOf("a", 100, 1);
+    report.set_software_version("v1");
+    directory.applyReport(report, clock.now());
+    CHECK(directory.find("a")->report().software_version() == "v1");
+    // A control process of an earlier version passed this report on.
+    CHECK_FALSE(directory.applyReport(reportOf("a", 100, 2), clock.now()));
+    CHECK(directory.find("a")->report().software_version() == "v1");
+    auto leaving = withState(reportOf("a", 100, 3), wire::ENDPOINT_LEAVING);
+    directory.applyReport(leaving, clock.now());
+    clock.advance(milliseconds(700));
+    leaving.set_sequence(4);
+    directory.applyReport(leaving, clock.now());
+    clock.advance(milliseconds(300));
+    CHECK(directory.leavingFor("a", clock.now()) == milliseconds(1000));
+    auto restarted = reportOf("a", 200, 1);
+    restarted.set_software_version("v2");
+    CHECK(directory.applyReport(restarted, clock.now()));
+    CHECK(directory.find("a")->report().software_version() == "v2");
+    CHECK(directory.leavingFor("a", clock.now()) == milliseconds(0));
+    CHECK(directory.leavingFor("b", clock.now()) == milliseconds(0));
+}
+
 // Guards against a leader that forgets a limit because entries tell of it before the endpoint reports.
 TEST_CASE("A limit that is stated before the first report of its run holds from that report on")
 {
--- a/Tests/Scheduling/EnginePlannerTest.cpp
+++ b/Tests/Scheduling/EnginePlannerTest.cpp
@@ -417,3 +417,35 @@
     planner.recordRefusal("d2", clock.now());
     CHECK(planner.place("entry", makeRequest(++id, 5200, 100), clock.now()).full);
 }
+
+// Guards against streams whose rest comes from an engine of another software version than their beginning.
+TEST_CASE("A stream is placed only at engines of the version that began it")
+{
+    engine_planner planner(1);
+    time_point now { std::chrono::hours(1) };
+    auto add = [&](const std::string& id, wire::endpoint_stage stage, const std::string& version) {
+        auto row = makeRow(id, stage);
+        row.mutable_report()->set_software_version(version);
+        planner.updateEndpoint(row);
+    };
+    add("p", wire::STAGE_PREFILL, "v2");
+    add("d1", wire::STAGE_DECODE, "v1");
+    for (int i = 2; i <= 6; ++i)
+        add("d" + std::to_string(i), wire::STAGE_DECODE, "v2");
+    auto request = makeRequest(1);
+    request.version.required = "v1";
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        request.callId = id;
+        auto placement = planner.place("entry", request, now);
+        REQUIRE_FALSE(placement.full);
+        CHECK(placement.decode == "d1");
+        planner.release("entry", id);
+    }
+    CHECK(planner.hasEndpoints(request));
+    request.exclude = { "d1" };
+    CHECK_FALSE(planner.hasEndpoints(request));
+    request.exclude.clear();
+    request.version.required = "v3";
+    CHECK_FALSE(planner.hasEndpoints(request));
+    CHECK(planner.place("entry", request, now).full);
+}
