Scheduling: Let new streams pass those that wait for a version, and leave its places to them

A stream that was begun goes first in the queue for engines. Bound to a version whose engines are full, it made every new stream of the service wait behind it, although engines of other versions were idle; and a call that may use any version could take each place that became free at the few engines of its version.

Calls now wait only behind those that need the same endpoints. While a begun stream waits for a version, calls that may use any leave the engines of that version alone. A stream whose version no engine has is refused at once instead of waiting until its caller gives up.

PlacementQueueTest: two of the three new cases fail with the queue before (the new stream is told that engines are full; the stream without engines waits), all pass now.

--- a/Source/scheduling/placement_queue.h
+++ b/Source/scheduling/placement_queue.h
@@ -57,6 +57,9 @@
     {
         planner.expectedCompletions(text, within, now)
         } -> std::same_as<double>;
+    {
+        planner.hasEndpoints(request)
+        } -> std::same_as<bool>;
     {
         T::completionsPerPlacement
         } -> std::convertible_to<double>;
@@ -77,6 +80,9 @@
 /// and after them beyond it: they have missed their targets, so serving them first would make every other call late too.
 /// Organisations share the rest fairly, by the work of their calls, so that one that floods a service lengthens only its
 /// own queue.
+/// A stream that was begun waits only for endpoints of its software version. Calls that may use any version don't wait behind
+/// it, but leave those endpoints to it: they would take each place that becomes free there, and a version that is being
+/// replaced has few.
 /// Pure; not thread-safe.
 template <placement_planner Planner>
 class placement_queue {
@@ -102,6 +108,13 @@
     /// Charges the organisation for a call that was placed.
     void recordPlacement(const queued_request& queued);
     void removeIdleState(time_point now);
+    /// Calls of a service that wait before the one under consideration. Later calls must not overtake the first one that waits
+    /// for the same endpoints, or small prompts would starve a large one.
+    struct waiting_ahead {
+        /// By required software version; empty for those that may use any.
+        std::map<std::string, std::size_t> byVersion;
+    };
+    engine_placement place(const queued_request& queued, const waiting_ahead& ahead, Planner& planner, time_point now) const;
     bool canStartInTime(const queued_request& queued, bool prefillBusy, std::size_t waitingAhead, Planner& planner, time_point now) const;
     /// Whether the call would probably hold its endpoint in vain, while others are refused.
     bool wouldWasteCapacity(const queued_request& queued, Planner& planner, time_point now) const;
@@ -220,15 +233,15 @@
     using namespace placement_queue_detail;
     std::vector<placement_result> results;
     sortWaiting();
-    // Waiting calls by service. Later calls must not overtake the first one that waits, or small prompts would starve a
-    // large one.
-    std::map<std::string, std::size_t> waitingAhead;
+    std::map<std::string, waiting_ahead> waitingAhead;
     std::erase_if(m_waiting, [&](const auto& waiting) {
         const auto& queued = waiting.queued;
         const auto& service = queued.request.service;
-        auto& ahead = waitingAhead[service];
+        auto& waitingOthers = waitingAhead[service];
+        const auto& version = queued.request.version.required;
+        auto& ahead = waitingOthers.byVersion[version];
         bool wasteful = wouldWasteCapacity(queued, planner, now);
-        auto placement = ahead > 0 || wasteful ? engine_placement { .full = true, .decode = {}, .prefill = {} } : planner.place(queued.entry, queued.request, now);
+        auto placement = ahead > 0 || wasteful ? engine_placement { .full = true, .decode = {}, .prefill = {} } : place(queued, waitingOthers, planner, now);
         if (placement.full && !wasteful && canStartInTime(queued, placement.prefillBusy, ahead, planner, now)) {
             ++ahead;
             return false;
@@ -242,7 +255,8 @@
         } else if (queued.fingerprint != 0) {
             m_refusedAt[queued.fingerprint] = now;
         }
-        if (placement.full && !wasteful)
+        // A version without room says nothing about the others.
+        if (placement.full && !wasteful && version.empty())
             m_fullAt[service] = now;
         auto retryAfter = placement.full ? nextRetryDelay(service, planner, now) : milliseconds(0);
         results.push_back({ queued.ticket, std::move(placement), retryAfter });
@@ -252,10 +266,23 @@
     return results;
 }
 
+template <placement_planner Planner>
+engine_placement placement_queue<Planner>::place(const queued_request& queued, const waiting_ahead& ahead, Planner& planner, time_point now) const
+{
+    if (!queued.request.version.required.empty())
+        return planner.place(queued.entry, queued.request, now);
+    auto request = queued.request;
+    for (const auto& [version, count] : ahead.byVersion) {
+        if (count > 0)
+            request.version.reserved.insert(version);
+    }
+    return planner.place(queued.entry, request, now);
+}
+
 template <placement_planner Planner>
 bool placement_queue<Planner>::canStartInTime(const queued_request& queued, bool prefillBusy, std::size_t waitingAhead, Planner& planner, time_point now) const
 {
-    if (now >= queued.waitDeadline)
+    if (now >= queued.waitDeadline || (!queued.request.version.required.empty() && !planner.hasEndpoints(queued.request)))
         return false;
     if (queued.streamStarted)
         return true;
--- a/Tests/Scheduling/PlacementQueueTest.cpp
+++ b/Tests/Scheduling/PlacementQueueTest.cpp
@@ -244,3 +244,109 @@
     engines.queue.removeEntry("entry");
     CHECK(engines.queue.empty());
 }
+
+namespace {
+/// Two engines of v1 beside four of v2, all of them full of calls that may use any version.
+class two_version_simulation : public engine_simulation {
+public:
+    two_version_simulation()
+    {
+        for (int i = 0; i < 6; ++i) {
+            wire::endpoint_row row;
+            auto& report = *row.mutable_report();
+            report.set_id("d" + std::to_string(i));
+            report.set_born_ms(1);
+            report.set_service("llm");
+            report.set_slots(64);
+            report.set_stage(wire::STAGE_DECODE);
+            report.set_software_version(i < 2 ? "v1" : "v2");
+            planner.updateEndpoint(row);
+        }
+    }
+
+    /// Submits a stream that v1 began and whose caller waits for its rest.
+    std::uint64_t submitBegun(const std::string& version)
+    {
+        queued_request queued;
+        queued.ticket = ++lastTicket;
+        queued.entry = "entry";
+        queued.request.callId = queued.ticket;
+        queued.request.service = "llm";
+        queued.request.promptTokens = promptTokens;
+        queued.request.outputTokens = outputTokens;
+        queued.request.memoryTokens = memoryTokens;
+        queued.request.version.required = version;
+        queued.streamStarted = true;
+        queued.waitDeadline = clock.now() + begunPatience;
+        queued.firstEventDeadline = clock.now() + target;
+        submittedAt[queued.ticket] = clock.now();
+        outputs[queued.ticket] = outputTokens;
+        queue.add(std::move(queued), clock.now());
+        return lastTicket;
+    }
+
+    static constexpr milliseconds begunPatience { 1800 };
+};
+}
+
+// Guards against streams that can't go on because new ones take each place that becomes free at the engines of their version,
+// and against new ones that wait behind them although other engines have room.
+TEST_CASE("Streams that were begun get the next places at their version while new ones crowd it")
+{
+    two_version_simulation simulation;
+    std::set<std::uint64_t> begun;
+    unsigned begunPlaced = 0;
+    unsigned newPlaced = 0;
+    unsigned newSubmitted = 0;
+    for (int tick = 0; tick < 900; ++tick) {
+        if (tick % 2 == 0) {
+            simulation.submit();
+            ++newSubmitted;
+        }
+        if (tick >= 400 && tick % 40 == 0 && begun.size() < 12)
+            begun.insert(simulation.submitBegun("v1"));
+        for (const auto& result : simulation.step()) {
+            if (result.placement.full)
+                continue;
+            bool isBegun = begun.count(result.ticket) > 0;
+            (isBegun ? begunPlaced : newPlaced) += 1;
+            if (isBegun)
+                CHECK((result.placement.decode == "d0" || result.placement.decode == "d1"));
+        }
+        simulation.clock.advance(milliseconds(10));
+    }
+    INFO("begun " << begunPlaced << " of " << begun.size() << ", new " << newPlaced << " of " << newSubmitted);
+    REQUIRE(begun.size() == 12);
+    CHECK(begunPlaced == 12);
+    CHECK(newPlaced > newSubmitted / 4);
+}
+
+// Guards against callers that wait for a version that no engine has.
+TEST_CASE("A stream whose version no engine has is refused at once")
+{
+    two_version_simulation simulation;
+    auto ticket = simulation.submitBegun("v3");
+    auto results = simulation.step();
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].ticket == ticket);
+    CHECK(results[0].placement.full);
+}
+
+// Guards against new streams that wait for a version without room although engines of another one are idle.
+TEST_CASE("New streams don't wait behind one that waits for its version, and don't take its place")
+{
+    two_version_simulation simulation;
+    std::set<std::uint64_t> begun;
+    // More than the engines of v1 hold.
+    for (int i = 0; i < 40; ++i)
+        begun.insert(simulation.submitBegun("v1"));
+    simulation.step();
+    simulation.submit();
+    auto first = simulation.lastTicket;
+    auto results = simulation.step();
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].ticket == first);
+    REQUIRE_FALSE(results[0].placement.full);
+    CHECK(results[0].placement.decode != "d0");
+    CHECK(results[0].placement.decode != "d1");
+}
