Tests: Replace engines by two versions in the soak, and take streams up again

Callers leave streams and take them up at random entries. Checked: the events of a stream are in order, whole and of one version over all attempts; no engine is asked to continue a stream that another version began; after the last fault a stream goes on.

Processes that a test starts no longer inherit its sockets: an endpoint that was replaced stayed bound to its address for as long as a process started meanwhile, and its successor could not listen.

--- a/Tests/Soak/soak_checks.cpp
+++ b/Tests/Soak/soak_checks.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <regex>
+#include <set>
 
 namespace pistachiolatch::test {
 
@@ -52,6 +54,32 @@
         addFailure(fmt::format("stream {} was reported as complete with: {}", id, body));
 }
 
+std::string soak_checks::checkAttempts(const std::string& id, const std::string& body, int events, bool isComplete)
+{
+    static const std::regex event("id: ([0-9]+)\nevent: (.+)\ndata: piece ([0-9]+)\n\n");
+    std::lock_guard lock(m_mutex);
+    std::set<std::string> versions;
+    std::string lastId;
+    int count = 0;
+    for (std::sregex_iterator it(body.begin(), body.end(), event), end; it != end; ++it) {
+        lastId = (*it)[1];
+        versions.insert((*it)[2]);
+        if (lastId != std::to_string(count++))
+            addFailure(fmt::format("stream {} has pieces out of order: {}", id, body));
+    }
+    if (versions.size() > 1)
+        addFailure(fmt::format("stream {} has events of several versions: {}", id, body));
+    if (isComplete && count != events)
+        addFailure(fmt::format("stream {} was reported as complete with: {}", id, body));
+    return lastId;
+}
+
+void soak_checks::count(const std::string& what)
+{
+    std::lock_guard lock(m_mutex);
+    ++m_counts[what];
+}
+
 void soak_checks::recordAcknowledged(std::uint64_t version)
 {
     std::lock_guard lock(m_mutex);
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -19,6 +19,11 @@
     void checkResponse(const std::string& id, const std::string& body);
     /// Checks that a stream reported as complete contains all of its events in order.
     void checkStream(const std::string& id, const std::string& body, int events);
+    /// Checks what a caller got of a stream over its attempts: events in order, of one software version, to the last if the stream
+    /// is reported as complete. Returns the id of the last whole event; empty if there is none.
+    std::string checkAttempts(const std::string& id, const std::string& body, int events, bool isComplete);
+    /// Adds to a count that is printed with the result.
+    void count(const std::string& what);
     /// Records that a configuration change was acknowledged.
     void recordAcknowledged(std::uint64_t version);
     std::uint64_t newestAcknowledgedVersion() const;
--- a/Tests/Soak/soak_main.cpp
+++ b/Tests/Soak/soak_main.cpp
@@ -23,6 +23,8 @@
     using steady = std::chrono::steady_clock;
     constexpr int controls = 3;
     constexpr int endpointCount = 5;
+    /// Decode engines beyond these where engines of two software versions serve.
+    constexpr int extraEngines = 2;
     /// Faults that overlap.
     constexpr int concurrentFaults = 2;
     constexpr milliseconds clientInterval { 15 };
@@ -38,30 +40,33 @@
         return boost::json::serialize(body);
     }
 
+    struct soak_options {
+        bool fullDisks = false;
+        bool partitions = false;
+        /// Whether engines have two software versions, are replaced and take streams up again.
+        bool versions = false;
+    };
+
     class soak_run {
     public:
-        soak_run(std::uint64_t seed, int entries, bool fullDisks, bool partitions)
+        soak_run(std::uint64_t seed, int entries, soak_options options)
             : m_seed(seed)
             , m_entryCount(entries)
-            , m_fullDisks(fullDisks)
-            , m_partitions(partitions)
+            , m_options(options)
             , m_fleet(controls, entries)
             , m_entryFaults(static_cast<std::size_t>(entries) + 1)
         {
-            const char* services[] = { "app", "app", "llm", "llm", "llm" };
-            const char* stages[] = { "", "", "prefill", "decode", "decode" };
-            for (int i = 0; i < endpointCount; ++i) {
+            for (int i = 0; i < (options.versions ? endpointCount + extraEngines : endpointCount); ++i) {
                 // Endpoints report the address of the fault proxy, which forwards to their own.
-                auto directAddress = m_fleet.endpointAddress(100 + i);
-                m_endpoints.push_back(std::make_unique<fake_endpoint>(fmt::format("runner-{}", i), directAddress, services[i], stages[i]));
-                m_proxy.forward(m_fleet.endpointAddress(1 + i), directAddress);
-                m_endpoints.back()->setReportedAddress(m_fleet.endpointAddress(1 + i));
+                m_proxy.forward(m_fleet.endpointAddress(1 + i), m_fleet.endpointAddress(100 + i));
+                m_endpoints.emplace_back();
+                startEndpoint(i, fmt::format("runner-{}", i), i % 2 == 0 ? "v1" : "v2");
             }
         }
 
         int run(std::chrono::seconds length)
         {
-            if (m_partitions)
+            if (m_options.partitions)
                 m_fleet.makePartitionable();
             m_fleet.start();
             if (m_fleet.submitConfiguration(makeConfiguration(1, true)) != 200)
@@ -76,7 +81,7 @@
             threads.emplace_back([this] { changeLimits(); });
             auto end = steady::now() + length;
             // A full disk and another fault overlap already.
-            int injectorCount = m_fullDisks ? 1 : concurrentFaults;
+            int injectorCount = m_options.fullDisks ? 1 : concurrentFaults;
             std::latch faultsEnded(injectorCount);
             for (int i = 0; i < injectorCount; ++i) {
                 m_injectors.emplace_back([this, i, end, &faultsEnded] {
@@ -110,15 +115,60 @@
         {
             random_engine random(seed);
             while (steady::now() < end) {
-                if (m_fullDisks && randomUpTo(random, 2) == 1)
+                if (m_options.versions && randomUpTo(random, 3) == 1)
+                    replaceEngine(random);
+                else if (m_options.fullDisks && randomUpTo(random, 2) == 1)
                     injectFaultWithFullDisk(random);
-                else if (m_partitions && randomUpTo(random, 2) == 1)
+                else if (m_options.partitions && randomUpTo(random, 2) == 1)
                     injectPartition(random);
                 else
                     injectFault(random);
             }
         }
 
+        /// Starts an endpoint; in place of the one before, if there is one.
+        void startEndpoint(int i, const std::string& id, const std::string& version)
+        {
+            const char* services[] = { "app", "app", "llm", "llm" };
+            const char* stages[] = { "", "", "prefill", "decode" };
+            auto kind = std::min(i, 3);
+            std::lock_guard lock(m_endpointsMutex);
+            auto& endpoint = m_endpoints[static_cast<std::size_t>(i)];
+            // The address is free again once the endpoint before has ended.
+            endpoint.reset();
+            endpoint = std::make_shared<fake_endpoint>(id, m_fleet.endpointAddress(100 + i), services[kind], stages[kind]);
+            endpoint->setReportedAddress(m_fleet.endpointAddress(1 + i));
+            if (!m_options.versions)
+                return;
+            endpoint->setStartTime(fake_endpoint::firstStartTime + 1000 * ++m_starts);
+            endpoint->setVersion(version, &m_witness);
+            endpoint->setDelay(milliseconds(15));
+        }
+
+        std::shared_ptr<fake_endpoint> endpointAt(int i) const
+        {
+            std::lock_guard lock(m_endpointsMutex);
+            return m_endpoints[static_cast<std::size_t>(i)];
+        }
+
+        int endpoints() const { return static_cast<int>(m_endpoints.size()); }
+
+        /// Replaces a decode engine by one of either version, under the same id or another, with or without notice.
+        void replaceEngine(random_engine& random)
+        {
+            int i = 2 + randomUpTo(random, endpoints() - 3);
+            std::lock_guard lock(m_endpointFaults[static_cast<std::size_t>(i) + 1]);
+            auto engine = endpointAt(i);
+            auto id = randomUpTo(random, 2) == 1 ? engine->id() : fmt::format("runner-{}-{}", i, m_starts + 1);
+            if (randomUpTo(random, 2) == 1) {
+                m_fleet.sendReport(*engine, "draining", randomUpTo(random, controls));
+                sleepRandomly(random, 0, 2500);
+            }
+            engine.reset();
+            startEndpoint(i, id, randomUpTo(random, 2) == 1 ? "v1" : "v2");
+            sleepRandomly(random, 0, 800);
+        }
+
         /// Cuts some entries, at most all, from all endpoints, and lifts the cut one after the other.
         void injectPartition(random_engine& random)
         {
@@ -142,7 +192,7 @@
             random_engine random(m_seed + 3);
             auto setLimit = [&](double limit, int minMs, int maxMs) {
                 m_checks.recordLimit(limit);
-                m_endpoints.front()->setRequestLimit(limit);
+                endpointAt(0)->setRequestLimit(limit);
                 auto until = steady::now() + milliseconds(std::uniform_int_distribution<int>(minMs, maxMs)(random));
                 while (!m_stopClients && steady::now() < until)
                     std::this_thread::sleep_for(milliseconds(20));
@@ -228,17 +278,17 @@
             }
             case 7: {
                 constexpr fake_endpoint_mode modes[] = { fake_endpoint_mode::RejectNotExecuted, fake_endpoint_mode::AbortBeforeResponse, fake_endpoint_mode::AbortMidStream, fake_endpoint_mode::OmitSeal, fake_endpoint_mode::ServerError };
-                auto n = static_cast<std::size_t>(randomUpTo(random, endpointCount));
-                std::lock_guard lock(m_endpointFaults[n]);
-                auto& endpoint = *m_endpoints[n - 1];
-                endpoint.setMode(modes[randomUpTo(random, 5) - 1]);
+                auto n = randomUpTo(random, endpoints());
+                std::lock_guard lock(m_endpointFaults[static_cast<std::size_t>(n)]);
+                auto endpoint = endpointAt(n - 1);
+                endpoint->setMode(modes[randomUpTo(random, 5) - 1]);
                 sleepRandomly(random, 200, 1500);
-                endpoint.setMode(fake_endpoint_mode::Normal);
+                endpoint->setMode(fake_endpoint_mode::Normal);
                 break;
             }
             default: {
-                int n = randomUpTo(random, endpointCount);
-                std::lock_guard lock(m_endpointFaults[n]);
+                int n = randomUpTo(random, endpoints());
+                std::lock_guard lock(m_endpointFaults[static_cast<std::size_t>(n)]);
                 auto address = m_fleet.endpointAddress(n);
                 auto ip = address.substr(0, address.rfind(':'));
                 link_rule rule;
@@ -261,10 +311,10 @@
         {
             for (int n = 1; n <= m_entryCount; ++n)
                 m_fleet.partitionEntry(n, "");
-            for (int n = 1; n <= endpointCount; ++n) {
+            for (int n = 1; n <= endpoints(); ++n) {
                 auto address = m_fleet.endpointAddress(n);
                 m_proxy.setRule("", address.substr(0, address.rfind(':')), {});
-                m_endpoints[static_cast<std::size_t>(n) - 1]->setMode(fake_endpoint_mode::Normal);
+                endpointAt(n - 1)->setMode(fake_endpoint_mode::Normal);
             }
         }
 
@@ -272,12 +322,25 @@
         {
             std::mt19937_64 random(m_seed + 1);
             while (!m_stopReports) {
-                for (auto& endpoint : m_endpoints)
-                    m_fleet.sendReport(*endpoint, "ready", static_cast<int>(random() % controls) + 1);
+                for (int i = 0; i < endpoints(); ++i)
+                    sendReadyReport(i, static_cast<int>(random() % controls) + 1);
                 std::this_thread::sleep_for(reportInterval);
             }
         }
 
+        /// Sends an endpoint's report without holding on to the endpoint, which may be replaced meanwhile.
+        void sendReadyReport(int i, int control)
+        {
+            std::string id;
+            std::string report;
+            {
+                std::lock_guard lock(m_endpointsMutex);
+                id = m_endpoints[static_cast<std::size_t>(i)]->id();
+                report = m_endpoints[static_cast<std::size_t>(i)]->makeReport("ready");
+            }
+            m_fleet.call(m_fleet.controlAddress(control), "PUT", platform_names::endpointsPath + id, { { "Content-Type", "application/json" } }, report, milliseconds(2000));
+        }
+
         void changeConfigurations()
         {
             std::mt19937_64 random(m_seed + 2);
@@ -321,11 +384,48 @@
             for (int n = 1; n <= m_entryCount; ++n)
                 connections.push_back(std::make_unique<kept_connection>(m_fleet.entryAddress(n)));
             for (int i = 0; !m_stopClients; ++i) {
+                if (m_options.versions && random() % 3 == 0)
+                    readStreamInParts(fmt::format("{}-{}-{}", m_seed, number, i), random);
                 sendRandomCall(fmt::format("{}-{}-{}", m_seed, number, i), *connections[random() % connections.size()], random);
                 std::this_thread::sleep_for(clientInterval);
             }
         }
 
+        /// Reads a stream, leaves it after a random time, and takes it up again at random entries until it is whole. Returns
+        /// whether it is.
+        bool readStreamInParts(const std::string& id, random_engine& random)
+        {
+            std::string body;
+            std::string lastEventId;
+            std::string firstAttempt;
+            for (int attempt = 0; attempt < 4; ++attempt) {
+                auto attemptId = fmt::format("{}-part-{}", id, attempt);
+                http_headers headers { { "Host", "h.example" }, { platform_names::requestId, attemptId }, { platform_names::deadlineMs, "3000" },
+                    { platform_names::authorization, "Token key-1" }, { platform_names::tokenUsage, "500,432" } };
+                if (!lastEventId.empty()) {
+                    headers.emplace_back(platform_names::lastEventId, lastEventId);
+                    headers.emplace_back(platform_names::resumes, firstAttempt);
+                }
+                kept_connection connection(m_fleet.entryAddress(randomUpTo(random, m_entryCount)));
+                auto patience = milliseconds(attempt < 2 ? std::uniform_int_distribution<int>(30, 120)(random) : 3000);
+                auto response = connection.call("POST", "/report/x", headers, "prompt " + id, patience);
+                m_checks.count(fmt::format("{} {}", lastEventId.empty() ? "begun" : "taken up", response.broken && response.status == 200 ? "cut" : std::to_string(response.status)));
+                if (response.status == 200) {
+                    body += response.body;
+                    body.erase(body.rfind("\n\n") == std::string::npos ? 0 : body.rfind("\n\n") + 2);
+                }
+                bool isComplete = response.status == 200 && !response.broken;
+                auto last = m_checks.checkAttempts(id, body, fake_endpoint::eventsPerStream, isComplete);
+                if (isComplete)
+                    return true;
+                if (lastEventId.empty() && !last.empty())
+                    firstAttempt = attemptId;
+                lastEventId = last;
+                sleepRandomly(random, 0, 60);
+            }
+            return false;
+        }
+
         void sendRandomCall(const std::string& id, kept_connection& connection, random_engine& random)
         {
             bool secondKey = random() % 4 == 0;
@@ -343,7 +443,9 @@
                 headers.emplace_back(platform_names::tokenUsage, "500,432");
                 const char* path = random() % 2 ? "/report/x" : "/once/x";
                 response = connection.call("POST", path, headers, "prompt", milliseconds(3000));
-                if (response.status == 200 && !response.broken)
+                if (m_options.versions && response.status == 200)
+                    m_checks.checkAttempts(id, response.body, fake_endpoint::eventsPerStream, !response.broken);
+                else if (response.status == 200 && !response.broken)
                     m_checks.checkStream(id, response.body, fake_endpoint::eventsPerStream);
                 break;
             }
@@ -378,6 +480,10 @@
                 std::chrono::seconds(12));
             if (!served)
                 m_checks.addFailure("nothing was served 12 s after the last fault");
+            random_engine random(m_seed + 4);
+            int streams = 0;
+            if (m_options.versions && !eventually([&] { return readStreamInParts(fmt::format("last-{}", ++streams), random); }, std::chrono::seconds(12)))
+                m_checks.addFailure("no stream went on 12 s after the last fault");
             simple_response read;
             bool isReadable = eventually([&] {
                 read = m_fleet.call(m_fleet.controlAddress(1), "GET", platform_names::configurationPath, {}, {}, milliseconds(1000));
@@ -393,12 +499,14 @@
         int printResult()
         {
             std::map<std::string, int> runs;
+            for (const auto& stream : m_witness.violations())
+                m_checks.addFailure("an engine was asked to continue " + stream);
             for (const auto& endpoint : m_endpoints) {
                 for (const auto& [id, count] : endpoint->runCounts())
                     runs[id] += count;
             }
             m_checks.checkExecutions(runs);
-            m_checks.checkLimits(m_endpoints.front()->arrivals());
+            m_checks.checkLimits(endpointAt(0)->arrivals());
             std::string line = fmt::format("seed {}:", m_seed);
             for (const auto& [what, count] : m_checks.counts())
                 line += fmt::format(" {}: {};", what, count);
@@ -410,15 +518,17 @@
 
         std::uint64_t m_seed;
         int m_entryCount;
-        bool m_fullDisks;
-        bool m_partitions;
+        soak_options m_options;
         platform_fleet m_fleet;
         /// Held while a fault lasts. A thread that fills a disk injects another fault meanwhile, possibly in the same process.
         std::deque<std::recursive_mutex> m_entryFaults;
         std::array<std::recursive_mutex, controls + 1> m_controlFaults;
-        std::array<std::recursive_mutex, endpointCount + 1> m_endpointFaults;
+        std::array<std::recursive_mutex, endpointCount + extraEngines + 1> m_endpointFaults;
         fault_proxy m_proxy;
-        std::vector<std::unique_ptr<fake_endpoint>> m_endpoints;
+        stream_witness m_witness;
+        mutable std::mutex m_endpointsMutex;
+        std::vector<std::shared_ptr<fake_endpoint>> m_endpoints;
+        std::atomic<std::uint64_t> m_starts { 0 };
         soak_checks m_checks;
         std::atomic<bool> m_stopClients { false };
         std::atomic<bool> m_stopReports { false };
@@ -436,18 +546,18 @@
     int seeds = 1;
     int entries = 2;
     int seconds = 12;
-    bool fullDisks = false;
-    bool partitions = false;
+    pistachiolatch::test::soak_options options;
     app.add_option("--seed", first, "the first seed");
     app.add_option("--seeds", seeds, "the number of seeds to run one after the other");
     app.add_option("--seconds", seconds, "the seconds of fault injection for each seed");
     app.add_option("--entries", entries, "the number of entries, each with two callers")->check(CLI::Range(1, 60));
-    app.add_flag("--full-disks", fullDisks, "fill the disks of control processes at random times");
-    app.add_flag("--partitions", partitions, "cut entries from all endpoints at random times");
+    app.add_flag("--full-disks", options.fullDisks, "fill the disks of control processes at random times");
+    app.add_flag("--partitions", options.partitions, "cut entries from all endpoints at random times");
+    app.add_flag("--versions", options.versions, "replace engines by others of two software versions, and take streams up again at random entries");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     int failedSeeds = 0;
     for (int i = 0; i < seeds; ++i)
-        failedSeeds += pistachiolatch::test::soak_run(first + static_cast<std::uint64_t>(i), entries, fullDisks, partitions).run(std::chrono::seconds(seconds));
+        failedSeeds += pistachiolatch::test::soak_run(first + static_cast<std::uint64_t>(i), entries, options).run(std::chrono::seconds(seconds));
     return failedSeeds == 0 ? 0 : 1;
 }
--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -31,6 +31,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(::open(out.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600), STDOUT_FILENO);
     ::dup2(::open(err.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600), STDERR_FILENO);
+    // The sockets of the test's own endpoints would otherwise stay open, and their addresses in use, for as long as this process.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     // A write beyond RLIMIT_FSIZE must fail, as on a full disk, instead of ending the process.
     ::signal(SIGXFSZ, SIG_IGN);
     for (const auto& [name, value] : variables)
