Coordination: Don't infer a stream's version from reports that a suspended process missed

A caller that names no first attempt is served where a majority of the control processes has seen only one version for as long as a stream may last. A process that was suspended answered so before it had read the reports of that time, and could so agree to a version that another one had joined. It now waits for that time again after any pause. Found by reading the change; not seen in a run. StreamOriginTest has the case.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -81,6 +81,7 @@
 void entry_coordinator::onTimer()
 {
     auto now = m_clock.now();
+    m_origins.onTimer();
     std::vector<peer_connection*> expired;
     for (const auto& [entry, session] : m_entries) {
         if (now - session.lastSyncAt > m_settings.entryLease)
--- a/Source/coordination/software_version_history.cpp
+++ b/Source/coordination/software_version_history.cpp
@@ -10,6 +10,20 @@
     /// More than a service has during a release; the number tells that there are several all the same.
     constexpr std::size_t maxVersions = 16;
     constexpr std::size_t maxServices = 1024;
+    /// Several intervals of the timer; a busy process is never late by that much.
+    constexpr milliseconds maxTickGap { 2000 };
+}
+
+bool software_version_history::hasPaused(time_point now) const
+{
+    return now - m_lastTick > maxTickGap;
+}
+
+void software_version_history::onTick(time_point now)
+{
+    if (hasPaused(now))
+        m_completeSince = now;
+    m_lastTick = now;
 }
 
 void software_version_history::onReport(const wire::endpoint_report& report, time_point now)
--- a/Source/coordination/stream_origin_service.h
+++ b/Source/coordination/stream_origin_service.h
@@ -14,6 +14,8 @@
     stream_origin_service(boost::asio::io_context& context, peer_network& network, const clock_source& clock, metrics& counters, std::function<std::vector<std::string>()> followers);
 
     void stop() { m_timer.cancel(); }
+    /// Call this twice a second.
+    void onTimer() { m_history.onTick(m_clock.now()); }
     void onReport(const wire::endpoint_report& report) { m_history.onReport(report, m_clock.now()); }
     /// Records an origin that a process told, or that this one decided as the leader. A leader passes on what is new.
     void record(const wire::stream_origin& origin);
--- a/Tests/Coordination/StreamOriginTest.cpp
+++ b/Tests/Coordination/StreamOriginTest.cpp
@@ -53,6 +53,13 @@
 {
     return { names.begin(), names.end() };
 }
+
+/// Runs the history's timer until a time.
+void tick(software_version_history& history, time_point from, time_point until)
+{
+    for (auto now = from; now <= until; now += milliseconds(500))
+        history.onTick(now);
+}
 }
 
 TEST_CASE("The last placement of a stream is its origin, also when an earlier one arrives later")
@@ -174,9 +181,12 @@
     constexpr std::chrono::seconds maxAge { 14 };
     software_version_history history(start);
     history.onReport(makeReport("llm", "v1"), start);
+    auto early = start + std::chrono::seconds(13);
+    tick(history, start, early);
+    CHECK_FALSE(history.covers(maxAge, early));
     auto now = start + std::chrono::seconds(20);
+    tick(history, early, now);
     history.onReport(makeReport("llm", "v1"), now);
-    CHECK_FALSE(history.covers(maxAge, start + std::chrono::seconds(13)));
     CHECK(history.covers(maxAge, now));
     CHECK(history.soleOrigin(services({ "llm" }), maxAge, now)->softwareVersion == "v1");
     history.onReport(makeReport("llm", "v2"), now);
@@ -190,6 +200,22 @@
     CHECK_FALSE(history.soleOrigin(services({ "llm", "other" }), maxAge, now + std::chrono::seconds(60)));
 }
 
+TEST_CASE("A control process that was suspended doesn't claim to know every version")
+{
+    constexpr std::chrono::seconds maxAge { 14 };
+    software_version_history history(start);
+    auto suspendedAt = start + std::chrono::seconds(20);
+    tick(history, start, suspendedAt);
+    CHECK(history.covers(maxAge, suspendedAt));
+    auto resumedAt = suspendedAt + std::chrono::seconds(3);
+    CHECK_FALSE(history.covers(maxAge, resumedAt));
+    history.onTick(resumedAt);
+    CHECK_FALSE(history.covers(maxAge, resumedAt));
+    auto later = resumedAt + std::chrono::seconds(15);
+    tick(history, resumedAt, later);
+    CHECK(history.covers(maxAge, later));
+}
+
 TEST_CASE("An endpoint whose version is unknown tells nothing")
 {
     software_version_history history(start);
