Forwarding: Let streams begin at endpoints whose reports state no start time

An endpoint that told its start time in its status, but not in its reports, counted as another run than expected, and got no resumable stream at all. Found by reading the change. Its run can't be told from a later one, so its streams may begin there and can't be continued, as with one that tells nothing. No test: no endpoint of the platform does this.

--- a/Source/forwarding/call_forwarder_resumption.h
+++ b/Source/forwarding/call_forwarder_resumption.h
@@ -32,10 +32,10 @@
     auto answer = co_await reply.wait(timeLeft());
     auto resolution = answer.value_or(origin_resolution {});
     bool isKnown = resolution.knowledge == origin_knowledge::Known && !resolution.origin.softwareVersion.empty();
-    bool isAllowed = std::any_of(m_route->services.begin(), m_route->services.end(), [&](const auto& target) { return target.weight > 0 && target.service == resolution.origin.service; });
+    bool isRouted = std::any_of(m_route->services.begin(), m_route->services.end(), [&](const auto& target) { return target.weight > 0 && target.service == resolution.origin.service; });
     m_shared.counters.count(fmt::format("stream_resumed_{}", originKnowledgeName(resolution)));
     logEvent("stream_resumed", { { "request", m_metadata.id }, { "first_attempt", m_metadata.firstAttemptId }, { "origin", originKnowledgeName(resolution) }, { "service", resolution.origin.service }, { "software_version", resolution.origin.softwareVersion }, { "leader", m_shared.link.leader() }, { "ms", std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - startedAt).count() } });
-    if (isKnown && isAllowed) {
+    if (isKnown && isRouted) {
         m_origin = resolution.origin;
         co_return std::nullopt;
     }
@@ -169,7 +169,9 @@
     cancelAttemptTimer();
     auto result = run_check::Failed;
     if (isCompleteBody(end)) {
-        auto incarnation = connection->status() == 200 ? Codec::parseStatusIncarnation(body) : std::nullopt;
+        // An endpoint whose reports state no start time can't be told from a later run either.
+        bool tellsRun = connection->status() == 200 && endpoint.incarnation != 0;
+        auto incarnation = tellsRun ? Codec::parseStatusIncarnation(body) : std::nullopt;
         result = !incarnation ? run_check::Untold : *incarnation == endpoint.incarnation ? run_check::Expected
                                                                                          : run_check::Other;
     }
