Coordination: Tell each placement that an entry makes, also at the version of its last one

A stream could be taken up at a version that had not begun it. The leader records a placement when it makes it; if its reply is lost or late, the entry places the stream itself. Where it chose the version of an earlier placement of the same attempt again, its own record didn't change, so it told nobody, and the leader and its followers kept the placement between.

An entry now tells every placement that no leader made; the placements' numbers decide which is the last. StreamOriginTest has the case: it fails before (nothing is told) and passes now. CoordinationTest and StreamVersionTest pass.

--- a/Source/coordination/stream_origin_client.cpp
+++ b/Source/coordination/stream_origin_client.cpp
@@ -21,9 +21,9 @@
 
 void stream_origin_client::recordPlacement(const wire::stream_origin& origin, bool chosenByLeader)
 {
-    auto now = m_clock.now();
-    bool isNew = m_own.record(origin, now);
-    if (!isNew || chosenByLeader)
+    m_own.record(origin, m_clock.now());
+    // The leader may hold a placement at another version whose reply never came, also if this one equals the last that was made.
+    if (chosenByLeader)
         return;
     m_unreported[origin.stream()] = {};
     for (const auto& address : m_controls().addresses) {
--- a/Tests/Coordination/StreamOriginTest.cpp
+++ b/Tests/Coordination/StreamOriginTest.cpp
@@ -110,6 +110,26 @@
     CHECK(streamKey("", "") != 0);
 }
 
+// Guards against a leader that keeps a placement whose reply the entry never got: the entry chose the version of its own earlier
+// placement again, and the leader believes the one between.
+TEST_CASE("An entry tells each placement that no leader made, also at the version of its last one")
+{
+    boost::asio::io_context context;
+    manual_clock_source clock;
+    metrics counters;
+    peer_network network(context, clock, counters);
+    stream_origin_client client(network, clock, [] { return known_controls {}; });
+    client.recordPlacement(makeOrigin(7, "v1", 1), true);
+    google::protobuf::RepeatedPtrField<wire::stream_origin> told;
+    client.fillUnreported(told);
+    CHECK(told.empty());
+    client.recordPlacement(makeOrigin(7, "v1", 3), false);
+    client.fillUnreported(told);
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].placement() == 3);
+    CHECK(told[0].software_version() == "v1");
+}
+
 TEST_CASE("A record of any control process decides where a stream began")
 {
     origin_poll poll(5);
