--- a/Tests/Platform/fake_endpoint.cpp
+++ b/Tests/Platform/fake_endpoint.cpp
@@ -64,6 +64,14 @@
 }
 
 std::vector<time_point> fake_endpoint::arrivals() const
+{
+    std::vector<time_point> times;
+    for (const auto& arrival : arrivalRecords())
+        times.push_back(arrival.at);
+    return times;
+}
+
+std::vector<endpoint_arrival> fake_endpoint::arrivalRecords() const
 {
     std::lock_guard lock(m_mutex);
     return m_arrivals;
@@ -114,9 +122,11 @@
     http_headers headers { { names::requestId, id } };
     if (auto limit = m_requestLimit.load(); limit > 0)
         headers.emplace_back(names::requestLimit, fmt::format("{}", limit));
+    std::size_t arrival = 0;
     {
         std::lock_guard lock(m_mutex);
-        m_arrivals.push_back(std::chrono::steady_clock::now());
+        arrival = m_arrivals.size();
+        m_arrivals.push_back({ std::chrono::steady_clock::now(), id });
     }
     if (exchange.header(names::expectEndpoint) != m_id) {
         co_await exchange.respond(421, "", "", headers);
@@ -135,6 +145,10 @@
     boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, m_delay.load());
     co_await pause.async_wait(boost::asio::use_awaitable);
     if (exchange.header(names::servingStage) == "prefill") {
+        {
+            std::lock_guard lock(m_mutex);
+            m_arrivals[arrival].isAcceptedPrefill = true;
+        }
         std::string body = R"({"kvHandle":"handle-1","tokens":10,"version":1})";
         co_await exchange.respond(200, "application/json", body, headers);
         co_return;
--- a/Tests/Platform/fake_endpoint.h
+++ b/Tests/Platform/fake_endpoint.h
@@ -26,6 +26,14 @@
     ServerError,
 };
 
+/// A request that reached an endpoint, status requests left out.
+struct endpoint_arrival {
+    time_point at;
+    std::string requestId;
+    /// Whether the endpoint accepted a request to process the prompt only.
+    bool isAcceptedPrefill = false;
+};
+
 /// Simulates an endpoint of the users' platform: a plain service, or a model engine of one stage.
 class fake_endpoint {
 public:
@@ -49,6 +57,8 @@
     void setRequestLimit(double perSecond) { m_requestLimit = perSecond; }
     /// When its requests arrived, in order, those of the prefill stage included.
     std::vector<time_point> arrivals() const;
+    /// All requests that reached it, in order, those that it refused or left unanswered included.
+    std::vector<endpoint_arrival> arrivalRecords() const;
     /// The body of its next status report.
     std::string makeReport(const std::string& state);
     /// Returns the executed requests, one line each, and clears the log.
@@ -95,7 +105,7 @@
     std::vector<std::string> m_requestLog;
     std::map<std::string, int> m_runCounts;
     std::set<std::string> m_completedStreams;
-    std::vector<time_point> m_arrivals;
+    std::vector<endpoint_arrival> m_arrivals;
     traffic_threads m_threads { 1 };
     http_server m_server;
 };
