Coordination, Forwarding: Grant each retry before it is sent, from parts of the budget that hold by themselves

Cause: the budget was divided in advance by what each entry believed. An entry counted its retries in memory, so that each start of the process got another share of the window; it divided the slack by the number of entries that the leader had heard of so far, which is small after an election or behind a cut; and failed prefills were recorded after they had been sent, without ever being refused at an endpoint that counts as healthy.

Each request beyond the first of its call now needs a grant before it is sent, prefills included. A grant comes from what the entry has earned by its own first attempts, from the leader, or from the entry's share. Each part is bounded by itself in any window, whoever dies: a new process has earned nothing and has no share for a window, a new leader grants nothing for a window, and a share is divided by the largest number of entries stated within a window. Retries that a call can do without leave most of the budget to the others.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -228,8 +228,11 @@
     m_lease.supersede(update.document_version(), acceptedAt + m_settings.changeBound * supersededShareQuarters / 4);
     continueFetch();
     m_queuedServices = { update.queued_services().begin(), update.queued_services().end() };
-    if (update.entries() > 0)
+    if (update.entries() > 0) {
         m_entries = update.entries();
+        if (m_entryCountHandler)
+            m_entryCountHandler(m_entries);
+    }
     if (update.has_blocked()) {
         std::map<std::uint64_t, bool> blocked;
         for (const auto& block : update.blocked().requests())
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -72,6 +72,8 @@
     const std::string& leader() const { return m_leader; }
     /// Entries in the fleet, including this one; at least 1.
     unsigned entryCount() const { return m_entries; }
+    /// Sets a handler that receives the number of entries each time that a leader states it.
+    void onEntryCount(std::function<void(unsigned entries)> handler) { m_entryCountHandler = std::move(handler); }
     /// Asks the leader where to place a call. The handler receives nullopt if no leader replies in time.
     void requestPlan(wire::engine_plan_request request, std::function<void(std::optional<wire::engine_plan_reply>)> handler);
     /// Checks at once whether the leader still replies, with a shorter timeout than a regular sync.
@@ -140,6 +142,7 @@
     std::uint64_t m_directorySource = 0;
     std::uint64_t m_directoryVersion = 0;
     unsigned m_entries = 1;
+    std::function<void(unsigned)> m_entryCountHandler;
     /// Whether the block is certain, by fingerprint of the blocked request.
     std::map<std::uint64_t, bool> m_blocked;
     crash_journal m_crashes;
--- a/Source/coordination/coordination.h
+++ b/Source/coordination/coordination.h
@@ -5,4 +5,5 @@
 #include "coordination/endpoint_listener.h"
 #include "coordination/entry_coordinator.h"
 #include "coordination/relay_participant.h"
+#include "coordination/retry_budget_client.h"
 #include "coordination/token_limiter.h"
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -39,6 +39,7 @@
     , m_planTimer { boost::asio::steady_timer(context) }
     , m_slotTimer { boost::asio::steady_timer(context) }
     , m_announcementTimer { boost::asio::steady_timer(context) }
+    , m_retries(settings.retries)
     , m_timer(context)
     , m_limitTimer(context)
 {
@@ -133,6 +134,9 @@
     case wire::envelope::kLimit:
         onLimitRequest(message, from);
         return true;
+    case wire::envelope::kRetryRequest:
+        onRetryRequest(message, from);
+        return true;
     default:
         return m_origins.onMessage(message, from);
     }
@@ -268,6 +272,7 @@
     m_leaderSince = m_clock.now();
     m_planningStartsAt = m_leaderSince + planningDelay;
     m_limits.emplace(m_clock.now());
+    m_retries.reset(m_replica.document().version() > 0, m_clock.now());
     applyConfiguration();
 }
 
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -47,6 +47,7 @@
     /// How often endpoints report.
     milliseconds reportInterval { 1200 };
     limit_tolerance tolerance;
+    retry_tolerance retries;
     /// Name of this VM, sent as the holder of stage orders.
     std::string vm;
 };
@@ -150,6 +151,7 @@
     void announceEndpoints();
     void balanceStages();
     void onLimitRequest(const wire::envelope& message, const peer_network::peer& from);
+    void onRetryRequest(const wire::envelope& message, const peer_network::peer& from);
     void fillUpdate(wire::entry_update& update, entry_session& session);
     void pushChanges();
     /// Tells the entries of an endpoint whose report changed something: at once if it leaves, else together with others.
@@ -198,6 +200,7 @@
     one_shot_timer m_slotTimer;
     one_shot_timer m_announcementTimer;
     std::optional<rate_limiter> m_limits;
+    retry_ledger m_retries;
     /// Organisations that m_limits holds.
     std::set<std::string> m_limitedOrganisations;
     std::map<std::uint64_t, pending_request> m_pendingLimits;
--- a/Source/coordination/entry_coordinator_limits.cpp
+++ b/Source/coordination/entry_coordinator_limits.cpp
@@ -1,4 +1,4 @@
-// Limits of the organisations and of cold endpoints.
+// Limits of the organisations, of cold endpoints and of retries.
 #include "coordination/entry_coordinator.h"
 
 namespace pistachiolatch {
@@ -60,6 +60,18 @@
     processLimitRequests();
 }
 
+void entry_coordinator::onRetryRequest(const wire::envelope& message, const peer_network::peer& from)
+{
+    // The lease makes sure that no other leader grants at the same time.
+    const auto& request = message.retry_request();
+    auto need = request.optional() ? retry_need::Optional : retry_need::Required;
+    bool granted = m_replica.isLeader() && m_retries.tryGrant(request.service(), need, m_clock.now());
+    m_metrics.count(granted ? "retry_granted" : "retry_refused");
+    wire::envelope reply;
+    reply.mutable_retry_reply()->set_granted(granted);
+    peer_network::reply(from, message, std::move(reply));
+}
+
 void entry_coordinator::processLimitRequests()
 {
     if (!m_limits)
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "coordination/coordination.h"
+#include "forwarding/call_arrivals.h"
 #include "forwarding/caller_connection.h"
 #include "forwarding/connection_pool.h"
 #include "forwarding/endpoint_connector.h"
@@ -7,7 +8,6 @@
 #include "forwarding/event_splitter.h"
 #include "forwarding/response_writer.h"
 #include "forwarding/retry_policy.h"
-#include "forwarding/shared_retry_budget.h"
 #include "forwarding/stall_policy.h"
 #include "scheduling/output_estimator.h"
 #include <boost/asio/steady_timer.hpp>
@@ -24,7 +24,7 @@
     endpoint_registry& endpoints;
     connection_pool& pool;
     endpoint_connector& connector;
-    shared_retry_budget& retryBudget;
+    retry_budget_client& retryBudget;
     output_estimator& outputEstimator;
     std::mt19937_64& random;
     /// How long endpoints go on serving after the confirmation that they leave.
@@ -151,6 +151,8 @@
     void requestMigration(const selected_endpoint& endpoint);
     std::optional<model_placement> placementFromPlan(const wire::engine_plan_reply& plan, std::uint64_t callId) const;
     std::optional<model_placement> findAlternativePlacement(const std::optional<wire::engine_plan_reply>& plan, const selected_endpoint& endpoint, std::uint64_t callId);
+    /// Moves a stalled stream to another endpoint once a retry of the budget is granted for it.
+    void acquireMigration(const model_placement& placement, const selected_endpoint& endpoint);
     void migrateTo(const model_placement& placement, const selected_endpoint& endpoint);
     void recordMigration(const std::string& endpointId);
     /// Records an outcome in the registry and, for model calls, in the release message that reports it to the leader.
@@ -169,7 +171,11 @@
     task_of<call_failure> readMatchingHead(response_metadata& response);
     /// Returns a connection on which a request may be sent; null if there is none or the endpoint was evacuated.
     task_of<std::shared_ptr<endpoint_connection>> openConnection(const selected_endpoint& endpoint, bool idempotent);
-    bool prepareRetry(attempt_outcome outcome, const std::string& endpointId);
+    /// Decides after an attempt whether another one follows, and acquires a retry of the budget for it.
+    task_of<bool> prepareRetry(attempt_outcome outcome, const std::string& endpointId);
+    /// Acquires retries of the budget until the call holds as many. Returns false if the budget is spent.
+    task_of<bool> acquireRetries(unsigned needed, retry_need need);
+    void recordFirstArrival();
     task_of<void> finishUnanswered(reason failureCause);
     task_of<void> sendErrorResponse(error_response error);
     void releasePrefill();
@@ -230,6 +236,8 @@
     bool m_keepAlive = true;
     unsigned m_sendCount = 0;
     unsigned m_possibleRuns = 0;
+    call_arrivals m_arrivals;
+    bool m_firstArrivalRecorded = false;
     /// Refusals by endpoints that were asked to continue the stream.
     unsigned m_refusals = 0;
     std::set<std::string> m_triedEndpoints;
@@ -237,7 +245,6 @@
     /// Address of the entry that relayed the last connection to an endpoint; empty if it was direct.
     std::string m_relayedBy;
     std::optional<prefill_result> m_prefill;
-    bool m_hasPrefilled = false;
     /// The endpoint of the last successful prefill; empty if decode endpoints process the prompt themselves.
     std::string m_prefillEndpointId;
     milliseconds m_prefillDuration { 0 };
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -336,7 +336,10 @@
         co_await reportCrash();
         cause = outcome == attempt_outcome::RefusedNotRun ? reason::NoCapacity : outcome == attempt_outcome::NotSent ? reason::ConnectFailed
                                                                                                                      : reason::EndpointFailed;
-        if (isAborted() || !prepareRetry(outcome, endpoint->id))
+        if (isAborted())
+            break;
+        bool mayRetry = co_await prepareRetry(outcome, endpoint->id);
+        if (!mayRetry)
             break;
     }
     co_await finishUnanswered(cause);
@@ -394,7 +397,28 @@
 }
 
 template <call_codec Codec>
-bool call_forwarder<Codec>::prepareRetry(attempt_outcome outcome, const std::string& endpointId)
+task_of<bool> call_forwarder<Codec>::acquireRetries(unsigned needed, retry_need need)
+{
+    while (m_arrivals.grants(m_shared.clock.now()) < needed) {
+        pending_reply<bool> reply(m_shared.context.get_executor());
+        m_shared.retryBudget.acquire(m_service->name, need, reply.completer());
+        auto granted = co_await reply.wait(timeLeft());
+        if (!granted.value_or(false))
+            co_return false;
+        m_arrivals.recordGrant(m_shared.clock.now());
+    }
+    co_return true;
+}
+
+template <call_codec Codec>
+void call_forwarder<Codec>::recordFirstArrival()
+{
+    if (!std::exchange(m_firstArrivalRecorded, true))
+        m_shared.retryBudget.recordFirstAttempt(m_service->name);
+}
+
+template <call_codec Codec>
+task_of<bool> call_forwarder<Codec>::prepareRetry(attempt_outcome outcome, const std::string& endpointId)
 {
     // Few endpoints may have the version that began a stream; one that was full has room again while the stream waits.
     bool mayAskAgain = m_origin && outcome == attempt_outcome::RefusedNotRun && ++m_refusals <= forwarding_detail::maxRefusalsToContinue;
@@ -403,17 +427,18 @@
     m_noRetryReason = determineNoRetryReason({ outcome, m_route->kind, m_route->resumable, m_possibleRuns, m_route->maxEndpoints, timeLeft() });
     if (m_crashes >= crash_tracker::crashesToBlock)
         m_noRetryReason = no_retry_reason::Poison;
-    // An attempt that was not sent loads no endpoint, so its retry needs no budget.
-    bool needsBudget = m_noRetryReason == no_retry_reason::None && outcome != attempt_outcome::NotSent;
-    if (needsBudget && !m_shared.retryBudget.tryConsumeRetry(m_service->name, m_shared.link.entryCount(), m_shared.clock.now()))
-        m_noRetryReason = no_retry_reason::RetryBudgetSpent;
-    bool allowed = m_noRetryReason == no_retry_reason::None;
+    if (m_noRetryReason == no_retry_reason::None) {
+        bool granted = co_await acquireRetries(m_arrivals.grantsToSend(), retry_need::Required);
+        if (!granted)
+            m_noRetryReason = no_retry_reason::RetryBudgetSpent;
+    }
+    bool allowed = m_noRetryReason == no_retry_reason::None && !isAborted();
     auto cause = outcome == attempt_outcome::NotSent ? reason::ConnectFailed : outcome == attempt_outcome::RefusedNotRun ? reason::EndpointRefused
                                                                                                                          : reason::EndpointFailed;
     if (allowed)
         m_shared.counters.countRetry(cause);
-    logEvent("attempt_failed", { { "request", m_metadata.id }, { "endpoint", endpointId }, { "why", reasonName(cause) }, { "stalled", outcome == attempt_outcome::Stalled ? 1 : 0 }, { "may_have_run_at", m_possibleRuns }, { "body_end", bodyEndName(m_bodyEnd) }, { "again", allowed ? 1 : 0 }, { "no_retry_reason", noRetryReasonName(m_noRetryReason) }, { "age_ms", age().count() } });
-    return allowed;
+    logEvent("attempt_failed", { { "request", m_metadata.id }, { "endpoint", endpointId }, { "why", reasonName(cause) }, { "stalled", outcome == attempt_outcome::Stalled ? 1 : 0 }, { "may_have_run_at", m_possibleRuns }, { "body_end", bodyEndName(m_bodyEnd) }, { "again", allowed ? 1 : 0 }, { "no_retry_reason", noRetryReasonName(m_noRetryReason) }, { "arrivals", m_arrivals.count() }, { "age_ms", age().count() } });
+    co_return allowed;
 }
 
 template <call_codec Codec>
@@ -421,6 +446,9 @@
 {
     if (!mayUse(endpoint))
         co_return attempt_outcome::NotSent;
+    bool granted = co_await acquireRetries(m_arrivals.grantsToSend(), retry_need::Required);
+    if (!granted || isAborted())
+        co_return isAborted() ? attempt_outcome::Stalled : attempt_outcome::NotSent;
     bool opened = co_await openVerifiedConnection(endpoint);
     // An endpoint must get nothing that it may not end before it is gone.
     if (opened && m_origin && m_shared.endpoints.isLeavingLongerThan(endpoint.id, maxLeavingTimeToSend())) {
@@ -431,8 +459,9 @@
         co_return isAborted() ? attempt_outcome::Stalled : attempt_outcome::NotSent;
     recordPlacement();
     auto connection = m_connection;
-    if (m_sendCount++ == 0)
-        m_shared.retryBudget.recordFirstAttempt(m_service->name, m_shared.clock.now());
+    recordFirstArrival();
+    m_arrivals.recordSent();
+    ++m_sendCount;
     ++m_possibleRuns;
     m_attemptExpired = false;
     m_bodyEnd = body_end::Open;
@@ -490,6 +519,8 @@
         co_await sendErrorResponse(error);
         co_return;
     }
+    if (m_noRetryReason == no_retry_reason::RetryBudgetSpent)
+        failureCause = reason::RetryBudgetSpent;
     auto cause = m_deadlinePassed ? reason::DeadlineUnreachable : failureCause;
     auto retryAfter = m_retryAfter > milliseconds(0) ? m_retryAfter : forwarding_detail::defaultRetryAfter;
     if (cause == reason::Evacuated)
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -65,8 +65,8 @@
         if (!*alive || attempt != m_attemptNumber || isAborted())
             return;
         auto placement = since == m_waitingSince ? findAlternativePlacement(plan, endpoint, callId) : std::nullopt;
-        if (placement && m_shared.retryBudget.tryConsumeRetry(m_service->name, m_shared.link.entryCount(), m_shared.clock.now())) {
-            migrateTo(*placement, endpoint);
+        if (placement) {
+            acquireMigration(*placement, endpoint);
             return;
         }
         if (plan && !plan->full())
@@ -75,6 +75,23 @@
     });
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::acquireMigration(const model_placement& placement, const selected_endpoint& endpoint)
+{
+    m_shared.retryBudget.acquire(m_service->name, retry_need::Required, [this, attempt = m_attemptNumber, since = m_waitingSince, alive = m_alive, placement, endpoint](bool granted) {
+        if (!*alive || attempt != m_attemptNumber || isAborted())
+            return;
+        if (granted)
+            m_arrivals.recordGrant(m_shared.clock.now());
+        if (granted && since == m_waitingSince) {
+            migrateTo(placement, endpoint);
+            return;
+        }
+        m_shared.link.reportFinished({ placement.callId, {}, {} });
+        scheduleStallCheck(endpoint, forwarding_detail::migrationRetryInterval);
+    });
+}
+
 template <call_codec Codec>
 std::optional<typename call_forwarder<Codec>::model_placement> call_forwarder<Codec>::findAlternativePlacement(const std::optional<wire::engine_plan_reply>& plan, const selected_endpoint& endpoint, std::uint64_t callId)
 {
--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -88,6 +88,7 @@
     if (restarted) {
         endpoint.failureRate = 0;
         endpoint.consecutiveFailures = 0;
+        endpoint.failedLast = false;
         endpoint.backoffUntil = {};
     }
     if (restarted || report.sequence() != endpoint.report.sequence())
@@ -325,6 +326,12 @@
     return found != m_endpoints.end() && (isInBackoff(found->second, m_clock.now()) || found->second.failureRate > unhealthyFailureRate);
 }
 
+bool endpoint_registry::mayFail(const std::string& id) const
+{
+    auto found = m_endpoints.find(id);
+    return found != m_endpoints.end() && (found->second.failedLast || isUnhealthy(id));
+}
+
 void endpoint_registry::addRequest(const std::string& id, std::uint64_t tokens)
 {
     auto found = m_endpoints.find(id);
@@ -352,6 +359,7 @@
         return;
     auto& endpoint = found->second;
     auto now = m_clock.now();
+    endpoint.failedLast = outcome != endpoint_outcome::Succeeded;
     if (outcome == endpoint_outcome::Refused) {
         endpoint.backoffUntil = std::max(endpoint.backoffUntil, now + refusalBackoff);
         return;
--- a/Source/forwarding/endpoint_registry.h
+++ b/Source/forwarding/endpoint_registry.h
@@ -86,6 +86,8 @@
     std::vector<std::string> unhealthyEndpoints(const std::string& service) const;
     /// Whether the endpoint has a high failure rate or is in backoff.
     bool isUnhealthy(const std::string& id) const;
+    /// Whether the endpoint is unhealthy, or failed or refused the last request of this entry.
+    bool mayFail(const std::string& id) const;
     const std::string& dataCentre() const { return m_dataCentre; }
     /// Whether the service has a serving endpoint for this stage, regardless of its load.
     bool hasServing(const std::string& service, wire::endpoint_stage stage) const;
@@ -125,6 +127,8 @@
         /// Exponentially weighted share of failed calls.
         double failureRate = 0;
         unsigned consecutiveFailures = 0;
+        /// Whether the last outcome was another than a success.
+        bool failedLast = false;
         time_point backoffUntil {};
         time_point lastSuccessAt {};
         time_point lastActivityAt {};
