--- a/Tests/Platform/fake_endpoint.cpp
+++ b/Tests/Platform/fake_endpoint.cpp
@@ -1,8 +1,10 @@
 #include "Platform/fake_endpoint.h"
 
 #include "platform_names.h"
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <cctype>
 
 namespace pistachiolatch::test {
 
@@ -104,10 +106,39 @@
         ++m_runCounts[exchange.header(names::requestId)];
 }
 
-task_of<void> fake_endpoint::handle(http_exchange& exchange)
+void fake_endpoint::crash()
 {
-    if (exchange.message().body().find(crashMarker) != std::string::npos && !m_crashed.exchange(true))
+    m_crashedAt = std::chrono::steady_clock::now();
+    if (!m_crashed.exchange(true))
         m_server.stopAccepting();
+}
+
+std::string fake_endpoint::crashCause() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_crashCause;
+}
+
+std::string fake_endpoint::findCrashingPart(const http_exchange& exchange) const
+{
+    auto list = exchange.header(names::promptParts);
+    auto parts = list.substr(0, list.rfind(','));
+    for (std::size_t begin = 0; begin < parts.size();) {
+        auto end = std::min(parts.find(',', begin), parts.size());
+        auto id = parts.substr(begin, parts.find(':', begin) - begin);
+        std::transform(id.begin(), id.end(), id.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+        auto number = id.substr(std::min(id.find_first_not_of('0'), id.size()));
+        if (m_crashingParts.count(number))
+            return number;
+        begin = end + 1;
+    }
+    return {};
+}
+
+task_of<void> fake_endpoint::handle(http_exchange& exchange)
+{
+    if (exchange.message().body().find(crashMarker) != std::string::npos)
+        crash();
     if (m_crashed) {
         exchange.abortStream();
         co_return;
@@ -177,7 +208,19 @@
     std::uint64_t run = m_witness ? m_witness->beginRun() : 0;
     if (m_witness && first > 0)
         m_witness->recordContinuation(stream, m_version);
+    auto crashingPart = findCrashingPart(exchange);
+    if (!m_crashed && !crashingPart.empty()) {
+        {
+            std::lock_guard lock(m_mutex);
+            m_crashCause = crashingPart;
+        }
+        crash();
+    }
     for (auto i = first; i < eventsPerStream; ++i) {
+        if (m_crashed) {
+            exchange.abortStream();
+            co_return;
+        }
         if (mode == fake_endpoint_mode::AbortMidStream && first == 0 && i == 2) {
             std::string partialEvent = fmt::format("id: {}\nda", i);
             co_await exchange.writeChunk(partialEvent);
--- a/Tests/Platform/fake_endpoint.h
+++ b/Tests/Platform/fake_endpoint.h
@@ -74,6 +74,15 @@
     /// later requests.
     static constexpr std::string_view crashMarker = "CRASH-ENDPOINT";
     bool crashed() const { return m_crashed; }
+    /// When it crashed. Precondition: crashed().
+    time_point crashedAt() const { return m_crashedAt; }
+    /// Simulates a crash, which also cuts the streams that it is writing.
+    void crash();
+    /// Sets the parts of prompts, as lower-case hexadecimal numbers, on which it crashes as it begins to write an answer.
+    /// Precondition: called before the endpoint gets requests.
+    void setCrashingParts(std::set<std::string> parts) { m_crashingParts = std::move(parts); }
+    /// The part because of which it crashed; empty if it did not.
+    std::string crashCause() const;
     static constexpr std::uint64_t firstStartTime = 1700000000000;
     /// Sets the start time stated in its reports.
     void setStartTime(std::uint64_t startTime) { m_startTime = startTime; }
@@ -81,6 +90,8 @@
 
 private:
     task_of<void> handle(http_exchange& exchange);
+    /// The first part of a request's prompt on which it crashes; empty if there is none.
+    std::string findCrashingPart(const http_exchange& exchange) const;
     task_of<void> sendStream(http_exchange& exchange, const http_headers& headers, fake_endpoint_mode mode);
     std::string makeEvent(std::uint64_t number) const;
     void recordRequest(const http_exchange& exchange);
@@ -98,6 +109,9 @@
     std::atomic<fake_endpoint_mode> m_mode { fake_endpoint_mode::Normal };
     std::atomic<milliseconds> m_delay { milliseconds(5) };
     std::atomic<bool> m_crashed { false };
+    std::atomic<time_point> m_crashedAt { time_point {} };
+    std::string m_crashCause;
+    std::set<std::string> m_crashingParts;
     std::atomic<double> m_requestLimit { 0 };
     std::atomic<std::uint64_t> m_startTime { firstStartTime };
     std::uint64_t m_sequence = 0;
