Forwarding, Limits: Send prefills without a retry in advance, and divide the slack anew

Cause: a prefill at an endpoint that had failed or refused its last request was sent only with a retry granted in advance. Most of them succeed, so that the grants were wasted, soon none was left, and decode endpoints processed the prompts at half the speed.

Prefills are now sent without one, unless a required retry of the service was refused within the last second. The leader grants half of the slack, the entries' shares are three eighths of it as before, and retries that calls can do without may take two fifths of a part.

--- a/Source/coordination/retry_budget_client.cpp
+++ b/Source/coordination/retry_budget_client.cpp
@@ -7,6 +7,8 @@
     constexpr milliseconds leaderReplyTimeout { 60 };
     /// A leader that did not reply is not asked for this long, since every call that failed would wait for it.
     constexpr milliseconds leaderSkipPeriod { 200 };
+    /// How long a refusal tells that the budget is spent. Some of it is available again within about a second.
+    constexpr milliseconds spentPeriod { 1000 };
 }
 
 retry_budget_client::retry_budget_client(peer_network& network, const clock_source& clock, metrics& counters, control_link& link, retry_tolerance tolerance)
@@ -52,7 +54,15 @@
 {
     bool taken = need == retry_need::Required && m_share.tryTakeShare(service, m_clock.now());
     m_metrics.count(taken ? "retry_from_share" : "retry_refused");
+    if (!taken && need == retry_need::Required)
+        m_spentUntil[service] = m_clock.now() + spentPeriod;
     done(taken);
 }
 
+bool retry_budget_client::isSpent(const std::string& service) const
+{
+    auto found = m_spentUntil.find(service);
+    return found != m_spentUntil.end() && m_clock.now() < found->second;
+}
+
 } // namespace pistachiolatch
--- a/Source/coordination/retry_budget_client.h
+++ b/Source/coordination/retry_budget_client.h
@@ -19,6 +19,8 @@
     void recordFirstAttempt(const std::string& service) { m_share.recordFirstAttempt(service, m_clock.now()); }
     /// Asks for a retry, which is to be made within retry_tolerance::grantLifetime.
     void acquire(const std::string& service, retry_need need, handler done);
+    /// Whether a required retry was refused a short time ago. Calls then avoid what may fail.
+    bool isSpent(const std::string& service) const;
 
 private:
     void takeShare(const std::string& service, retry_need need, const handler& done);
@@ -30,6 +32,8 @@
     entry_retry_share m_share;
     /// The leader is not asked until then, since it did not reply.
     time_point m_skipLeaderUntil {};
+    /// Until when a refusal tells that the budget is spent.
+    std::map<std::string, time_point> m_spentUntil;
 };
 
 } // namespace pistachiolatch
--- a/Source/forwarding/call_arrivals.h
+++ b/Source/forwarding/call_arrivals.h
@@ -13,8 +13,8 @@
 public:
     /// Grants that the call must hold to be sent to an endpoint.
     unsigned grantsToSend() const { return m_count > 0 ? 1 : 0; }
-    /// Grants that it must hold to request a prefill and to be sent afterwards, also if the prefill fails where that is likely.
-    unsigned grantsToPrefill(bool mayFail) const { return grantsToSend() + (m_prefilled || mayFail ? 1 : 0); }
+    /// Grants that it must hold to request a prefill and to be sent afterwards.
+    unsigned grantsToPrefill() const { return grantsToSend() + (m_prefilled ? 1 : 0); }
     /// Grants that the call holds. Those that were not used in time are dropped, since the budget may not count them any more;
     /// half of their lifetime is left for opening a connection.
     unsigned grants(time_point now)
--- a/Source/limits/retry_tolerance.h
+++ b/Source/limits/retry_tolerance.h
@@ -27,11 +27,11 @@
     /// How long a grant counts: a window from the last moment at which the retry may be made.
     milliseconds countedFor() const { return window + grantLifetime; }
     /// The share of a part of the budget that may be spent before optional retries are refused, to leave the rest to required ones.
-    static double spendableShare(retry_need need) { return need == retry_need::Required ? 1 : 0.25; }
+    static double spendableShare(retry_need need) { return need == retry_need::Required ? 1 : 0.4; }
     /// Retries that an entry may make for each of its own first attempts.
     double earnedRatio() const { return ratio * 3 / 4; }
     /// Retries that the leader grants per window.
-    double leaderGrants() const { return slack * 3 / 8; }
+    double leaderGrants() const { return slack / 2; }
     /// Retries of all entries' shares together.
     double entryShares() const { return slack * 3 / 8; }
 };
