Coordination, Forwarding, Platform: Refuse prompts with a part that crashes endpoints

Cause: crashes were counted by a fingerprint of the whole request, and nothing knew the parts of a prompt.

A crash is now told with the parts of a call that was cut before its first event. The leader lists these parts to the entries, which tell when a call with one last ran to its end. A part is blocked after crashes at several moments without a success in between, while calls without it succeed; one that had succeeded before needs more of them. Crashes at the same moment count once, an endpoint that reports on from the same run takes its crash back, and parts that can't be told apart are blocked only together, so that crashes by another cause accuse no popular part. Each control process keeps the crashes and each entry the blocks, so that both outlive leaders and entries. Blocks are looked at before anything of a request reaches an endpoint, prefills included.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -1,5 +1,7 @@
 #include "coordination/control_link.h"
 
+#include <algorithm>
+
 namespace pistachiolatch {
 
 namespace {
@@ -106,6 +108,8 @@
         block->set_fingerprint(fingerprint);
         block->set_certain(certain);
     }
+    m_parts.fillHeld(*sync.mutable_blocked(), m_clock.now());
+    m_parts.history().fillStatuses(*sync.mutable_prompt_parts(), m_clock.now());
     sync.set_evacuation_revision(m_evacuations.revision());
     m_crashes.expire(m_clock.now());
     m_crashes.fillUnreported(*sync.mutable_crashes(), m_clock.now());
@@ -237,9 +241,11 @@
         std::map<std::uint64_t, bool> blocked;
         for (const auto& block : update.blocked().requests())
             blocked[block.fingerprint()] = block.certain();
-        if (blocked != m_blocked)
-            logEvent("blocks_updated", { { "blocked", blocked.size() } });
+        if (blocked != m_blocked || m_parts.blockCount() != static_cast<std::size_t>(update.blocked().parts_size()))
+            logEvent("blocks_updated", { { "blocked", blocked.size() }, { "blocked_parts", update.blocked().parts_size() } });
         m_blocked = std::move(blocked);
+        if (m_parts.apply(update.blocked(), m_clock.now()))
+            sendPartStatuses();
     }
     if (update.has_evacuations() && m_evacuations.load(update.evacuations())) {
         auto evacuated = m_evacuations.evacuated();
@@ -413,6 +419,34 @@
     return found->second ? request_block::Certain : request_block::Suspected;
 }
 
+request_block control_link::blockOfParts(const std::vector<std::uint64_t>& parts)
+{
+    if (parts.empty())
+        return request_block::None;
+    auto block = m_parts.blockOf(parts, m_clock.now());
+    if (block != request_block::None || !m_leader.empty() || m_crashes.empty())
+        return block;
+    bool isSuspected = std::any_of(parts.begin(), parts.end(), [this](auto part) {
+        return m_crashes.crashMoments(part, m_parts.history().lastSuccessAt(part)) >= crash_tracker::crashesToSuspectPart;
+    });
+    return isSuspected ? request_block::Suspected : request_block::None;
+}
+
+void control_link::recordPartsSucceeded(const std::vector<std::uint64_t>& parts)
+{
+    if (m_parts.recordSuccess(parts, m_clock.now()))
+        sendPartStatuses();
+}
+
+void control_link::sendPartStatuses()
+{
+    if (m_leader.empty())
+        return;
+    wire::envelope message;
+    m_parts.history().fillStatuses(*message.mutable_prompt_parts()->mutable_statuses(), m_clock.now());
+    m_network.send(m_leader, std::move(message));
+}
+
 void control_link::sendLeaving()
 {
     if (m_leader.empty())
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -6,6 +6,7 @@
 #include "coordination/endpoint_listener.h"
 #include "coordination/entry_coordinator.h"
 #include "coordination/leader_search.h"
+#include "coordination/prompt_part_client.h"
 #include "coordination/relay_participant.h"
 #include "coordination/stream_origin_client.h"
 #include "peering/peering.h"
@@ -34,14 +35,6 @@
     std::vector<std::string> refused;
 };
 
-/// Whether requests with a fingerprint are refused because endpoints crash while running them.
-enum class request_block {
-    None,
-    /// Connections to endpoints broke while they ran the request; whether the endpoints crashed is not known yet.
-    Suspected,
-    Certain,
-};
-
 struct finished_attempt {
     std::uint64_t callId = 0;
     call_measurements measurements;
@@ -95,6 +88,10 @@
     /// Whether blockOf() may return a block for any request.
     bool mayBlockRequests() const { return !m_blocked.empty() || !m_crashes.empty(); }
     request_block blockOf(std::uint64_t fingerprint) const;
+    /// Whether a prompt with these parts is blocked, by the leader or, while none is known, by the crashes that this entry saw.
+    request_block blockOfParts(const std::vector<std::uint64_t>& parts);
+    /// Records that a call whose prompt has these parts ran to its end.
+    void recordPartsSucceeded(const std::vector<std::uint64_t>& parts);
     /// Tells the leader that this entry shuts down, so that its shares go to the others.
     void sendLeaving();
 
@@ -118,6 +115,7 @@
     void applyDocument();
     void continueFetch();
     void setLeader(const std::string& leader);
+    void sendPartStatuses();
 
     peer_network& m_network;
     const clock_source& m_clock;
@@ -146,6 +144,7 @@
     /// Whether the block is certain, by fingerprint of the blocked request.
     std::map<std::uint64_t, bool> m_blocked;
     crash_journal m_crashes;
+    prompt_part_client m_parts;
     endpoint_limits m_limits;
     stream_origin_client m_origins;
     /// Kept while no leader is known: an entry that is out of touch must not return work to an evacuated data centre.
--- a/Source/coordination/crash_journal.cpp
+++ b/Source/coordination/crash_journal.cpp
@@ -36,6 +36,21 @@
     return allReported ? 0 : static_cast<std::uint32_t>(runs.size());
 }
 
+std::uint32_t crash_journal::crashMoments(std::uint64_t part, time_point after) const
+{
+    std::uint32_t moments = 0;
+    time_point last {};
+    for (const auto& crash : m_crashes) {
+        const auto& parts = crash.report.parts();
+        bool isNew = moments == 0 || crash.at - last > crash_tracker::momentLength;
+        if (crash.at <= after || !isNew || std::find(parts.begin(), parts.end(), part) == parts.end())
+            continue;
+        ++moments;
+        last = crash.at;
+    }
+    return moments;
+}
+
 void crash_journal::fillUnreported(google::protobuf::RepeatedPtrField<wire::crash_report>& reports, time_point now) const
 {
     for (const auto& crash : m_crashes) {
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -21,6 +21,15 @@
     constexpr milliseconds announcementDelay { 50 };
 }
 
+static block_settings makeBlockSettings(const coordinator_settings& settings)
+{
+    block_settings blocks;
+    blocks.silentAfter = settings.directory.silentAfter;
+    // A report that the endpoint sent before the crash may still arrive for a while, so the next one tells.
+    blocks.parts.reportOverdue = maxAnnouncementDelay + settings.reportInterval * 5 / 4;
+    return blocks;
+}
+
 entry_coordinator::entry_coordinator(boost::asio::io_context& context, peer_network& network, document_replica& replica, const clock_source& clock,
     metrics& counters, coordinator_settings settings, configuration_decoder decode)
     : m_context(context)
@@ -31,7 +40,7 @@
     , m_settings(settings)
     , m_decode(std::move(decode))
     , m_directory(generateIncarnation(), settings.directory)
-    , m_blocks({ settings.directory.silentAfter })
+    , m_blocks(makeBlockSettings(settings))
     , m_origins(context, network, clock, counters, [this] { return m_replica.isLeader() ? m_replica.peers() : std::vector<std::string>(); })
     , m_pieceTimer(context)
     , m_planner(generateIncarnation())
@@ -118,6 +127,10 @@
     case wire::envelope::kCrash:
         onCrash(message, from);
         return true;
+    case wire::envelope::kPromptParts:
+        if (auto session = m_entries.find(from.get()); session != m_entries.end())
+            recordPartStatuses(message.prompt_parts().statuses(), session->second);
+        return true;
     case wire::envelope::kEndpointUnreachable:
         if (m_directory.markUnreachable(message.endpoint_unreachable().id(), message.endpoint_unreachable().born_ms()))
             pushChanges();
@@ -160,8 +173,10 @@
     auto age = m_replica.confirmedAge();
     if (m_replica.isLeader() && age) {
         auto& session = m_entries[from.get()];
-        if (session.name.empty())
-            session.name = std::to_string(++m_lastEntryNumber);
+        if (session.name.empty()) {
+            session.number = ++m_lastEntryNumber;
+            session.name = std::to_string(session.number);
+        }
         session.peer = from;
         session.lastSyncAt = m_clock.now();
         session.documentVersion = sync.document_version();
@@ -174,8 +189,10 @@
         // A control process that was restarted knows no blocks. During its first lease period it adopts those of entries.
         if (m_clock.now() - m_leaderSince < m_settings.entryLease)
             m_blocks.adopt(sync.blocked(), m_clock.now());
+        m_blocks.extend(sync.blocked(), m_clock.now());
         for (const auto& crash : sync.crashes())
             recordCrash(crash);
+        recordPartStatuses(sync.prompt_parts(), session);
         for (const auto& limit : sync.limits())
             applyLimit(limit);
         for (const auto& origin : sync.origins())
@@ -266,6 +283,7 @@
     updateEvacuated();
     m_limits.reset();
     m_limitedOrganisations.clear();
+    m_blocks.setLeading(isLeader, m_clock.now());
     if (!isLeader)
         return;
     m_documents.store(m_replica.document());
@@ -389,6 +407,14 @@
         pushChanges();
 }
 
+void entry_coordinator::recordPartStatuses(const google::protobuf::RepeatedPtrField<wire::prompt_part_status>& statuses, const entry_session& session)
+{
+    auto blocksBefore = m_blocks.version();
+    m_blocks.recordStatuses(session.number, statuses, m_clock.now());
+    if (m_blocks.version() != blocksBefore)
+        pushChanges();
+}
+
 void entry_coordinator::onReport(const wire::envelope& message, const peer_network::peer& from)
 {
     if (applyReport(message.report_endpoint().report()))
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -81,8 +81,9 @@
 
 private:
     struct entry_session {
-        /// Identifies the entry in the planner, the plan queue and the loads.
+        /// Identifies the entry in the planner, the plan queue and the loads, as a text of its number.
         std::string name;
+        std::uint64_t number = 0;
         peer_network::peer peer;
         std::uint64_t documentVersion = 0;
         std::uint64_t directorySource = 0;
@@ -128,6 +129,8 @@
     void applyLimit(const wire::endpoint_limit& limit);
     /// Records a crash that an entry reported, and passes it on to the other control processes if this one leads.
     void recordCrash(const wire::crash_report& report);
+    /// Records what an entry told of parts of prompts, and tells the entries if the blocks changed.
+    void recordPartStatuses(const google::protobuf::RepeatedPtrField<wire::prompt_part_status>& statuses, const entry_session& session);
     void onPlanRequest(const wire::envelope& message, const peer_network::peer& from);
     void onRelease(const wire::envelope& message, const peer_network::peer& from);
     void processPlanQueue();
--- a/Source/coordination/request_blocks.cpp
+++ b/Source/coordination/request_blocks.cpp
@@ -11,35 +11,48 @@
 
 bool request_blocks::addSuspectedCrash(const wire::crash_report& report, time_point now)
 {
-    if (!m_crashTracker.recordCrash(report, now - milliseconds(report.age_ms())))
+    auto at = now - milliseconds(report.age_ms());
+    if (!m_crashTracker.recordCrash(report, at))
         return false;
+    if (report.parts_size() > 0)
+        m_parts.addCrash(report, at);
     refresh(now);
     return true;
 }
 
 void request_blocks::onReport(const wire::endpoint_report& report, time_point now)
 {
-    if (m_crashTracker.empty())
+    if (!hasCrashes())
         return;
-    if (report.state() == wire::ENDPOINT_GONE)
-        m_crashTracker.onShutdown(report.id());
-    else
-        m_crashTracker.onAnnounced(report.id(), report.born_ms(), now);
-    refresh(now);
+    auto changesBefore = m_crashTracker.version() + m_parts.crashes().version();
+    for (auto* tracker : { &m_crashTracker, &m_parts.crashes() }) {
+        if (report.state() == wire::ENDPOINT_GONE)
+            tracker->onShutdown(report.id());
+        else
+            tracker->onAnnounced(report.id(), report.born_ms(), now);
+    }
+    // Each of thousands of endpoints reports about once a second.
+    if (m_crashTracker.version() + m_parts.crashes().version() != changesBefore)
+        refresh(now);
 }
 
 void request_blocks::updateFromDirectory(const endpoint_directory& directory, time_point leaderSince, time_point now)
 {
-    for (const auto& [id, suspectedAt] : m_crashTracker.suspectedEndpoints()) {
+    auto suspected = m_crashTracker.suspectedEndpoints();
+    for (const auto& [id, suspectedAt] : m_parts.crashes().suspectedEndpoints())
+        suspected[id] = std::max(suspected[id], suspectedAt);
+    for (const auto& [id, suspectedAt] : suspected) {
         const auto* row = directory.find(id);
         // ENDPOINT_GONE in a report removes the suspicion, so a suspected endpoint that is gone was replaced by another run.
         bool gone = !row || row->report().state() == wire::ENDPOINT_GONE;
         bool silent = row && row->silent() && now - std::max(suspectedAt, leaderSince) > m_settings.silentAfter;
-        if (gone || silent)
-            m_crashTracker.onSilent(id);
+        if (!gone && !silent)
+            continue;
+        m_crashTracker.onSilent(id);
+        m_parts.crashes().onSilent(id);
     }
     m_crashTracker.expire(m_settings.crashLifetime, now);
-    if (!m_crashTracker.empty() || m_blocks.requests_size() > 0)
+    if (hasCrashes() || m_blocks.requests_size() > 0)
         refresh(now);
 }
 
@@ -49,6 +62,28 @@
         if (block.certain())
             m_certain.try_emplace(block.fingerprint(), now + m_settings.blockLifetime);
     }
+    extend(held, now);
+    refresh(now);
+}
+
+void request_blocks::extend(const wire::blocked_requests& held, time_point now)
+{
+    for (const auto& block : held.parts())
+        m_parts.adopt(block, now);
+}
+
+void request_blocks::recordStatuses(std::uint64_t entry, const google::protobuf::RepeatedPtrField<wire::prompt_part_status>& statuses, time_point now)
+{
+    if (statuses.empty())
+        return;
+    for (const auto& status : statuses)
+        m_parts.recordStatus(entry, status, now);
+    refresh(now);
+}
+
+void request_blocks::setLeading(bool leading, time_point now)
+{
+    m_parts.setDeciding(leading);
     refresh(now);
 }
 
@@ -75,6 +110,8 @@
         if (count.total() >= crash_tracker::crashesToBlock && !m_certain.count(fingerprint))
             add(fingerprint, false);
     }
+    m_parts.refresh(now);
+    m_parts.fill(blocks);
     if (blocks.SerializeAsString() == m_blocks.SerializeAsString())
         return;
     m_blocks = std::move(blocks);
--- a/Source/coordination/request_blocks.h
+++ b/Source/coordination/request_blocks.h
@@ -1,4 +1,5 @@
 #pragma once
+#include "coordination/prompt_part_blocks.h"
 #include "membership/membership.h"
 #include "scheduling/scheduling.h"
 #include <map>
@@ -12,11 +13,12 @@
     milliseconds crashLifetime { 60000 };
     /// How long a certain block stays in force.
     milliseconds blockLifetime { std::chrono::minutes(10) };
+    prompt_part_settings parts;
 };
 
 /// Decides which requests entries refuse because endpoints crash while running them. A request is blocked once connections
 /// to crash_tracker::crashesToBlock endpoints broke while they ran it. The block becomes certain when those endpoints have
-/// restarted or fallen silent. A suspicion is removed when the endpoint reports again from the same run, since then only the
+/// restarted or fallen silent. Prompts are blocked by their parts as well (prompt_part_blocks). A suspicion is removed when the endpoint reports again from the same run, since then only the
 /// connection broke, or when it reports ENDPOINT_GONE. Every control process keeps the crashes, since any of them may be
 /// elected: a leader that started without them would let each request crash two more endpoints. Performs no I/O. Not
 /// thread-safe.
@@ -24,6 +26,7 @@
 public:
     explicit request_blocks(block_settings settings)
         : m_settings(settings)
+        , m_parts(settings.parts)
     {
     }
 
@@ -39,6 +42,12 @@
     void updateFromDirectory(const endpoint_directory& directory, time_point leaderSince, time_point now);
     /// Adopts the certain blocks of an earlier leader that an entry still holds.
     void adopt(const wire::blocked_requests& held, time_point now);
+    /// Extends the blocks of parts of prompts that an entry uses.
+    void extend(const wire::blocked_requests& held, time_point now);
+    /// Records what an entry knows of parts that are suspected.
+    void recordStatuses(std::uint64_t entry, const google::protobuf::RepeatedPtrField<wire::prompt_part_status>& statuses, time_point now);
+    /// Handles that this process becomes the leader, which alone decides on parts of prompts, or stops to be it.
+    void setLeading(bool leading, time_point now);
 
     /// Incremented with each change of blocks().
     std::uint64_t version() const { return m_version; }
@@ -46,9 +55,11 @@
 
 private:
     void refresh(time_point now);
+    bool hasCrashes() const { return !m_crashTracker.empty() || !m_parts.empty(); }
 
     block_settings m_settings;
     crash_tracker m_crashTracker;
+    prompt_part_blocks m_parts;
     /// Expiry times of certain blocks, by fingerprint.
     std::map<std::uint64_t, time_point> m_certain;
     wire::blocked_requests m_blocks;
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -124,7 +124,9 @@
     /// Reports a broken connection of the last attempt, if any, to the leader and waits for the request's crash count.
     task_of<void> reportCrash();
     /// Records for reportCrash() that the connection to an endpoint broke while it had the request.
-    void recordBrokenConnection(const selected_endpoint& endpoint);
+    void recordBrokenConnection(const selected_endpoint& endpoint, attempt_stage stage = attempt_stage::Full);
+    /// Whether the request was blocked since it was admitted, so that nothing more of it may reach an endpoint.
+    bool stopIfBlocked();
     task_of<token_decision> acquireTokens();
     task_of<void> runServiceCall();
     /// Whether all endpoints of the service are evacuated, so that the call ends with that cause.
@@ -284,6 +286,9 @@
     std::optional<std::uint64_t> m_fingerprint;
     /// The endpoint whose connection broke, until it is reported.
     std::optional<selected_endpoint> m_brokenEndpoint;
+    attempt_stage m_brokenStage = attempt_stage::Full;
+    /// Why the request is refused, if it was blocked after it had been admitted.
+    std::optional<error_response> m_block;
     unsigned m_crashReports = 0;
     std::uint32_t m_crashes = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -146,9 +146,10 @@
 template <call_codec Codec>
 std::optional<error_response> call_forwarder<Codec>::checkPoisonBlock()
 {
-    if (!m_shared.link.mayBlockRequests())
-        return std::nullopt;
-    switch (m_shared.link.blockOf(fingerprint())) {
+    auto block = m_shared.link.blockOfParts(m_metadata.promptParts);
+    if (block != request_block::Certain && m_shared.link.mayBlockRequests())
+        block = std::max(block, m_shared.link.blockOf(fingerprint()));
+    switch (block) {
     case request_block::None:
         return std::nullopt;
     case request_block::Suspected:
@@ -159,6 +160,15 @@
     return error_response { reason::PoisonRequest, httpStatus(reason::PoisonRequest), std::nullopt };
 }
 
+template <call_codec Codec>
+bool call_forwarder<Codec>::stopIfBlocked()
+{
+    m_block = checkPoisonBlock();
+    if (m_block)
+        m_noRetryReason = no_retry_reason::Poison;
+    return m_block.has_value();
+}
+
 template <call_codec Codec>
 std::uint64_t call_forwarder<Codec>::fingerprint()
 {
@@ -171,11 +181,13 @@
 }
 
 template <call_codec Codec>
-void call_forwarder<Codec>::recordBrokenConnection(const selected_endpoint& endpoint)
+void call_forwarder<Codec>::recordBrokenConnection(const selected_endpoint& endpoint, attempt_stage stage)
 {
     // A connection closed by this entry is no evidence of a crash.
-    if (!isAborted() && !m_attemptExpired)
-        m_brokenEndpoint = endpoint;
+    if (isAborted() || m_attemptExpired)
+        return;
+    m_brokenEndpoint = endpoint;
+    m_brokenStage = stage;
 }
 
 template <call_codec Codec>
@@ -209,6 +221,9 @@
     report.set_endpoint_incarnation(endpoint->incarnation);
     report.set_request_id(m_metadata.id);
     report.set_attempt(m_crashReports++);
+    // Endpoints crash on a part of a prompt when they begin to write, not when they process it or later in the stream.
+    if (m_brokenStage == attempt_stage::Full && m_endpointEvents == 0)
+        report.mutable_parts()->Assign(m_metadata.promptParts.begin(), m_metadata.promptParts.end());
     pending_reply<std::uint32_t> reply(m_shared.context.get_executor());
     m_shared.link.reportCrash(report, reply.completer());
     auto crashes = co_await reply.wait(timeLeft());
@@ -425,7 +440,7 @@
     if (!mayAskAgain)
         m_triedEndpoints.insert(endpointId);
     m_noRetryReason = determineNoRetryReason({ outcome, m_route->kind, m_route->resumable, m_possibleRuns, m_route->maxEndpoints, timeLeft() });
-    if (m_crashes >= crash_tracker::crashesToBlock)
+    if (m_crashes >= crash_tracker::crashesToBlock || stopIfBlocked())
         m_noRetryReason = no_retry_reason::Poison;
     if (m_noRetryReason == no_retry_reason::None) {
         bool granted = co_await acquireRetries(m_arrivals.grantsToSend(), retry_need::Required);
@@ -457,6 +472,10 @@
     }
     if (!opened)
         co_return isAborted() ? attempt_outcome::Stalled : attempt_outcome::NotSent;
+    if (stopIfBlocked()) {
+        releaseUnusedConnection(endpoint.id);
+        co_return attempt_outcome::NotSent;
+    }
     recordPlacement();
     auto connection = m_connection;
     recordFirstArrival();
@@ -519,6 +538,11 @@
         co_await sendErrorResponse(error);
         co_return;
     }
+    // Blocked before anything ran.
+    if (m_block) {
+        co_await sendErrorResponse(*m_block);
+        co_return;
+    }
     if (m_noRetryReason == no_retry_reason::RetryBudgetSpent)
         failureCause = reason::RetryBudgetSpent;
     auto cause = m_deadlinePassed ? reason::DeadlineUnreachable : failureCause;
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -36,7 +36,7 @@
 {
     reason cause = reason::NoCapacity;
     while (!isAborted()) {
-        if (stopIfEvacuated(cause) || (!m_nextPlacement && stopIfVersionGone(cause)))
+        if (stopIfEvacuated(cause) || stopIfBlocked() || (!m_nextPlacement && stopIfVersionGone(cause)))
             break;
         auto placement = std::exchange(m_nextPlacement, std::nullopt);
         if (!placement) {
@@ -291,6 +291,10 @@
     auto options = makeAttemptOptions(endpoint);
     options.stage = attempt_stage::Prefill;
     recordFirstArrival();
+    if (stopIfBlocked()) {
+        releaseUnusedConnection(endpoint.id);
+        co_return prefill_attempt {};
+    }
     m_sentAt = m_shared.clock.now();
     connection->startSend(Codec::encodeRequest(m_request, options));
     startAttemptTimer(m_route->latencyTarget * forwarding_detail::prefillTimeoutTenths / 10);
@@ -306,7 +310,7 @@
         connection->close();
         if (!isAborted())
             recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
-        recordBrokenConnection(endpoint);
+        recordBrokenConnection(endpoint, attempt_stage::Prefill);
         co_return prefill_attempt { std::nullopt, true };
     }
     auto status = connection->status();
--- a/Source/forwarding/call_types.h
+++ b/Source/forwarding/call_types.h
@@ -5,6 +5,7 @@
 #include <concepts>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pistachiolatch {
 
@@ -26,6 +27,8 @@
     /// The caller's API key; empty if it sent none.
     std::string key;
     std::optional<token_usage> tokens;
+    /// Identifies the parts of the prompt that other requests may have too, in order.
+    std::vector<std::uint64_t> promptParts;
     /// The caller's estimate of the output tokens; correct in the median, but single values are often far off.
     std::optional<std::uint64_t> outputTokensHint;
     /// Id of the last stream event that the caller has received; empty for a new stream.
--- a/Source/scheduling/crash_tracker.cpp
+++ b/Source/scheduling/crash_tracker.cpp
@@ -22,6 +22,7 @@
     if (recorded)
         return false;
     m_crashes.push_back({ report, std::move(attempt), at });
+    ++m_version;
     if (m_crashes.size() > maxCrashes)
         m_crashes.erase(m_crashes.begin());
     return true;
@@ -41,6 +42,7 @@
         if (!entry.isOpen() || entry.report.endpoint() != endpoint || entry.report.endpoint_incarnation() == exceptIncarnation)
             continue;
         entry.state = crash_state::Certain;
+        ++m_version;
         certain.push_back(entry.report);
     }
     return certain;
@@ -55,8 +57,10 @@
         if (entry.state == crash_state::Suspected) {
             entry.state = crash_state::Cleared;
             entry.clearedAt = now;
+            ++m_version;
         } else if (entry.state == crash_state::Cleared && now - entry.clearedAt >= confirmationPeriod) {
             entry.state = crash_state::Disproved;
+            ++m_version;
         }
     }
     return confirm(endpoint, incarnation);
@@ -70,14 +74,17 @@
 void crash_tracker::onShutdown(const std::string& endpoint)
 {
     for (auto& entry : m_crashes) {
-        if (entry.isOpen() && entry.report.endpoint() == endpoint)
-            entry.state = crash_state::Disproved;
+        if (!entry.isOpen() || entry.report.endpoint() != endpoint)
+            continue;
+        entry.state = crash_state::Disproved;
+        ++m_version;
     }
 }
 
 void crash_tracker::expire(milliseconds lifetime, time_point now)
 {
-    std::erase_if(m_crashes, [&](const crash& entry) { return now - entry.at > lifetime; });
+    if (std::erase_if(m_crashes, [&](const crash& entry) { return now - entry.at > lifetime; }) > 0)
+        ++m_version;
 }
 
 std::uint32_t crash_tracker::crashCount(std::uint64_t fingerprint) const
@@ -93,6 +100,16 @@
     return static_cast<std::uint32_t>(attempts.size());
 }
 
+std::vector<counted_crash> crash_tracker::countedCrashes() const
+{
+    std::vector<counted_crash> counted;
+    for (const auto& entry : m_crashes) {
+        if (entry.counts())
+            counted.push_back({ entry.report, entry.at, entry.state == crash_state::Certain });
+    }
+    return counted;
+}
+
 std::map<std::string, time_point> crash_tracker::suspectedEndpoints() const
 {
     std::map<std::string, time_point> endpoints;
--- a/Source/scheduling/crash_tracker.h
+++ b/Source/scheduling/crash_tracker.h
@@ -18,6 +18,13 @@
     std::uint32_t total() const { return suspected + certain; }
 };
 
+/// A crash that counts against its request.
+struct counted_crash {
+    wire::crash_report report;
+    time_point at;
+    bool certain = false;
+};
+
 /// Tracks, by fingerprint (organisation, model, body), the requests that were running when the connection to their
 /// endpoint broke. A suspected crash becomes certain when the endpoint restarts or falls silent. It is cleared when the
 /// same incarnation announces itself later: then only the connection broke, and the request did not crash the endpoint.
@@ -26,6 +33,11 @@
 class crash_tracker {
 public:
     static constexpr std::uint32_t crashesToBlock = 2;
+    /// Crashes at different moments under calls with a part in their prompts from which on the part is suspected. Each request
+    /// has several parts, so that two crashes would accuse sound ones more often.
+    static constexpr std::uint32_t crashesToSuspectPart = 3;
+    /// Endpoints that crash this close together count as one moment: they may have one cause outside.
+    static constexpr milliseconds momentLength { 100 };
     /// How long an endpoint must keep announcing itself to prove that it did not crash. Delayed announcements arrive
     /// together; a live endpoint sends one about every second.
     static constexpr milliseconds confirmationPeriod { 3000 };
@@ -51,7 +63,11 @@
     crash_count countOf(std::uint64_t fingerprint) const;
     /// Crashes by fingerprint, counted from reports alone; marks from control are not included.
     std::map<std::uint64_t, crash_count> countsByFingerprint() const;
+    /// All crashes that count, in the order of their reports.
+    std::vector<counted_crash> countedCrashes() const;
     bool empty() const { return m_crashes.empty(); }
+    /// Incremented with each change of the crashes or their states.
+    std::uint64_t version() const { return m_version; }
 
 private:
     enum class crash_state {
@@ -80,6 +96,7 @@
     /// Makes the open crashes of an endpoint certain, except those of the incarnation that is given, if any.
     std::vector<wire::crash_report> confirm(const std::string& endpoint, std::optional<std::uint64_t> exceptIncarnation);
     std::vector<crash> m_crashes;
+    std::uint64_t m_version = 0;
     std::map<std::uint64_t, std::vector<std::string>> m_markedAttempts;
 };
 
