--- a/Tests/Platform/RetryBudgetTest.cpp
+++ b/Tests/Platform/RetryBudgetTest.cpp
@@ -53,10 +53,7 @@
         auto id = fmt::format("id-{}", ++m_requestCount);
         http_headers headers { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, id },
             { platform_names::tokenUsage, "500,432" }, { platform_names::deadlineMs, "3000" } };
-        {
-            std::lock_guard lock(m_mutex);
-            (path.substr(0, 6) == "/read/" ? m_service : m_model).recordSent(std::chrono::steady_clock::now());
-        }
+        (path.substr(0, 6) == "/read/" ? m_service : m_model).recordSent(std::chrono::steady_clock::now());
         return platform.call(platform.entryAddress(entry), "POST", path, headers, id, milliseconds(4000));
     }
 
@@ -126,7 +123,6 @@
         return accounting.worstWindow({});
     }
 
-    std::mutex m_mutex;
     retry_accounting m_service;
     retry_accounting m_model;
     std::atomic<int> m_requestCount { 0 };
--- a/Tests/Platform/retry_accounting.cpp
+++ b/Tests/Platform/retry_accounting.cpp
@@ -5,9 +5,16 @@
 
 namespace pistachiolatch::test {
 
+void retry_accounting::recordSent(time_point at)
+{
+    std::lock_guard lock(m_mutex);
+    m_sent.push_back(at);
+}
+
 void retry_accounting::addArrivals(const fake_endpoint& endpoint)
 {
     auto arrivals = endpoint.arrivalRecords();
+    std::lock_guard lock(m_mutex);
     m_arrivals.insert(m_arrivals.end(), arrivals.begin(), arrivals.end());
 }
 
@@ -34,6 +41,7 @@
 
 window_retries retry_accounting::worstWindow(const retry_bounds& bounds) const
 {
+    std::lock_guard lock(m_mutex);
     window_retries worst;
     auto times = retryTimes();
     for (std::size_t first = 0; first < times.size(); ++first) {
--- a/Tests/Platform/retry_accounting.h
+++ b/Tests/Platform/retry_accounting.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "Platform/fake_endpoint.h"
+#include <mutex>
 #include <vector>
 
 namespace pistachiolatch::test {
@@ -18,11 +19,11 @@
 };
 
 /// Counts what reaches the endpoints of one service beyond the first arrival of each request. The first accepted prefill of
-/// a request doesn't count.
+/// a request doesn't count. Thread safety: any thread.
 class retry_accounting {
 public:
-    /// Records that a caller sent a request. Thread safety: one thread at a time.
-    void recordSent(time_point at) { m_sent.push_back(at); }
+    /// Records that a caller sent a request.
+    void recordSent(time_point at);
     /// Adds all arrivals at an endpoint.
     void addArrivals(const fake_endpoint& endpoint);
     /// The sliding window with the most retries compared with what is allowed, by the requests in it, in the window before it,
@@ -33,6 +34,7 @@
     std::vector<time_point> retryTimes() const;
     double countSent(time_point from, milliseconds length) const;
 
+    mutable std::mutex m_mutex;
     std::vector<time_point> m_sent;
     std::vector<endpoint_arrival> m_arrivals;
 };
--- a/Tests/Soak/soak_main.cpp
+++ b/Tests/Soak/soak_main.cpp
@@ -1,4 +1,5 @@
 #include "Platform/platform_fleet.h"
+#include "Platform/retry_accounting.h"
 #include "platform_names.h"
 #include "Soak/kept_connection.h"
 #include "Soak/soak_checks.h"
@@ -45,8 +46,15 @@
         bool partitions = false;
         /// Whether engines have two software versions, are replaced and take streams up again.
         bool versions = false;
+        /// Whether a part of prompts crashes engines, which are started again.
+        bool crashingParts = false;
+
+        bool hasExtraEngines() const { return versions || crashingParts; }
     };
 
+    /// The part of prompts that crashes engines.
+    constexpr const char* crashingPart = "dead";
+
     class soak_run {
     public:
         soak_run(std::uint64_t seed, int entries, soak_options options)
@@ -56,7 +64,7 @@
             , m_fleet(controls, entries)
             , m_entryFaults(static_cast<std::size_t>(entries) + 1)
         {
-            for (int i = 0; i < (options.versions ? endpointCount + extraEngines : endpointCount); ++i) {
+            for (int i = 0; i < (options.hasExtraEngines() ? endpointCount + extraEngines : endpointCount); ++i) {
                 // Endpoints report the address of the fault proxy, which forwards to their own.
                 m_proxy.forward(m_fleet.endpointAddress(1 + i), m_fleet.endpointAddress(100 + i));
                 m_endpoints.emplace_back();
@@ -135,12 +143,17 @@
             std::lock_guard lock(m_endpointsMutex);
             auto& endpoint = m_endpoints[static_cast<std::size_t>(i)];
             // The address is free again once the endpoint before has ended.
+            if (endpoint)
+                (i < 2 ? m_serviceRetries : m_modelRetries).addArrivals(*endpoint);
             endpoint.reset();
             endpoint = std::make_shared<fake_endpoint>(id, m_fleet.endpointAddress(100 + i), services[kind], stages[kind]);
             endpoint->setReportedAddress(m_fleet.endpointAddress(1 + i));
+            if (m_options.crashingParts)
+                endpoint->setCrashingParts({ crashingPart });
+            if (m_options.hasExtraEngines())
+                endpoint->setStartTime(fake_endpoint::firstStartTime + 1000 * ++m_starts);
             if (!m_options.versions)
                 return;
-            endpoint->setStartTime(fake_endpoint::firstStartTime + 1000 * ++m_starts);
             endpoint->setVersion(version, &m_witness);
             endpoint->setDelay(milliseconds(15));
         }
@@ -322,12 +335,25 @@
         {
             std::mt19937_64 random(m_seed + 1);
             while (!m_stopReports) {
-                for (int i = 0; i < endpoints(); ++i)
-                    sendReadyReport(i, static_cast<int>(random() % controls) + 1);
+                for (int i = 0; i < endpoints(); ++i) {
+                    if (endpointAt(i)->crashed())
+                        restartCrashed(i);
+                    else
+                        sendReadyReport(i, static_cast<int>(random() % controls) + 1);
+                }
                 std::this_thread::sleep_for(reportInterval);
             }
         }
 
+        /// Starts an engine again under another id, some reports after it crashed.
+        void restartCrashed(int i)
+        {
+            if (steady::now() - endpointAt(i)->crashedAt() < 3 * reportInterval)
+                return;
+            ++m_crashes;
+            startEndpoint(i, fmt::format("runner-{}-{}", i, m_starts + 1), "v1");
+        }
+
         /// Sends an endpoint's report without holding on to the endpoint, which may be replaced meanwhile.
         void sendReadyReport(int i, int control)
         {
@@ -386,6 +412,8 @@
             for (int i = 0; !m_stopClients; ++i) {
                 if (m_options.versions && random() % 3 == 0)
                     readStreamInParts(fmt::format("{}-{}-{}", m_seed, number, i), random);
+                if (m_options.crashingParts && random() % 12 == 0)
+                    sendCrashingCall(fmt::format("{}-{}-{}-crash", m_seed, number, i), *connections[random() % connections.size()]);
                 sendRandomCall(fmt::format("{}-{}-{}", m_seed, number, i), *connections[random() % connections.size()], random);
                 std::this_thread::sleep_for(clientInterval);
             }
@@ -409,6 +437,7 @@
                 kept_connection connection(m_fleet.entryAddress(randomUpTo(random, m_entryCount)));
                 auto patience = milliseconds(attempt < 2 ? std::uniform_int_distribution<int>(30, 120)(random) : 3000);
                 auto response = connection.call("POST", "/report/x", headers, "prompt " + id, patience);
+                m_modelRetries.recordSent(steady::now());
                 m_checks.count(fmt::format("{} {}", lastEventId.empty() ? "begun" : "taken up", response.broken && response.status == 200 ? "cut" : std::to_string(response.status)));
                 if (response.status == 200) {
                     body += response.body;
@@ -426,6 +455,15 @@
             return false;
         }
 
+        /// Sends a stream whose prompt has the part that crashes engines. Returns its status.
+        unsigned sendCrashingCall(const std::string& id, kept_connection& connection)
+        {
+            http_headers headers { { "Host", "h.example" }, { platform_names::requestId, id }, { platform_names::deadlineMs, "3000" }, { platform_names::authorization, "Token key-1" },
+                { platform_names::tokenUsage, "500,432" }, { platform_names::promptParts, fmt::format("a1:200,{}:100,1:10", crashingPart) } };
+            m_modelRetries.recordSent(steady::now());
+            return connection.call("POST", "/report/x", headers, "prompt " + id, milliseconds(3000)).status;
+        }
+
         void sendRandomCall(const std::string& id, kept_connection& connection, random_engine& random)
         {
             bool secondKey = random() % 4 == 0;
@@ -435,21 +473,28 @@
             simple_response response;
             switch (random() % 4) {
             case 0:
+                m_serviceRetries.recordSent(sentAt);
                 response = connection.call("GET", "/read/x", headers, {}, milliseconds(3000));
                 if (response.status == 200 && !response.broken)
                     m_checks.checkResponse(id, response.body);
                 break;
             case 1: {
                 headers.emplace_back(platform_names::tokenUsage, "500,432");
+                if (m_options.crashingParts)
+                    headers.emplace_back(platform_names::promptParts, fmt::format("a1:200,b{}:100,1:10", random() % 4));
+                m_modelRetries.recordSent(sentAt);
                 const char* path = random() % 2 ? "/report/x" : "/once/x";
-                response = connection.call("POST", path, headers, "prompt", milliseconds(3000));
+                response = connection.call("POST", path, headers, m_options.crashingParts ? "prompt " + id : "prompt", milliseconds(3000));
                 if (m_options.versions && response.status == 200)
                     m_checks.checkAttempts(id, response.body, fake_endpoint::eventsPerStream, !response.broken);
                 else if (response.status == 200 && !response.broken)
                     m_checks.checkStream(id, response.body, fake_endpoint::eventsPerStream);
+                if (response.status == 422)
+                    m_checks.addFailure(fmt::format("{} was refused for a part that crashes no engine", id));
                 break;
             }
             default:
+                m_serviceRetries.recordSent(sentAt);
                 response = connection.call("POST", "/book/x", headers, "two kits", milliseconds(3000));
                 m_checks.recordBooking(id, response.broken ? 0 : response.status);
                 if (response.status == 200 && !response.broken)
@@ -484,6 +529,8 @@
             int streams = 0;
             if (m_options.versions && !eventually([&] { return readStreamInParts(fmt::format("last-{}", ++streams), random); }, std::chrono::seconds(12)))
                 m_checks.addFailure("no stream went on 12 s after the last fault");
+            if (m_options.crashingParts)
+                checkPartIsStopped();
             simple_response read;
             bool isReadable = eventually([&] {
                 read = m_fleet.call(m_fleet.controlAddress(1), "GET", platform_names::configurationPath, {}, {}, milliseconds(1000));
@@ -496,8 +543,38 @@
                 m_checks.checkRead(parseVersion(read.body), m_checks.newestAcknowledgedVersion());
         }
 
+        /// Checks that requests with the part that crashes engines reach none any more.
+        void checkPartIsStopped()
+        {
+            constexpr int callsAllowed = 3;
+            constexpr int crashesAllowed = 5;
+            std::this_thread::sleep_for(std::chrono::seconds(3));
+            auto crashesBefore = m_crashes.load();
+            int reached = 0;
+            for (int i = 0; i < 4 * m_entryCount; ++i) {
+                kept_connection connection(m_fleet.entryAddress(1 + i % m_entryCount));
+                auto status = sendCrashingCall(fmt::format("{}-last-{}-crash", m_seed, i), connection);
+                reached += status != 422 && status != 503 ? 1 : 0;
+            }
+            m_checks.count(fmt::format("crashes {}", crashesBefore));
+            if (reached > callsAllowed && crashesBefore >= crashesAllowed)
+                m_checks.addFailure(fmt::format("{} requests with a part that had crashed {} engines reached engines after the last fault", reached, crashesBefore));
+        }
+
+        void checkRetryBudget(const char* service, retry_accounting& retries, int first, int end)
+        {
+            for (int i = first; i < end; ++i)
+                retries.addArrivals(*endpointAt(i));
+            auto worst = retries.worstWindow({});
+            m_checks.count(fmt::format("retries of {} {} of {:.0f}", service, worst.retries, worst.allowed));
+            if (worst.retries > worst.allowed)
+                m_checks.addFailure(fmt::format("{} retries of {} within a window, {:.1f} are allowed", worst.retries, service, worst.allowed));
+        }
+
         int printResult()
         {
+            checkRetryBudget("app", m_serviceRetries, 0, 2);
+            checkRetryBudget("llm", m_modelRetries, 2, endpoints());
             std::map<std::string, int> runs;
             for (const auto& stream : m_witness.violations())
                 m_checks.addFailure("an engine was asked to continue " + stream);
@@ -530,6 +607,9 @@
         std::vector<std::shared_ptr<fake_endpoint>> m_endpoints;
         std::atomic<std::uint64_t> m_starts { 0 };
         soak_checks m_checks;
+        retry_accounting m_serviceRetries;
+        retry_accounting m_modelRetries;
+        std::atomic<int> m_crashes { 0 };
         std::atomic<bool> m_stopClients { false };
         std::atomic<bool> m_stopReports { false };
         std::vector<std::thread> m_injectors;
@@ -554,6 +634,7 @@
     app.add_flag("--full-disks", options.fullDisks, "fill the disks of control processes at random times");
     app.add_flag("--partitions", options.partitions, "cut entries from all endpoints at random times");
     app.add_flag("--versions", options.versions, "replace engines by others of two software versions, and take streams up again at random entries");
+    app.add_flag("--crashing-parts", options.crashingParts, "send prompts with a part that crashes engines");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     int failedSeeds = 0;
