Coordination, Tests: Tell less of suspected parts of prompts, and share what restarts processes in tests

With hundreds of entries, each sync with a status of a suspected part made the leader evaluate all crashes anew. It does so only if a status clears a part now; blocks for lack of successes come with the next update, half a second later at most. A part that was in one moment of crashes is suspected for a minute; the crash counts on.

RetryBudgetTest and PromptPartTest kill and replace processes by the same functions of platform_fleet.

--- a/Source/coordination/prompt_part_blocks.cpp
+++ b/Source/coordination/prompt_part_blocks.cpp
@@ -25,6 +25,8 @@
     /// Limits the size of updates to entries, and of the entries' answers.
     constexpr std::size_t maxSuspects = 64;
     constexpr std::size_t maxKnownParts = 1024;
+    /// Entries tell of a part under which endpoints crashed at one moment only for this long. The crash still counts afterwards.
+    constexpr milliseconds singleCrashPeriod { 60000 };
     constexpr std::size_t maxBlocks = 1000;
 }
 
@@ -33,14 +35,17 @@
     m_crashes.recordCrash(report, at);
 }
 
-void prompt_part_blocks::recordStatus(std::uint64_t entry, const wire::prompt_part_status& status, time_point now)
+bool prompt_part_blocks::recordStatus(std::uint64_t entry, const wire::prompt_part_status& status, time_point now)
 {
     auto found = m_knowledge.find(status.part());
     if (found == m_knowledge.end())
-        return;
+        return false;
     found->second.successesWithout[entry] = status.successes_without();
-    if (status.succeeded())
-        found->second.succeededAt = std::max(found->second.succeededAt, now - milliseconds(status.success_age_ms()));
+    auto succeededAt = status.succeeded() ? now - milliseconds(status.success_age_ms()) : time_point {};
+    if (succeededAt <= found->second.succeededAt)
+        return false;
+    found->second.succeededAt = succeededAt;
+    return true;
 }
 
 void prompt_part_blocks::setDeciding(bool deciding)
@@ -102,7 +107,9 @@
             known[item->first] = std::move(found->second);
         else
             known[item->first].suspectedAt = now;
-        if (!item->second.moments.empty() && m_suspects.size() < maxSuspects)
+        auto moments = item->second.moments.size();
+        bool isSuspected = moments > 1 || (moments == 1 && now - item->second.lastCrashAt < singleCrashPeriod);
+        if (isSuspected && m_suspects.size() < maxSuspects)
             m_suspects.insert(item->first);
     }
     m_knowledge = std::move(known);
--- a/Source/coordination/prompt_part_blocks.h
+++ b/Source/coordination/prompt_part_blocks.h
@@ -37,8 +37,8 @@
     /// The tracker of the crashes, which learns of the endpoints' reports, ends and silence.
     crash_tracker& crashes() { return m_crashes; }
     const crash_tracker& crashes() const { return m_crashes; }
-    /// Records what an entry knows of a suspected part.
-    void recordStatus(std::uint64_t entry, const wire::prompt_part_status& status, time_point now);
+    /// Records what an entry knows of a suspected part. Returns whether that clears it of crashes.
+    bool recordStatus(std::uint64_t entry, const wire::prompt_part_status& status, time_point now);
     /// Starts or stops to decide. What entries told a former leader is not known any more.
     void setDeciding(bool deciding);
     /// Adopts a certain block that an entry holds, or extends it if the entry has refused a request by it since.
--- a/Source/coordination/request_blocks.cpp
+++ b/Source/coordination/request_blocks.cpp
@@ -74,11 +74,12 @@
 
 void request_blocks::recordStatuses(std::uint64_t entry, const google::protobuf::RepeatedPtrField<wire::prompt_part_status>& statuses, time_point now)
 {
-    if (statuses.empty())
-        return;
+    bool cleared = false;
     for (const auto& status : statuses)
-        m_parts.recordStatus(entry, status, now);
-    refresh(now);
+        cleared = m_parts.recordStatus(entry, status, now) || cleared;
+    // Hundreds of entries tell the same twice a second; what is decided for lack of successes can wait for the next update.
+    if (cleared)
+        refresh(now);
 }
 
 void request_blocks::setLeading(bool leading, time_point now)
--- a/Tests/Platform/PromptPartTest.cpp
+++ b/Tests/Platform/PromptPartTest.cpp
@@ -106,22 +106,6 @@
         }
     }
 
-    void restartEntry(int entry)
-    {
-        platform.entry(entry).kill();
-        platform.startEntry(entry);
-    }
-
-    /// Kills the leader and starts it again once another process leads.
-    void replaceLeader()
-    {
-        auto leader = platform.findLeader();
-        REQUIRE(leader > 0);
-        platform.control(leader).kill();
-        REQUIRE(eventually([&] { return platform.findLeader(leader) != 0; }, std::chrono::seconds(10)));
-        platform.startControl(leader, false);
-    }
-
     /// Sends requests to random entries until it is destroyed: poisoned ones, and sound ones with the same key and first part.
     class traffic {
     public:
@@ -344,13 +328,13 @@
 {
     checkPoisonedTraffic({ { "dead", "a1:200,dead:400,{0:x}{1:x}:10" } }, [](part_fleet& fleet) {
         REQUIRE(eventually([&] { return fleet.crashTimes("dead").size() >= 2; }, std::chrono::seconds(10)));
-        fleet.replaceLeader();
+        REQUIRE(fleet.platform.replaceLeader());
         for (int entry = 1; entry <= entryCount; ++entry) {
-            fleet.restartEntry(entry);
+            fleet.platform.restartEntry(entry);
             std::this_thread::sleep_for(std::chrono::milliseconds(500));
         }
         std::this_thread::sleep_for(std::chrono::seconds(4));
-        fleet.replaceLeader();
+        REQUIRE(fleet.platform.replaceLeader());
         std::this_thread::sleep_for(std::chrono::seconds(8));
     });
 }
--- a/Tests/Platform/RetryBudgetTest.cpp
+++ b/Tests/Platform/RetryBudgetTest.cpp
@@ -61,22 +61,6 @@
     void setPrefillModes(fake_endpoint_mode mode) { setModes(serviceEndpoints, serviceEndpoints + 2, mode); }
     void setDecodeModes(fake_endpoint_mode mode) { setModes(serviceEndpoints + 2, serviceEndpoints + engines, mode); }
 
-    void restartEntry(int entry)
-    {
-        platform.entry(entry).kill();
-        platform.startEntry(entry);
-    }
-
-    /// Kills the leader and starts it again once another process leads.
-    void replaceLeader()
-    {
-        auto leader = platform.findLeader();
-        REQUIRE(leader > 0);
-        platform.control(leader).kill();
-        REQUIRE(eventually([&] { return platform.findLeader(leader) != 0; }, std::chrono::seconds(10)));
-        platform.startControl(leader, false);
-    }
-
     /// Sends requests to all entries, as several callers that each wait for their answers, until it is destroyed.
     class traffic {
     public:
@@ -148,7 +132,7 @@
         for (auto& caller : callers)
             caller.join();
         for (int entry = 1; entry <= entryCount; ++entry)
-            fleet.restartEntry(entry);
+            fleet.platform.restartEntry(entry);
         for (int entry = 1; entry <= entryCount; ++entry)
             fleet.waitUntilServing(entry);
     }
@@ -164,7 +148,7 @@
         budget_fleet::traffic traffic(fleet, { "/read/x" }, milliseconds(30));
         for (int change = 0; change < 3; ++change) {
             std::this_thread::sleep_for(std::chrono::milliseconds(1500));
-            fleet.replaceLeader();
+            REQUIRE(fleet.platform.replaceLeader());
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(2500));
     }
@@ -224,11 +208,11 @@
         for (int step = 0; step < 16; ++step) {
             for (const auto& endpoint : fleet.endpoints)
                 endpoint->setMode(pick(4) == 0 ? fake_endpoint_mode::Normal : failures[static_cast<std::size_t>(pick(static_cast<int>(failures.size())))]);
-            fleet.restartEntry(1 + pick(entryCount));
-            fleet.restartEntry(1 + pick(entryCount));
+            fleet.platform.restartEntry(1 + pick(entryCount));
+            fleet.platform.restartEntry(1 + pick(entryCount));
             fleet.platform.partitionEntry(1 + pick(entryCount), pick(2) == 0 ? "" : cuts[static_cast<std::size_t>(pick(3))]);
             if (step % 5 == 2)
-                fleet.replaceLeader();
+                REQUIRE(fleet.platform.replaceLeader());
             std::this_thread::sleep_for(milliseconds(300 + pick(400)));
         }
     }
--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -91,6 +91,23 @@
     m_entries[n] = child_process(program, { "--settings", path }, fmt::format("{}/entry-{}", m_folder, n), variables);
 }
 
+void platform_fleet::restartEntry(int n)
+{
+    m_entries[n].kill();
+    startEntry(n);
+}
+
+bool platform_fleet::replaceLeader()
+{
+    auto leader = findLeader();
+    if (leader == 0)
+        return false;
+    m_controls[leader].kill();
+    bool replaced = eventually([&] { return findLeader(leader) != 0; }, std::chrono::seconds(10));
+    startControl(leader, false);
+    return replaced;
+}
+
 std::string platform_fleet::partitionFile(int n) const
 {
     return fmt::format("{}/entry-{}.partition", m_folder, n);
--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -37,6 +37,10 @@
     void start();
     void startControl(int n, bool firstStart);
     void startEntry(int n);
+    /// Kills an entry and starts it again.
+    void restartEntry(int n);
+    /// Kills the leader and starts it again once another control process leads. Returns whether there was one and is one.
+    bool replaceLeader();
     /// Has entries that are started from now on run with sockets that partitionEntry() can cut.
     void makePartitionable() { m_partitionable = true; }
     /// Cuts an entry from the endpoints in a mode of partitioned_sockets.cpp, or lifts the cut if the mode is empty.
