Coordination: Don't blame what all calls have in common for crashes that a rarer part explains

Engines crashed from the first requests on, so that no call with that part had succeeded anywhere yet, and it was in every crash.

Cause: each part was judged by itself, so that one crash accused all parts of all calls that it cut. Also, a run of an endpoint counted as several moments when entries noticed its crash at different times, such as after they had been stopped.

Parts are now judged in the order of how many calls had them, and a crash that a block of a rarer part explains no longer counts against others. Without any success of another call, only a part that hardly more calls than crashes had can be blocked, at the leader and at an entry without one. A run counts once, at the time of its first report. Parts are inseparable if they were in the same calls, not merely in the same crashes.

PromptPartBlocksTest has both cases.

--- a/Source/coordination/crash_journal.cpp
+++ b/Source/coordination/crash_journal.cpp
@@ -39,16 +39,18 @@
 std::uint32_t crash_journal::crashMoments(std::uint64_t part, time_point after) const
 {
     std::uint32_t moments = 0;
+    std::uint32_t calls = 0;
     time_point last {};
     for (const auto& crash : m_crashes) {
         const auto& parts = crash.report.parts();
-        bool isNew = moments == 0 || crash.at - last > crash_tracker::momentLength;
-        if (crash.at <= after || !isNew || std::find(parts.begin(), parts.end(), part) == parts.end())
+        if (crash.at <= after || std::find(parts.begin(), parts.end(), part) == parts.end())
             continue;
-        ++moments;
+        ++calls;
+        moments += moments == 0 || crash.at - last > crash_tracker::momentLength ? 1 : 0;
         last = crash.at;
     }
-    return moments;
+    // A part that more of the calls had is rather one that all calls have in common.
+    return calls * 2 <= moments * 3 ? moments : 0;
 }
 
 void crash_journal::fillUnreported(google::protobuf::RepeatedPtrField<wire::crash_report>& reports, time_point now) const
--- a/Source/coordination/crash_journal.h
+++ b/Source/coordination/crash_journal.h
@@ -14,7 +14,8 @@
     void add(const wire::crash_report& report, time_point now);
     /// Distinct runs of endpoints that crashed under the request, if a leader doesn't know all of them; 0 otherwise.
     std::uint32_t unreportedCrashes(std::uint64_t fingerprint) const;
-    /// The moments after a time at which endpoints crashed under calls with this part in their prompts.
+    /// The moments after a time at which endpoints crashed under calls with this part in their prompts; 0 if it is a part that many
+    /// calls had.
     std::uint32_t crashMoments(std::uint64_t part, time_point after) const;
     /// Appends the reports that the leader doesn't know, each with its age.
     void fillUnreported(google::protobuf::RepeatedPtrField<wire::crash_report>& reports, time_point now) const;
--- a/Source/coordination/prompt_part_blocks.cpp
+++ b/Source/coordination/prompt_part_blocks.cpp
@@ -30,6 +30,11 @@
     constexpr std::size_t maxBlocks = 1000;
 }
 
+bool prompt_part_blocks::hasAll(const part_set& call, const part_set& parts)
+{
+    return std::all_of(parts.begin(), parts.end(), [&](auto part) { return std::find(call.begin(), call.end(), part) != call.end(); });
+}
+
 void prompt_part_blocks::addCrash(const wire::crash_report& report, time_point at)
 {
     m_crashes.recordCrash(report, at);
@@ -67,66 +72,141 @@
     known = std::max(known, until);
 }
 
-prompt_part_blocks::evidence_map prompt_part_blocks::collectEvidence(time_point now) const
+std::vector<prompt_part_blocks::crashed_run> prompt_part_blocks::collectRuns(time_point now) const
+{
+    std::map<std::pair<std::string, std::uint64_t>, crashed_run> byEndpoint;
+    for (const auto& crash : m_crashes.countedCrashes()) {
+        auto& run = byEndpoint[{ crash.report.endpoint(), crash.report.endpoint_incarnation() }];
+        // Entries notice the crash at different times.
+        run.at = run.calls.empty() ? crash.at : std::min(run.at, crash.at);
+        run.certain = run.certain || crash.certain;
+        run.calls.emplace_back(crash.report.parts().begin(), crash.report.parts().end());
+    }
+    std::vector<crashed_run> runs;
+    for (auto& [endpoint, run] : byEndpoint) {
+        run.confirmed = run.certain || now - run.at >= m_settings.reportOverdue;
+        runs.push_back(std::move(run));
+    }
+    std::sort(runs.begin(), runs.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+    return runs;
+}
+
+prompt_part_blocks::evidence_map prompt_part_blocks::collectEvidence(const std::vector<crashed_run>& runs) const
 {
-    auto crashes = m_crashes.countedCrashes();
-    std::sort(crashes.begin(), crashes.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
     evidence_map evidence;
-    for (const auto& crash : crashes) {
-        for (auto part : crash.report.parts()) {
-            auto& own = evidence[part];
-            own.lastCrashAt = crash.at;
-            auto known = m_knowledge.find(part);
-            if (known != m_knowledge.end() && known->second.succeededAt >= crash.at)
-                continue;
-            own.runs.emplace(crash.report.endpoint(), crash.report.endpoint_incarnation());
-            if (own.moments.empty() || crash.at - own.moments.back().at > crash_tracker::momentLength)
-                own.moments.push_back({ crash.at });
-            auto& moment = own.moments.back();
-            moment.certain = moment.certain || crash.certain;
-            moment.confirmed = moment.certain || moment.confirmed || now - crash.at >= m_settings.reportOverdue;
+    for (std::size_t position = 0; position < runs.size(); ++position) {
+        const auto& run = runs[position];
+        std::vector<const part_set*> explanations;
+        for (const auto& [blocked, until] : m_certain) {
+            if (std::any_of(run.calls.begin(), run.calls.end(), [&blocked = blocked](const auto& call) { return hasAll(call, blocked); }))
+                explanations.push_back(&blocked);
+        }
+        for (const auto& call : run.calls) {
+            for (auto part : call) {
+                auto& own = evidence[part];
+                ++own.calls;
+                own.lastCrashAt = run.at;
+                auto known = m_knowledge.find(part);
+                bool isExplained = std::any_of(explanations.begin(), explanations.end(), [part](const auto* blocked) { return !hasAll(*blocked, { part }); });
+                bool isCleared = known != m_knowledge.end() && known->second.succeededAt >= run.at;
+                if (!isExplained && !isCleared && (own.runs.empty() || own.runs.back() != position))
+                    own.runs.push_back(position);
+            }
         }
     }
     return evidence;
 }
 
-void prompt_part_blocks::selectSuspects(const evidence_map& evidence, time_point now)
+prompt_part_blocks::moment_counts prompt_part_blocks::countMoments(const std::vector<crashed_run>& runs, const std::vector<std::size_t>& positions)
 {
-    std::vector<evidence_map::const_pointer> ranked;
-    for (const auto& item : evidence)
-        ranked.push_back(&item);
-    std::sort(ranked.begin(), ranked.end(), [](const auto* a, const auto* b) {
-        return std::pair(a->second.moments.size(), a->second.lastCrashAt) > std::pair(b->second.moments.size(), b->second.lastCrashAt);
-    });
+    moment_counts counts;
+    bool confirmed = false;
+    bool certain = false;
+    time_point last {};
+    for (auto position : positions) {
+        const auto& run = runs[position];
+        if (counts.all == 0 || run.at - last > crash_tracker::momentLength) {
+            ++counts.all;
+            confirmed = false;
+            certain = false;
+        }
+        last = run.at;
+        counts.confirmed += !confirmed && run.confirmed ? 1 : 0;
+        counts.certain += !certain && run.certain ? 1 : 0;
+        confirmed = confirmed || run.confirmed;
+        certain = certain || run.certain;
+    }
+    return counts;
+}
+
+void prompt_part_blocks::selectSuspects(const std::vector<crashed_run>& runs, const evidence_map& evidence, time_point now)
+{
+    struct ranked_part {
+        std::uint64_t part;
+        std::size_t moments;
+        time_point lastCrashAt;
+    };
+    std::vector<ranked_part> ranked;
+    for (const auto& [part, own] : evidence)
+        ranked.push_back({ part, countMoments(runs, own.runs).all, own.lastCrashAt });
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return std::pair(a.moments, a.lastCrashAt) > std::pair(b.moments, b.lastCrashAt); });
     ranked.resize(std::min(ranked.size(), maxKnownParts));
     std::map<std::uint64_t, part_knowledge> known;
     m_suspects.clear();
-    for (const auto* item : ranked) {
-        auto found = m_knowledge.find(item->first);
+    for (const auto& candidate : ranked) {
+        auto found = m_knowledge.find(candidate.part);
         if (found != m_knowledge.end())
-            known[item->first] = std::move(found->second);
+            known[candidate.part] = std::move(found->second);
         else
-            known[item->first].suspectedAt = now;
-        auto moments = item->second.moments.size();
-        bool isSuspected = moments > 1 || (moments == 1 && now - item->second.lastCrashAt < singleCrashPeriod);
+            known[candidate.part].suspectedAt = now;
+        bool isSuspected = candidate.moments > 1 || (candidate.moments == 1 && now - candidate.lastCrashAt < singleCrashPeriod);
         if (isSuspected && m_suspects.size() < maxSuspects)
-            m_suspects.insert(item->first);
+            m_suspects.insert(candidate.part);
     }
     m_knowledge = std::move(known);
 }
 
-bool prompt_part_blocks::isBlocked(const part_evidence& evidence, const part_knowledge& knowledge, time_point now) const
+bool prompt_part_blocks::isBlocked(const part_evidence& evidence, const moment_counts& moments, const part_knowledge& knowledge, time_point now) const
 {
     if (now - knowledge.suspectedAt < answerTime)
         return false;
-    auto moments = evidence.moments.size();
-    auto confirmed = static_cast<std::size_t>(std::count_if(evidence.moments.begin(), evidence.moments.end(), [](const auto& moment) { return moment.confirmed; }));
     std::uint32_t successesWithout = 0;
     for (const auto& [entry, successes] : knowledge.successesWithout)
         successesWithout += successes;
-    if (knowledge.succeededAt == time_point {})
-        return confirmed >= confirmedToBlock && moments >= momentsToBlock && (moments >= momentsToBlockAlone || successesWithout >= successesWithoutToBlock);
-    return confirmed >= confirmedToBlockKnown && moments >= momentsToBlockKnown && successesWithout >= successesWithoutToBlockKnown && now - knowledge.succeededAt >= failingTimeOfKnown;
+    if (knowledge.succeededAt != time_point {})
+        return moments.confirmed >= confirmedToBlockKnown && moments.all >= momentsToBlockKnown && successesWithout >= successesWithoutToBlockKnown && now - knowledge.succeededAt >= failingTimeOfKnown;
+    // Without any success, only a part that hardly any other call had can be told from what all calls have in common.
+    bool isSpecific = evidence.calls * 2 <= evidence.runs.size() * 3;
+    bool isEnough = successesWithout >= successesWithoutToBlock || (isSpecific && moments.all >= momentsToBlockAlone);
+    return moments.confirmed >= confirmedToBlock && moments.all >= momentsToBlock && isEnough;
+}
+
+prompt_part_blocks::part_set prompt_part_blocks::findInseparable(std::uint64_t part, const part_evidence& own, const std::vector<crashed_run>& runs, const evidence_map& evidence) const
+{
+    part_set together;
+    std::copy_if(m_suspects.begin(), m_suspects.end(), std::back_inserter(together), [&](auto other) {
+        const auto& others = evidence.at(other).runs;
+        if (!std::includes(others.begin(), others.end(), own.runs.begin(), own.runs.end()))
+            return false;
+        return std::all_of(own.runs.begin(), own.runs.end(), [&](auto position) {
+            const auto& calls = runs[position].calls;
+            return std::all_of(calls.begin(), calls.end(), [&](const auto& call) { return !hasAll(call, { part }) || hasAll(call, { other }); });
+        });
+    });
+    return together;
+}
+
+void prompt_part_blocks::block(part_set parts, const moment_counts& moments, const std::set<part_set>& suspectedBefore, time_point now)
+{
+    if (m_certain.count(parts) > 0)
+        return;
+    bool isCertain = moments.certain >= certainMoments;
+    if (isCertain || suspectedBefore.count(parts) == 0)
+        logEvent("prompt_parts_blocked", { { "parts", fmt::format("{:x}", fmt::join(parts, ",")) }, { "certain", isCertain ? 1 : 0 }, { "moments", moments.all }, { "confirmed_moments", moments.confirmed }, { "certain_moments", moments.certain } });
+    if (isCertain)
+        m_certain[std::move(parts)] = now + m_settings.blockLifetime;
+    else
+        m_suspected.insert(std::move(parts));
 }
 
 void prompt_part_blocks::refresh(time_point now)
@@ -136,31 +216,22 @@
     auto suspectedBefore = std::exchange(m_suspected, {});
     if (!m_deciding)
         return;
-    auto evidence = collectEvidence(now);
-    selectSuspects(evidence, now);
-    std::vector<std::uint64_t> blocked;
-    for (auto part : m_suspects) {
-        if (isBlocked(evidence.at(part), m_knowledge.at(part), now))
-            blocked.push_back(part);
-    }
-    for (auto part : blocked) {
-        const auto& own = evidence.at(part);
-        // The parts that were in every crash of this one, which includes itself.
-        part_set together;
-        std::copy_if(blocked.begin(), blocked.end(), std::back_inserter(together), [&](auto other) {
-            const auto& runs = evidence.at(other).runs;
-            return std::includes(runs.begin(), runs.end(), own.runs.begin(), own.runs.end());
-        });
-        auto certain = static_cast<std::size_t>(std::count_if(own.moments.begin(), own.moments.end(), [](const auto& moment) { return moment.certain; }));
-        if (m_certain.count(together) > 0)
+    auto runs = collectRuns(now);
+    auto evidence = collectEvidence(runs);
+    selectSuspects(runs, evidence, now);
+    std::vector<std::uint64_t> candidates(m_suspects.begin(), m_suspects.end());
+    std::sort(candidates.begin(), candidates.end(), [&](auto a, auto b) { return evidence.at(a).calls < evidence.at(b).calls; });
+    std::map<std::size_t, part_set> explained;
+    for (auto part : candidates) {
+        auto own = evidence.at(part);
+        std::erase_if(own.runs, [&](auto position) { return explained.count(position) > 0 && !hasAll(explained.at(position), { part }); });
+        auto moments = countMoments(runs, own.runs);
+        if (!isBlocked(own, moments, m_knowledge.at(part), now))
             continue;
-        bool isCertain = certain >= certainMoments;
-        if (isCertain)
-            m_certain[together] = now + m_settings.blockLifetime;
-        else
-            m_suspected.insert(together);
-        if (isCertain || suspectedBefore.count(together) == 0)
-            logEvent("prompt_parts_blocked", { { "parts", fmt::format("{:x}", fmt::join(together, ",")) }, { "certain", isCertain ? 1 : 0 }, { "crashes", own.runs.size() }, { "moments", own.moments.size() }, { "certain_moments", certain }, { "succeeded_before", m_knowledge.at(part).succeededAt != time_point {} ? 1 : 0 } });
+        auto together = findInseparable(part, own, runs, evidence);
+        for (auto position : own.runs)
+            explained.emplace(position, together);
+        block(std::move(together), moments, suspectedBefore, now);
     }
     while (m_certain.size() > maxBlocks)
         m_certain.erase(std::min_element(m_certain.begin(), m_certain.end(), [](const auto& a, const auto& b) { return a.second < b.second; }));
--- a/Source/coordination/prompt_part_blocks.h
+++ b/Source/coordination/prompt_part_blocks.h
@@ -22,7 +22,8 @@
 ///   - a few crashes are enough for a part that never succeeded;
 ///   - more of them, over some time, are needed for one that did, so that a wave of crashes by another cause is not put down
 ///     to a popular part.
-/// Crashes at the same moment count once, since they may have one cause outside. Parts that were in the same crashes can't be
+/// Crashes at the same moment count once, since they may have one cause outside. The parts that the fewest calls had come first, and a
+/// crash counts against one part only: it would otherwise accuse what all calls have in common. Parts that were in the same crashes can't be
 /// told apart and are blocked only together. Used by every control process to keep crashes, but only the leader decides, since
 /// entries tell their successes to it. Pure; not thread-safe.
 class prompt_part_blocks {
@@ -58,23 +59,36 @@
         /// Calls without the part that ran to their end since it is suspected, by entry.
         std::map<std::uint64_t, std::uint32_t> successesWithout;
     };
-    /// A moment at which endpoints crashed.
-    struct crash_moment {
+    /// A run of an endpoint that crashed, and the calls without events that it had.
+    struct crashed_run {
         time_point at {};
         bool confirmed = false;
         bool certain = false;
+        std::vector<part_set> calls;
     };
     struct part_evidence {
-        /// Those since the last success.
-        std::vector<crash_moment> moments;
+        /// Positions of the runs since the last success of the part that no certain block of other parts explains, in order of time.
+        std::vector<std::size_t> runs;
+        /// Calls with the part in all runs.
+        std::size_t calls = 0;
         time_point lastCrashAt {};
-        /// The runs of endpoints that crashed under calls with the part.
-        std::set<std::pair<std::string, std::uint64_t>> runs;
+    };
+    /// Crashes, counted by the moments at which they happened.
+    struct moment_counts {
+        std::size_t all = 0;
+        std::size_t confirmed = 0;
+        std::size_t certain = 0;
     };
     using evidence_map = std::map<std::uint64_t, part_evidence>;
-    evidence_map collectEvidence(time_point now) const;
-    void selectSuspects(const evidence_map& evidence, time_point now);
-    bool isBlocked(const part_evidence& evidence, const part_knowledge& knowledge, time_point now) const;
+    std::vector<crashed_run> collectRuns(time_point now) const;
+    evidence_map collectEvidence(const std::vector<crashed_run>& runs) const;
+    static moment_counts countMoments(const std::vector<crashed_run>& runs, const std::vector<std::size_t>& positions);
+    void selectSuspects(const std::vector<crashed_run>& runs, const evidence_map& evidence, time_point now);
+    bool isBlocked(const part_evidence& evidence, const moment_counts& moments, const part_knowledge& knowledge, time_point now) const;
+    /// The parts that were in each call with this one, and had no success either.
+    part_set findInseparable(std::uint64_t part, const part_evidence& own, const std::vector<crashed_run>& runs, const evidence_map& evidence) const;
+    static bool hasAll(const part_set& call, const part_set& parts);
+    void block(part_set parts, const moment_counts& moments, const std::set<part_set>& suspectedBefore, time_point now);
 
     prompt_part_settings m_settings;
     crash_tracker m_crashes;
--- a/Tests/Coordination/PromptPartBlocksTest.cpp
+++ b/Tests/Coordination/PromptPartBlocksTest.cpp
@@ -174,6 +174,36 @@
     CHECK_FALSE(leader.isBlocked({ popular }));
 }
 
+// Guards against accusing what all calls have in common where no call has succeeded yet.
+TEST_CASE("A part of all calls is not blocked for crashes that a part of few calls explains")
+{
+    decisions leader;
+    for (std::uint64_t n = 0; n < 8; ++n) {
+        leader.crash({ { popular, poison }, { popular, 2 + n % 4 }, { popular, 2 + (n + 1) % 4 } });
+        leader.confirmCrash();
+        leader.wait(milliseconds(400));
+    }
+    CHECK(leader.isBlocked({ popular, poison }));
+    CHECK_FALSE(leader.isBlocked({ popular, 2, 3, 4, 5 }));
+}
+
+// Guards against counting one crash several times because entries notice it at different times.
+TEST_CASE("A run of an endpoint counts as one moment, however late its crash is noticed")
+{
+    decisions leader;
+    for (int i = 0; i < 6; ++i) {
+        wire::crash_report report;
+        report.set_endpoint("e1");
+        report.set_request_id(fmt::format("r{}", i));
+        report.add_parts(poison);
+        leader.blocks.addCrash(report, leader.now);
+        leader.succeed({ popular });
+        leader.wait(milliseconds(500));
+    }
+    leader.wait(milliseconds(3000));
+    CHECK_FALSE(leader.isBlocked({ poison }));
+}
+
 // Guards against refusing requests for a part that only accompanied the one which crashes endpoints.
 TEST_CASE("Parts that were in the same crashes are blocked together only")
 {
