Tests: Start a child only once it holds none of the soak's descriptors

A soak replaced an engine while it had just forked an entry. The constructor now waits until exec has closed a pipe that the child inherits.

--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -1,10 +1,13 @@
 #include "Support/child_process.h"
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <fstream>
+#include <linux/close_range.h>
 #include <sstream>
 #include <stdexcept>
 #include <string_view>
@@ -24,15 +27,26 @@
     argv.push_back(nullptr);
     auto out = outputPrefix + ".out";
     auto err = outputPrefix + ".log";
+    std::array<int, 2> untilExec {};
+    if (::pipe2(untilExec.data(), O_CLOEXEC) != 0)
+        throw std::runtime_error("cannot create a pipe for a child process");
     m_pid = ::fork();
-    if (m_pid != 0)
+    if (m_pid != 0) {
+        ::close(untilExec[1]);
+        // Until the child has closed what it inherits, a signal that stops it would keep the addresses of this process in use.
+        char byte = 0;
+        while (m_pid > 0 && ::read(untilExec[0], &byte, 1) < 0 && errno == EINTR) { }
+        ::close(untilExec[0]);
+        if (m_pid < 0)
+            throw std::runtime_error(fmt::format("cannot start {}: fork failed", program));
         return;
+    }
     // The kernel kills this process when the test process dies.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(::open(out.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600), STDOUT_FILENO);
     ::dup2(::open(err.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600), STDERR_FILENO);
     // The sockets of the test's own endpoints would otherwise stay open, and their addresses in use, for as long as this process.
-    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     // A write beyond RLIMIT_FSIZE must fail, as on a full disk, instead of ending the process.
     ::signal(SIGXFSZ, SIG_IGN);
     for (const auto& [name, value] : variables)
--- a/Tests/Support/child_process.h
+++ b/Tests/Support/child_process.h
@@ -11,12 +11,13 @@
     using environment = std::vector<std::pair<std::string, std::string>>;
 
     child_process() = default;
-    /// The variables are added to the environment of this process.
+    /// Returns once the program runs. The variables are added to the environment of this process.
     child_process(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputPrefix, const environment& variables = {});
     ~child_process();
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&& other) noexcept;
 
+    pid_t pid() const { return m_pid; }
     bool isRunning();
     /// Makes every write to a file fail, as on a full disk, or succeed again. Output to files is lost in the meantime.
     /// Precondition: running.
