--- a/Source/forwarding/call_types.h
+++ b/Source/forwarding/call_types.h
@@ -64,6 +64,8 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    /// How long work takes there at present, as a multiple of the usual time, if the endpoint states it.
+    std::optional<double> slowdown;
 };
 
 /// The header fields of an endpoint's response that the router evaluates.
--- a/Source/scheduling/scheduling.h
+++ b/Source/scheduling/scheduling.h
@@ -8,3 +8,4 @@
 #include "scheduling/poison_list.h"
 #include "scheduling/pool.h"
 #include "scheduling/slot_planner.h"
+#include "scheduling/slowdown_estimate.h"
--- a/Tests/Platform/ResponseStatementsTest.cpp
+++ b/Tests/Platform/ResponseStatementsTest.cpp
@@ -50,3 +50,39 @@
         CHECK_FALSE(parse({ { "Server-Leaving", value } }).leaves);
     }
 }
+
+namespace {
+std::optional<reported_load> loadOf(const char* value)
+{
+    return parse({ { "Pistachiolatch-Instance-Load", value } }).load;
+}
+}
+
+// A fourth number once made the whole report vanish.
+TEST_CASE("Of a load report, all that can be read is used", "[promise]")
+{
+    auto plain = loadOf("3,1,8");
+    REQUIRE(plain);
+    CHECK(plain->running == 3);
+    CHECK(plain->waiting == 1);
+    CHECK(plain->slots == 8);
+    CHECK_FALSE(plain->slowdown);
+    for (const auto* value : { "3,1,8,250", " 3 , 1, 8 ,250", "3,1,8,250,7", "3,1,8,250.0,x" }) {
+        INFO(value);
+        auto load = loadOf(value);
+        REQUIRE(load);
+        CHECK(load->running == 3);
+        CHECK(load->slowdown == Approx(2.5));
+    }
+    for (const auto* value : { "3,1,8,", "3,1,8,fast", "3,1,8,-4", "3,1,8,0", "3,1,8,nan", "3,1,8,inf" }) {
+        INFO(value);
+        auto load = loadOf(value);
+        REQUIRE(load);
+        CHECK(load->slots == 8);
+        CHECK_FALSE(load->slowdown);
+    }
+    for (const auto* value : { "", ",", "3", "3,1", "3,1,x", "-1,0,8", "3,1,99999999999999", "three" }) {
+        INFO(value);
+        CHECK_FALSE(loadOf(value));
+    }
+}
