Forwarding, Coordination: Report to the leader what endpoints state of their load and speed

Entries told the leader nothing of the load that endpoints state with their responses. Each release of a call now carries it, for the endpoint of the call and for the one that processed its prompt.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -395,6 +395,10 @@
         release.add_failed(id);
     for (const auto& id : attempt.outcomes.refused)
         release.add_refused(id);
+    if (attempt.stated.slots() > 0)
+        *release.mutable_stated() = attempt.stated;
+    if (attempt.prefillStated.slots() > 0)
+        *release.mutable_prefill_stated() = attempt.prefillStated;
     m_network.send(m_leader, std::move(message));
 }
 
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -47,6 +47,9 @@
     std::uint64_t callId = 0;
     call_measurements measurements;
     engine_outcomes outcomes;
+    /// What the endpoint of the call, and the one that processed its prompt, stated with their responses, if anything.
+    wire::endpoint_statement stated {};
+    wire::endpoint_statement prefillStated {};
 };
 
 /// An entry's connection to the leader. Keeps the configuration and the endpoints up to date and tracks until when the
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -127,6 +127,8 @@
     void recordCallLimit(const selected_endpoint& endpoint, const response_metadata& response, bool isAnswer);
     /// Records how long the endpoint wants no requests and whether it leaves, as its response on the current connection states.
     void recordStatements(const selected_endpoint& endpoint, const response_metadata& response);
+    /// Records the load that the endpoint's response states, if any.
+    void recordLoad(const selected_endpoint& endpoint, const response_metadata& response, wire::endpoint_statement& stated);
     /// Whether all endpoints of the service rest, so that the call ends with that cause.
     bool stopIfResting(reason& cause);
     /// Reports a broken connection of the last attempt, if any, to the leader and waits for the request's crash count.
@@ -283,6 +285,9 @@
     /// Speed and health of engines measured by the current attempt, reported with its release.
     call_measurements m_measurements;
     engine_outcomes m_outcomes;
+    /// What the endpoints of the current attempt stated with their responses.
+    wire::endpoint_statement m_stated;
+    wire::endpoint_statement m_prefillStated;
     /// Since when the stream's next data is awaited; zero while it is blocked by a slow caller.
     time_point m_waitingSince {};
     milliseconds m_longestPause { 0 };
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -423,8 +423,9 @@
 void call_forwarder<Codec>::reportPlacedCallEnded()
 {
     auto outcomes = std::exchange(m_outcomes, {});
+    auto stated = std::exchange(m_stated, {});
     if (m_callId != 0)
-        m_shared.link.reportFinished({ m_callId, {}, std::move(outcomes) });
+        m_shared.link.reportFinished({ m_callId, {}, std::move(outcomes), std::move(stated), {} });
 }
 
 template <call_codec Codec>
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -62,7 +62,7 @@
         auto generating = m_generationStartedAt == time_point {} ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_generationStartedAt);
         m_measurements.generatedTokens = m_endpointEvents * m_service->engine->tokensPerEvent;
         m_measurements.generationTime = generating;
-        m_shared.link.reportFinished({ m_callId, std::exchange(m_measurements, {}), std::exchange(m_outcomes, {}) });
+        m_shared.link.reportFinished({ m_callId, std::exchange(m_measurements, {}), std::exchange(m_outcomes, {}), std::exchange(m_stated, {}), std::exchange(m_prefillStated, {}) });
         if (outcome == attempt_outcome::Completed)
             co_return;
         co_await reportCrash();
@@ -318,9 +318,8 @@
         co_return prefill_attempt { std::nullopt, true };
     }
     auto status = connection->status();
-    if (response.load)
-        m_shared.endpoints.updateLoad(endpoint.id, *response.load);
     m_connection = connection;
+    recordLoad(endpoint, response, m_prefillStated);
     releaseConnection(endpoint.id, response);
     std::optional<std::string> handle;
     if (status == 200)
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -45,8 +45,7 @@
     }
     auto status = m_connection->status();
     recordStatements(endpoint, response);
-    if (response.load)
-        m_shared.endpoints.updateLoad(endpoint.id, *response.load);
+    recordLoad(endpoint, response, m_stated);
     // Another endpoint sent a 421, so its limit is that of another.
     if (status != forwarding_detail::misdirected)
         recordCallLimit(endpoint, response, response.sealed && status < 500);
--- a/Source/forwarding/call_forwarder_statements.h
+++ b/Source/forwarding/call_forwarder_statements.h
@@ -37,6 +37,21 @@
         m_shared.connector.tellRelay(m_connection->relayAddress(), endpoint, rest, response.leaves);
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::recordLoad(const selected_endpoint& endpoint, const response_metadata& response, wire::endpoint_statement& stated)
+{
+    // Another endpoint sent a 421.
+    if (!response.load || m_connection->status() == forwarding_detail::misdirected)
+        return;
+    m_shared.endpoints.updateLoad(endpoint.id, *response.load);
+    stated.set_running(response.load->running);
+    stated.set_waiting(response.load->waiting);
+    stated.set_slots(response.load->slots);
+    constexpr double percent = 100;
+    auto slowdown = std::min(response.load->slowdown.value_or(0), slowdown_estimate::maxSlowdown);
+    stated.set_slowdown_percent(static_cast<std::uint32_t>(std::lround(slowdown * percent)));
+}
+
 template <call_codec Codec>
 bool call_forwarder<Codec>::stopIfResting(reason& cause)
 {
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -70,7 +70,7 @@
             return;
         }
         if (plan && !plan->full())
-            m_shared.link.reportFinished({ callId, {}, {} });
+            m_shared.link.reportFinished({ callId, {}, {}, {}, {} });
         scheduleStallCheck(endpoint, forwarding_detail::migrationRetryInterval);
     });
 }
@@ -87,7 +87,7 @@
             migrateTo(placement, endpoint);
             return;
         }
-        m_shared.link.reportFinished({ placement.callId, {}, {} });
+        m_shared.link.reportFinished({ placement.callId, {}, {}, {}, {} });
         scheduleStallCheck(endpoint, forwarding_detail::migrationRetryInterval);
     });
 }
