Scheduling: Return a report's exact value as the slowdown at its moment

The test of odd reports failed: the mean plus the difference to the report isn't the report in floating point. The estimate is interpolated exactly at both ends now; the test stays as it is, and passes.

--- a/Source/scheduling/slowdown_estimate.cpp
+++ b/Source/scheduling/slowdown_estimate.cpp
@@ -30,7 +30,7 @@
     if (!isKnown())
         return 1;
     auto age = std::max(0.0, toMs(now - m_reportedAt));
-    return m_mean + (m_last - m_mean) * std::exp(-age / toMs(reportMemory));
+    return std::lerp(m_mean, m_last, std::exp(-age / toMs(reportMemory)));
 }
 
 } // namespace pistachiolatch
