Scheduling: Learn how many calls an endpoint needs beyond its slots

Callers of a service with one endpoint of six slots left and 15 ms of work were refused while the endpoint idled a quarter of the time: the leader kept a single call beyond the slots there, and the messages between the end of a call and the arrival of the next take nearly as long as the work.

The number now follows what endpoints state with their responses, which entries already report with each release: it grows while fewer calls run than fit although the leader holds the endpoint full, and shrinks while many wait there. It is bounded by the slots again and by what the endpoint refused at. An endpoint that states nothing keeps one call ahead.

--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -174,7 +174,7 @@
     const auto& release = message.engine_release();
     const auto& entry = session->second.name;
     auto now = m_clock.now();
-    if (m_slotPlanner.release(entry, release.call_id(), release.succeeded_size() > 0, now)) {
+    if (m_slotPlanner.release(entry, release.call_id(), release.succeeded_size() > 0, now, release.stated())) {
         recordOutcomes(m_slotPlanner, release, now);
         if (!m_slotQueue.empty())
             processSlotQueue();
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -13,8 +13,6 @@
     constexpr double calmBelow = 0.4;
     /// How long the load must stay low before entries choose by themselves again.
     constexpr milliseconds calmPeriod { 2000 };
-    /// Calls at an endpoint beyond its slots, so that it has work until the message that frees a slot arrives.
-    constexpr unsigned callsAhead = 1;
     /// Service time of a service without completed calls.
     constexpr double defaultServiceMs = 50;
     constexpr double minSampleWeight = 0.02;
@@ -44,6 +42,7 @@
         updated.failureRate = 0;
         updated.refusals = 0;
         updated.backoffUntil = {};
+        updated.window = {};
         m_breaker.reset(report.id());
     }
     updated.row = row;
@@ -71,7 +70,7 @@
 
 unsigned slot_planner::capacityOf(const endpoint& candidate)
 {
-    return candidate.row.report().slots() + callsAhead;
+    return candidate.window.limit(candidate.row.report().slots());
 }
 
 duration slot_planner::meanServiceTime(const std::string& service) const
@@ -180,7 +179,7 @@
     track(tracked);
 }
 
-bool slot_planner::release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now)
+bool slot_planner::release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now, const wire::endpoint_statement& stated)
 {
     auto calls = m_entries.find(entry);
     if (calls == m_entries.end())
@@ -191,6 +190,7 @@
     auto call = ended->second;
     calls->second.placed.erase(ended);
     auto& endpoint = m_endpoints[call.endpoint];
+    endpoint.window.record({ stated.running(), stated.waiting(), stated.slots() }, loadOf(endpoint, now));
     --endpoint.placed;
     m_breaker.onInconclusive(call.endpoint);
     if (!succeeded)
@@ -223,7 +223,10 @@
 void slot_planner::recordRefusal(const std::string& id, time_point now)
 {
     auto found = m_endpoints.find(id);
-    if (found == m_endpoints.end() || now < found->second.backoffUntil)
+    if (found == m_endpoints.end())
+        return;
+    found->second.window.recordRefusal(loadOf(found->second, now));
+    if (now < found->second.backoffUntil)
         return;
     auto doublings = std::min(found->second.refusals++, maxBackoffDoublings);
     found->second.backoffUntil = now + meanServiceTime(found->second.row.report().service()) * (1 << doublings);
@@ -305,8 +308,10 @@
             continue;
         // A cold or limited endpoint may have free slots, but takes the next call only after a pause.
         pacedCalls += m_pacer.expectedCalls(id, within, now);
+        // The mean service time includes the time that calls wait ahead of the slots.
+        auto countedCalls = capacityOf(candidate) - endpoint_window::minAhead;
         if (!m_pacer.namesLimit(id))
-            busySlots += std::min(loadOf(candidate, now), static_cast<double>(candidate.row.report().slots()));
+            busySlots += std::min(loadOf(candidate, now), static_cast<double>(countedCalls));
     }
     return pacedCalls + busySlots * toMs(within) / toMs(meanServiceTime(service));
 }
--- a/Source/scheduling/slot_planner.h
+++ b/Source/scheduling/slot_planner.h
@@ -2,6 +2,7 @@
 #include "kernel/kernel.h"
 #include "scheduling/circuit_breaker.h"
 #include "scheduling/endpoint_pacer.h"
+#include "scheduling/endpoint_window.h"
 #include "scheduling/placement_types.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
@@ -42,8 +43,8 @@
     /// Replaces the calls tracked for an entry by its list of running calls. The load is that of all its requests; the part
     /// beyond the listed calls was placed by the entry itself.
     void replaceCalls(const std::string& entry, const std::vector<wire::running_call>& calls, const std::vector<wire::endpoint_load>& load, time_point now);
-    /// Removes a call that ended. Returns whether it was tracked here.
-    bool release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now);
+    /// Removes a call that ended, with what its endpoint stated then, if anything. Returns whether it was tracked here.
+    bool release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now, const wire::endpoint_statement& stated = {});
     void recordSuccess(const std::string& endpoint);
     void recordFailure(const std::string& endpoint, time_point now);
     /// Records that an endpoint refused a call as full although a slot seemed free.
@@ -72,6 +73,7 @@
         /// Calls placed here, and those that entries placed themselves by their last lists.
         unsigned placed = 0;
         unsigned unplaced = 0;
+        endpoint_window window;
         /// Exponentially weighted share of failed calls.
         double failureRate = 0;
         unsigned refusals = 0;
--- a/Tests/Scheduling/service_scenario.cpp
+++ b/Tests/Scheduling/service_scenario.cpp
@@ -8,8 +8,6 @@
 namespace {
     constexpr const char* serviceName = "desk";
     constexpr milliseconds tick { 1 };
-    /// Time from a decision to the arrival of the call at the endpoint, or of a message at the owner.
-    constexpr milliseconds networkDelay { 1 };
     constexpr milliseconds reportInterval { 500 };
     constexpr milliseconds retryDelayAlone { 700 };
 
@@ -79,6 +77,7 @@
         void step(double callsPerSecond)
         {
             completeCalls();
+            deliverMessages();
             auto arrivals = std::poisson_distribution<unsigned>(callsPerSecond * static_cast<double>(tick.count()) / 1000)(m_random);
             for (unsigned i = 0; i < arrivals; ++i)
                 submit(makeCall());
@@ -139,7 +138,26 @@
                     continue;
                 }
                 m_tickets[next.id] = result.ticket;
-                send(next, static_cast<std::size_t>(std::stoul(result.placement.decode.substr(1))));
+                auto index = static_cast<std::size_t>(std::stoul(result.placement.decode.substr(1)));
+                later([this, next, index] { send(next, index); });
+            }
+        }
+
+        /// Does something when a message sent now arrives.
+        void later(std::function<void()> action)
+        {
+            if (m_scenario.messageDelay == milliseconds(0))
+                action();
+            else
+                m_messages.emplace(m_clock.now() + m_scenario.messageDelay, std::move(action));
+        }
+
+        void deliverMessages()
+        {
+            while (!m_messages.empty() && m_messages.begin()->first <= m_clock.now()) {
+                auto action = std::move(m_messages.begin()->second);
+                m_messages.erase(m_messages.begin());
+                action();
             }
         }
 
@@ -175,7 +193,7 @@
             while (endpoint.running.size() < m_scenario.slots && !endpoint.waiting.empty()) {
                 auto next = endpoint.waiting.front();
                 endpoint.waiting.pop_front();
-                endpoint.running.emplace_back(next, m_clock.now() + next.serviceTime + 2 * networkDelay);
+                endpoint.running.emplace_back(next, m_clock.now() + next.serviceTime + 2 * m_scenario.networkDelay);
             }
         }
 
@@ -188,10 +206,11 @@
                         ++it;
                         continue;
                     }
-                    finish(it->first, i);
+                    auto done = it->first;
                     it = endpoint.running.erase(it);
+                    startWaiting(endpoint);
+                    finish(done, i);
                 }
-                startWaiting(endpoint);
             }
         }
 
@@ -212,12 +231,27 @@
             auto found = m_tickets.find(ended.id);
             if (found == m_tickets.end())
                 return;
-            m_planner.release(ended.entry, found->second, succeeded, m_clock.now());
-            if (succeeded)
-                m_planner.recordSuccess(endpointId(index));
-            else
-                m_planner.recordRefusal(endpointId(index), m_clock.now());
+            auto ticket = found->second;
             m_tickets.erase(found);
+            auto stated = makeStatement(m_endpoints[index]);
+            later([this, entry = ended.entry, ticket, index, succeeded, stated] {
+                m_planner.release(entry, ticket, succeeded, m_clock.now(), stated);
+                if (succeeded)
+                    m_planner.recordSuccess(endpointId(index));
+                else
+                    m_planner.recordRefusal(endpointId(index), m_clock.now());
+            });
+        }
+
+        wire::endpoint_statement makeStatement(const simulated_endpoint& endpoint) const
+        {
+            wire::endpoint_statement stated;
+            if (!m_scenario.statesLoad)
+                return stated;
+            stated.set_running(static_cast<std::uint32_t>(endpoint.running.size()));
+            stated.set_waiting(static_cast<std::uint32_t>(endpoint.waiting.size()));
+            stated.set_slots(m_scenario.slots);
+            return stated;
         }
 
         void refuse(call refused, milliseconds retryAfter)
@@ -252,6 +286,7 @@
         std::map<std::uint64_t, call> m_queued;
         std::map<std::uint64_t, std::uint64_t> m_tickets;
         std::multimap<time_point, call> m_returning;
+        std::multimap<time_point, std::function<void()>> m_messages;
         std::uint64_t m_lastId = 0;
         std::uint64_t m_lastTicket = 0;
         scenario_outcome m_outcome;
--- a/Tests/Scheduling/service_scenario.h
+++ b/Tests/Scheduling/service_scenario.h
@@ -22,6 +22,12 @@
     /// Calls that an endpoint queues beyond its slots; it refuses any more.
     unsigned queueLimit = 24;
     milliseconds meanServiceTime { 60 };
+    /// Time of each message between an entry and an endpoint; a call holds its slot meanwhile.
+    milliseconds networkDelay { 1 };
+    /// Time from a placement to the arrival of the call at the endpoint, and from its end to the release. No slot is held.
+    milliseconds messageDelay { 0 };
+    /// Whether endpoints state their load with their responses.
+    bool statesLoad = false;
     milliseconds target { 300 };
     milliseconds deadline { 4000 };
     unsigned entries = 195;
