Scheduling: Place calls of busy services by how slow endpoints are at the moment

Endpoints whose machine is shared were slow for fractions of a second and got as many calls as the others, so those calls missed their targets while faster endpoints had free slots.

The leader now keeps what each endpoint stated of its slowdown, from releases and from entries' syncs. It applies to the choice, to the calls ahead of the slots and to the completions that are expected. A report loses its weight within a fraction of a second and gives way to the endpoint's mean. The load counts as before, so a good report doesn't attract all calls. Endpoints that state nothing count as usual and are chosen as before.

--- a/Source/scheduling/endpoint_window.cpp
+++ b/Source/scheduling/endpoint_window.cpp
@@ -28,15 +28,15 @@
     m_refusedAbove = std::min(m_refusedAbove, others);
 }
 
-unsigned endpoint_window::ahead(unsigned slots) const
+unsigned endpoint_window::ahead(unsigned slots, double slowdown) const
 {
-    return std::clamp(static_cast<unsigned>(m_ahead), minAhead, std::max(minAhead, slots));
+    return std::clamp(static_cast<unsigned>(m_ahead / slowdown), minAhead, std::max(minAhead, slots));
 }
 
-unsigned endpoint_window::limit(unsigned slots) const
+unsigned endpoint_window::limit(unsigned slots, double slowdown) const
 {
-    auto limit = slots + ahead(slots);
-    // What was placed before it learnt is no less than what any endpoint gets.
+    auto limit = slots + ahead(slots, slowdown);
+    // Refusals of fewer calls than any endpoint may have are answered by a backoff.
     if (limit > m_refusedAbove)
         limit = std::max(slots + minAhead, static_cast<unsigned>(m_refusedAbove));
     return limit;
--- a/Source/scheduling/endpoint_window.h
+++ b/Source/scheduling/endpoint_window.h
@@ -24,11 +24,12 @@
     void record(const statement& stated, double placed);
     /// Records that the endpoint refused a call while it had this many others.
     void recordRefusal(double others);
-    /// Calls that an endpoint with this many slots may have, those that run included.
-    unsigned limit(unsigned slots) const;
+    /// Calls that an endpoint with this many slots may have, those that run included. While work takes longer than the mean of
+    /// the endpoint by a factor, fewer calls ahead last until the next arrives.
+    unsigned limit(unsigned slots, double slowdown = 1) const;
 
 private:
-    unsigned ahead(unsigned slots) const;
+    unsigned ahead(unsigned slots, double slowdown) const;
 
     double m_ahead = minAhead;
     double m_refusedAbove = std::numeric_limits<double>::infinity();
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -43,6 +43,7 @@
         updated.refusals = 0;
         updated.backoffUntil = {};
         updated.window = {};
+        updated.slowdown = {};
         m_breaker.reset(report.id());
     }
     updated.row = row;
@@ -68,9 +69,16 @@
     return report.service() == service && report.state() == wire::ENDPOINT_SERVING && !candidate.row.silent() && !m_evacuated.count(report.data_centre());
 }
 
-unsigned slot_planner::capacityOf(const endpoint& candidate)
+unsigned slot_planner::capacityOf(const endpoint& candidate, time_point now)
 {
-    return candidate.window.limit(candidate.row.report().slots());
+    return candidate.window.limit(candidate.row.report().slots(), candidate.slowdown.relativeAt(now));
+}
+
+void slot_planner::recordSlowdown(endpoint& reporter, unsigned percent, time_point reportedAt)
+{
+    constexpr double usual = 100;
+    // Zero means unknown, which the estimate ignores.
+    reporter.slowdown.record(percent / usual, reportedAt);
 }
 
 duration slot_planner::meanServiceTime(const std::string& service) const
@@ -115,11 +123,15 @@
     double bestCost = 0;
     for (auto* candidate : candidates(request, now)) {
         const auto& report = candidate->row.report();
-        auto load = loadOf(*candidate, now);
-        if (load + 1 > capacityOf(*candidate) || !m_pacer.allows(report.id(), now))
+        auto requests = loadOf(*candidate, now);
+        if (requests + 1 > capacityOf(*candidate, now) || !m_pacer.allows(report.id(), now))
             continue;
         double tieBreak = std::uniform_real_distribution<double>(0, 0.01)(m_random);
-        double cost = load / report.slots() + failureCost * candidate->failureRate + tieBreak;
+        // The time until the call is done, in usual times beyond the first: a free slot of a slow endpoint is worth as much as a
+        // place in the queue of one that is as much faster.
+        double load = requests / report.slots();
+        double time = load + (candidate->slowdown.at(now) - 1) * (1 + load);
+        double cost = time + failureCost * candidate->failureRate + tieBreak;
         cost += report.data_centre() == request.dataCentre ? 0 : remoteCost;
         cost += report.cold_ms() > 0 ? coldCost : 0;
         if (best && cost >= bestCost)
@@ -170,8 +182,12 @@
             current.placed.emplace(id, call);
     }
     for (const auto& row : load) {
+        auto reporter = m_endpoints.find(row.id());
+        if (reporter == m_endpoints.end())
+            continue;
+        recordSlowdown(reporter->second, row.slowdown_percent(), now - milliseconds(row.slowdown_age_ms()));
         auto known = listed[row.id()];
-        if (m_endpoints.count(row.id()) && row.requests() > known)
+        if (row.requests() > known)
             current.unplaced[row.id()] = row.requests() - known;
     }
     untrack(tracked);
@@ -191,6 +207,7 @@
     calls->second.placed.erase(ended);
     auto& endpoint = m_endpoints[call.endpoint];
     endpoint.window.record({ stated.running(), stated.waiting(), stated.slots() }, loadOf(endpoint, now));
+    recordSlowdown(endpoint, stated.slowdown_percent(), now);
     --endpoint.placed;
     m_breaker.onInconclusive(call.endpoint);
     if (!succeeded)
@@ -198,6 +215,7 @@
     auto& service = m_services[endpoint.row.report().service()];
     auto weight = std::max(minSampleWeight, 1.0 / ++service.samples);
     service.meanServiceMs += weight * (toMs(now - call.placedAt) - service.meanServiceMs);
+    service.meanSlowdown += weight * (endpoint.slowdown.at(now) - service.meanSlowdown);
     return true;
 }
 
@@ -301,6 +319,9 @@
 
 double slot_planner::expectedCompletions(const std::string& service, duration within, time_point now) const
 {
+    auto learnt = m_services.find(service);
+    auto meanSlowdown = learnt == m_services.end() ? 1 : learnt->second.meanSlowdown;
+    // Slots that would do the same at the mean speed.
     double busySlots = 0;
     double pacedCalls = 0;
     for (const auto& [id, candidate] : m_endpoints) {
@@ -309,9 +330,9 @@
         // A cold or limited endpoint may have free slots, but takes the next call only after a pause.
         pacedCalls += m_pacer.expectedCalls(id, within, now);
         // The mean service time includes the time that calls wait ahead of the slots.
-        auto countedCalls = capacityOf(candidate) - endpoint_window::minAhead;
+        auto countedCalls = capacityOf(candidate, now) - endpoint_window::minAhead;
         if (!m_pacer.namesLimit(id))
-            busySlots += std::min(loadOf(candidate, now), static_cast<double>(countedCalls));
+            busySlots += std::min(loadOf(candidate, now), static_cast<double>(countedCalls)) * meanSlowdown / candidate.slowdown.at(now + within / 2);
     }
     return pacedCalls + busySlots * toMs(within) / toMs(meanServiceTime(service));
 }
--- a/Source/scheduling/slot_planner.h
+++ b/Source/scheduling/slot_planner.h
@@ -4,6 +4,7 @@
 #include "scheduling/endpoint_pacer.h"
 #include "scheduling/endpoint_window.h"
 #include "scheduling/placement_types.h"
+#include "scheduling/slowdown_estimate.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
 #include <random>
@@ -17,7 +18,8 @@
 /// calls a second each, so their own view says nothing about an endpoint and the reported load changes several times
 /// between reports. Near the capacity they fill the queues of some endpoints, which refuse or answer late, while others
 /// have free slots. Below that, an entry chooses well enough by itself and its calls need no message to the owner.
-/// Slots come from the endpoints' reports; service times and failures are learnt from completed calls. An entry's list of
+/// Slots come from the endpoints' reports; service times and failures are learnt from completed calls, and for a moment the
+/// speed that endpoints state with them. An entry's list of
 /// running calls replaces what was tracked for it, so a lost message or a dead entry holds no slot.
 /// Pure; not thread-safe.
 class slot_planner {
@@ -74,6 +76,7 @@
         unsigned placed = 0;
         unsigned unplaced = 0;
         endpoint_window window;
+        slowdown_estimate slowdown;
         /// Exponentially weighted share of failed calls.
         double failureRate = 0;
         unsigned refusals = 0;
@@ -90,6 +93,8 @@
     };
     struct service_state {
         double meanServiceMs = 0;
+        /// Mean slowdown of the endpoints whose calls gave the mean service time.
+        double meanSlowdown = 1;
         unsigned samples = 0;
         bool queued = false;
         time_point queuedSince {};
@@ -98,7 +103,8 @@
     };
 
     bool isUsable(const endpoint& candidate, const std::string& service) const;
-    static unsigned capacityOf(const endpoint& candidate);
+    static unsigned capacityOf(const endpoint& candidate, time_point now);
+    static void recordSlowdown(endpoint& reporter, unsigned percent, time_point reportedAt);
     duration meanServiceTime(const std::string& service) const;
     double loadOf(const endpoint& candidate, time_point now) const;
     std::vector<endpoint*> candidates(const placement_request& request, time_point now);
--- a/Source/scheduling/slowdown_estimate.h
+++ b/Source/scheduling/slowdown_estimate.h
@@ -19,6 +19,8 @@
     void record(double slowdown, time_point reportedAt);
     /// The expected slowdown; 1 if nothing is known.
     double at(time_point now) const;
+    /// The expected slowdown as a multiple of the endpoint's mean.
+    double relativeAt(time_point now) const { return at(now) / m_mean; }
     /// The last report, within its bounds; meaningful only if isKnown().
     double last() const { return m_last; }
     time_point reportedAt() const { return m_reportedAt; }
--- a/Tests/Scheduling/service_scenario.cpp
+++ b/Tests/Scheduling/service_scenario.cpp
@@ -28,8 +28,10 @@
 
     struct simulated_endpoint {
         bool serving = true;
-        std::list<std::pair<call, time_point>> running;
+        /// Calls with the time that they still take at the usual speed, in milliseconds.
+        std::list<std::pair<call, double>> running;
         std::list<call> waiting;
+        double slowdown = 1;
         std::size_t load() const { return running.size() + waiting.size(); }
     };
 
@@ -74,8 +76,21 @@
             }
         }
 
+        void changeSpeeds()
+        {
+            if (m_scenario.slowShare == 0)
+                return;
+            std::bernoulli_distribution changes(static_cast<double>(tick.count()) / static_cast<double>(m_scenario.speedChangeInterval.count()));
+            std::bernoulli_distribution slow(m_scenario.slowShare);
+            for (auto& endpoint : m_endpoints) {
+                if (changes(m_speedRandom))
+                    endpoint.slowdown = slow(m_speedRandom) ? m_scenario.slowFactor : 1;
+            }
+        }
+
         void step(double callsPerSecond)
         {
+            changeSpeeds();
             completeCalls();
             deliverMessages();
             auto arrivals = std::poisson_distribution<unsigned>(callsPerSecond * static_cast<double>(tick.count()) / 1000)(m_random);
@@ -193,7 +208,7 @@
             while (endpoint.running.size() < m_scenario.slots && !endpoint.waiting.empty()) {
                 auto next = endpoint.waiting.front();
                 endpoint.waiting.pop_front();
-                endpoint.running.emplace_back(next, m_clock.now() + next.serviceTime + 2 * m_scenario.networkDelay);
+                endpoint.running.emplace_back(next, static_cast<double>((next.serviceTime + 2 * m_scenario.networkDelay).count()));
             }
         }
 
@@ -201,8 +216,10 @@
         {
             for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
                 auto& endpoint = m_endpoints[i];
+                for (auto& [running, left] : endpoint.running)
+                    left -= static_cast<double>(tick.count()) / endpoint.slowdown;
                 for (auto it = endpoint.running.begin(); it != endpoint.running.end();) {
-                    if (m_clock.now() < it->second) {
+                    if (it->second > 0) {
                         ++it;
                         continue;
                     }
@@ -251,6 +268,8 @@
             stated.set_running(static_cast<std::uint32_t>(endpoint.running.size()));
             stated.set_waiting(static_cast<std::uint32_t>(endpoint.waiting.size()));
             stated.set_slots(m_scenario.slots);
+            if (m_scenario.statesSlowdown)
+                stated.set_slowdown_percent(static_cast<std::uint32_t>(std::lround(endpoint.slowdown * 100)));
             return stated;
         }
 
@@ -277,6 +296,8 @@
         const service_scenario& m_scenario;
         bool m_withOwner;
         std::mt19937_64 m_random;
+        /// Speeds don't depend on what is decided.
+        std::mt19937_64 m_speedRandom { m_scenario.seed };
         manual_clock_source m_clock;
         std::vector<simulated_endpoint> m_endpoints;
         std::vector<std::size_t> m_reportedLoads;
--- a/Tests/Scheduling/service_scenario.h
+++ b/Tests/Scheduling/service_scenario.h
@@ -28,6 +28,12 @@
     milliseconds messageDelay { 0 };
     /// Whether endpoints state their load with their responses.
     bool statesLoad = false;
+    /// Endpoints are slow for this share of the time, by a factor, and change independently of each other after this mean time.
+    double slowShare = 0;
+    double slowFactor = 1;
+    milliseconds speedChangeInterval { 100 };
+    /// Whether endpoints that state their load also state how slow they are.
+    bool statesSlowdown = false;
     milliseconds target { 300 };
     milliseconds deadline { 4000 };
     unsigned entries = 195;
