Forwarding: Weigh an endpoint's load by how slow it states to be at the moment

Entries that choose endpoints themselves, as for services that aren't busy and while no leader answers, sent calls to endpoints whose machine was slow for the moment as if they were usual.

An entry now keeps what responses to itself stated and compares the time until a call would be done. The statement loses its weight within a fraction of a second, and ends with the run of the endpoint. The best of a random sample is selected as before, so entries that saw the same report don't all follow it. Model calls, and endpoints that state nothing, are treated as before.

--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -91,6 +91,7 @@
         endpoint.consecutiveFailures = 0;
         endpoint.failedLast = false;
         endpoint.backoffUntil = {};
+        endpoint.slowdown = {};
     }
     if (restarted || report.sequence() != endpoint.report.sequence())
         endpoint.coldUntil = m_clock.now() + milliseconds(report.cold_ms());
@@ -278,23 +279,27 @@
     return now < endpoint.backoffUntil;
 }
 
-double endpoint_registry::cost(const endpoint_record& endpoint, const endpoint_query& query)
+double endpoint_registry::cost(const endpoint_record& endpoint, const endpoint_query& query, time_point now)
 {
     double load = query.memoryTokens > 0 ? static_cast<double>(endpoint.ownTokens + endpoint.otherTokens) / static_cast<double>(query.memoryTokens)
                                          : loadRatio(endpoint.ownRequests + endpoint.otherRequests, query.requestCapacity > 0 ? query.requestCapacity : endpoint.report.slots());
     double cold = endpoint.report.cold_ms() > 0 ? 1 : 0;
-    return load + failureCost * endpoint.failureRate + cold;
+    bool hasEngines = query.memoryTokens > 0 || query.stage != wire::STAGE_ANY;
+    // The time until the call is done, in usual times beyond the first.
+    double time = hasEngines ? load : load + (endpoint.slowdown.at(now) - 1) * (1 + load);
+    return time + failureCost * endpoint.failureRate + cold;
 }
 
 const endpoint_registry::endpoint_record* endpoint_registry::selectFromSample(const std::vector<const endpoint_record*>& candidates, const endpoint_query& query)
 {
     const endpoint_record* best = nullptr;
     double bestCost = 0;
+    auto now = m_clock.now();
     auto offset = candidates.empty() ? 0 : m_random() % candidates.size();
     auto stride = candidates.size() > sampleSize ? 1 + m_random() % (candidates.size() - 1) : 1;
     for (std::size_t i = 0; i < std::min(sampleSize, candidates.size()); ++i) {
         const auto* endpoint = candidates[(offset + i * stride) % candidates.size()];
-        auto candidateCost = cost(*endpoint, query);
+        auto candidateCost = cost(*endpoint, query, now);
         if (best && candidateCost >= bestCost)
             continue;
         best = endpoint;
@@ -333,9 +338,9 @@
             remoteCandidates.push_back(&endpoint);
     }
     const auto* best = selectFromSample(localCandidates, query);
-    if (!best || cost(*best, query) > remoteLoadThreshold) {
+    if (!best || cost(*best, query, now) > remoteLoadThreshold) {
         const auto* remote = selectFromSample(remoteCandidates, query);
-        if (remote && (!best || cost(*remote, query) + remotePenalty < cost(*best, query)))
+        if (remote && (!best || cost(*remote, query, now) + remotePenalty < cost(*best, query, now)))
             best = remote;
     }
     return best ? best : selectFromSample(inBackoff, query);
@@ -457,6 +462,7 @@
     auto reported = load.running + load.waiting;
     // The endpoint's own report is newer than the reports of other entries, which arrive through the leader.
     endpoint.otherRequests = reported > endpoint.ownRequests ? reported - endpoint.ownRequests : 0;
+    endpoint.slowdown.record(load.slowdown.value_or(0), m_clock.now());
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/endpoint_registry.h
+++ b/Source/forwarding/endpoint_registry.h
@@ -3,6 +3,7 @@
 #include "coordination/endpoint_listener.h"
 #include "forwarding/call_types.h"
 #include "forwarding/endpoint_statements.h"
+#include "scheduling/slowdown_estimate.h"
 #include <map>
 #include <random>
 #include <set>
@@ -61,7 +62,8 @@
 /// The endpoints known to an entry, with their load and health, and the selection among them. The selection uses the
 /// entry's own load on each endpoint, the load reported by other entries and the load reported in responses. It needs no
 /// request to another VM, so it works while any other process is unavailable. Selecting the best of a random sample
-/// keeps entries with the same outdated load data from all selecting the same endpoint.
+/// keeps entries with the same outdated load data from all selecting the same endpoint. Load weighs more at endpoints without
+/// engines that stated a moment ago that they are slow.
 /// Not thread-safe.
 class endpoint_registry final : public endpoint_listener {
 public:
@@ -145,6 +147,7 @@
         time_point backoffUntil {};
         time_point lastSuccessAt {};
         time_point lastActivityAt {};
+        slowdown_estimate slowdown;
         /// Since when the endpoint has not been confirmed by the current leader; zero if it has been.
         time_point unconfirmedSince {};
     };
@@ -154,7 +157,7 @@
     bool isResting(const endpoint_record& endpoint, time_point now) const { return now < m_statements.restsUntil(endpoint.report.id(), endpoint.report.born_ms()); }
     bool isEvacuated(const endpoint_record& endpoint) const { return m_evacuated.count(endpoint.report.data_centre()) > 0; }
     bool isInBackoff(const endpoint_record& endpoint, time_point now) const;
-    static double cost(const endpoint_record& endpoint, const endpoint_query& query);
+    static double cost(const endpoint_record& endpoint, const endpoint_query& query, time_point now);
     const endpoint_record* selectBest(const endpoint_query& query);
     const endpoint_record* selectFromSample(const std::vector<const endpoint_record*>& candidates, const endpoint_query& query);
     void applyRow(const wire::endpoint_row& row);
