Forwarding, Coordination, Scheduling: Tell the leader in each sync how slow endpoints are

The leader knew the speed of endpoints only from the ends of calls that it had placed, so nothing of services that had just become busy, and operators saw nothing of it at all.

Syncs carry what endpoints stated within the last second, with its age. Rows without load don't count in the sums of loads; otherwise they would make the list so long that others hear of busy endpoints late. The gauge endpoints_slow at the leader counts the endpoints that are much slower than usual, once any states it; service_queued and service_unqueued have the field slowdown_percent.

--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -160,6 +160,8 @@
         return;
     m_queuedServicesCheckedAt = now;
     updatePlanner();
+    if (auto slow = m_slotPlanner.slowEndpoints(now))
+        m_metrics.gauge("endpoints_slow", *slow);
     if (!m_slotPlanner.updateQueued(now))
         return;
     ++m_queuedServicesVersion;
--- a/Source/coordination/entry_loads.cpp
+++ b/Source/coordination/entry_loads.cpp
@@ -16,6 +16,9 @@
     ++m_reportsSinceUpdate;
     auto& own = m_entries[entry];
     for (const auto& one : reported) {
+        // The row tells only how slow the endpoint is.
+        if (one.requests() == 0 && one.tokens() == 0 && !own.count(one.id()))
+            continue;
         // If an endpoint is listed twice, the last row counts, also in the sums.
         auto& mine = own[one.id()];
         subtract(one.id(), mine);
--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/endpoint_registry.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pistachiolatch {
 
@@ -30,6 +31,9 @@
     constexpr milliseconds recentSuccessPeriod { 1000 };
     /// Endpoints report about every second.
     constexpr milliseconds maxReportAge { 1500 };
+    /// Older reports of slowdowns are worth nothing to the leader.
+    constexpr milliseconds maxSlowdownAge { 1000 };
+    constexpr double percent = 100;
     /// How long an endpoint that a new leader doesn't know is kept; it announces itself several times in this period.
     constexpr milliseconds unconfirmedTimeout { 6000 };
 
@@ -120,13 +124,20 @@
 
 void endpoint_registry::fillLoad(google::protobuf::RepeatedPtrField<wire::endpoint_load>& own) const
 {
+    auto now = m_clock.now();
     for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint.ownRequests == 0)
+        auto slowdownAge = now - endpoint.slowdown.reportedAt();
+        bool tellsSlowdown = endpoint.slowdown.isKnown() && slowdownAge <= maxSlowdownAge;
+        if (endpoint.ownRequests == 0 && !tellsSlowdown)
             continue;
         auto& load = *own.Add();
         load.set_id(id);
         load.set_requests(endpoint.ownRequests);
         load.set_tokens(endpoint.ownTokens);
+        if (!tellsSlowdown)
+            continue;
+        load.set_slowdown_percent(static_cast<std::uint32_t>(std::lround(percent * endpoint.slowdown.last())));
+        load.set_slowdown_age_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(slowdownAge).count()));
     }
 }
 
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -22,6 +22,9 @@
     /// An endpoint that fails all its calls is used only if all others are full.
     constexpr double failureCost = 4;
     constexpr double remoteCost = 0.02;
+    /// Operators are told how many endpoints are at least as much slower than usual.
+    constexpr double slowAbove = 1.5;
+    constexpr double percent = 100;
     /// An endpoint that has just started and is still slow is used only if the others are nearly full.
     constexpr double coldCost = 1;
     /// Backoff after a refusal, in mean service times, doubled with each further one.
@@ -74,11 +77,10 @@
     return candidate.window.limit(candidate.row.report().slots(), candidate.slowdown.relativeAt(now));
 }
 
-void slot_planner::recordSlowdown(endpoint& reporter, unsigned percent, time_point reportedAt)
+void slot_planner::recordSlowdown(endpoint& reporter, unsigned stated, time_point reportedAt)
 {
-    constexpr double usual = 100;
     // Zero means unknown, which the estimate ignores.
-    reporter.slowdown.record(percent / usual, reportedAt);
+    reporter.slowdown.record(stated / percent, reportedAt);
 }
 
 duration slot_planner::meanServiceTime(const std::string& service) const
@@ -294,7 +296,7 @@
         bool queued = service.queued ? load.slots > 0 && (!calm || now - service.calmSince < calmPeriod) : busy;
         if (queued == service.queued)
             continue;
-        logEvent(queued ? "service_queued" : "service_unqueued", { { "service", name }, { "requests", std::lround(load.requests) }, { "slots", std::lround(load.slots) }, { "service_ms", std::lround(toMs(meanServiceTime(name))) } });
+        logEvent(queued ? "service_queued" : "service_unqueued", { { "service", name }, { "requests", std::lround(load.requests) }, { "slots", std::lround(load.slots) }, { "service_ms", std::lround(toMs(meanServiceTime(name))) }, { "slowdown_percent", std::lround(percent * meanSlowdownNow(name, now)) } });
         service.queued = queued;
         service.queuedSince = now;
         changed = true;
@@ -312,6 +314,29 @@
     return queued;
 }
 
+double slot_planner::meanSlowdownNow(const std::string& service, time_point now) const
+{
+    double sum = 0;
+    unsigned count = 0;
+    for (const auto& [id, candidate] : m_endpoints) {
+        if (!isUsable(candidate, service))
+            continue;
+        sum += candidate.slowdown.at(now);
+        ++count;
+    }
+    return count == 0 ? 1 : sum / count;
+}
+
+std::optional<unsigned> slot_planner::slowEndpoints(time_point now) const
+{
+    std::optional<unsigned> slow;
+    for (const auto& [id, candidate] : m_endpoints) {
+        if (candidate.slowdown.isKnown())
+            slow = slow.value_or(0) + (candidate.slowdown.at(now) >= slowAbove ? 1 : 0);
+    }
+    return slow;
+}
+
 duration slot_planner::timeToFirstEvent(const placement_request& request) const
 {
     return meanServiceTime(request.service) * tailFactor;
--- a/Source/scheduling/slot_planner.h
+++ b/Source/scheduling/slot_planner.h
@@ -7,6 +7,7 @@
 #include "scheduling/slowdown_estimate.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -59,6 +60,8 @@
     /// Decides again which services are queued. Returns whether that changed.
     bool updateQueued(time_point now);
     std::vector<std::string> queuedServices() const;
+    /// Number of endpoints that are much slower than usual at the moment; empty if none has stated its slowdown.
+    std::optional<unsigned> slowEndpoints(time_point now) const;
     /// Whether any endpoint of the service could be used, apart from its load.
     bool hasEndpoints(const placement_request& request) const;
 
@@ -104,9 +107,11 @@
 
     bool isUsable(const endpoint& candidate, const std::string& service) const;
     static unsigned capacityOf(const endpoint& candidate, time_point now);
-    static void recordSlowdown(endpoint& reporter, unsigned percent, time_point reportedAt);
+    static void recordSlowdown(endpoint& reporter, unsigned stated, time_point reportedAt);
     duration meanServiceTime(const std::string& service) const;
     double loadOf(const endpoint& candidate, time_point now) const;
+    /// Mean slowdown of the service's usable endpoints; 1 if they state none.
+    double meanSlowdownNow(const std::string& service, time_point now) const;
     std::vector<endpoint*> candidates(const placement_request& request, time_point now);
     void removeEndpoint(const std::string& id);
     /// Adds an entry's calls to the counts of their endpoints, or takes them off. All tracked calls are at known endpoints.
--- a/Tests/Coordination/EntryLoadsTest.cpp
+++ b/Tests/Coordination/EntryLoadsTest.cpp
@@ -106,3 +106,16 @@
         all.replace("e" + std::to_string(entry), loadsOf({ { "new", 2 } }));
     CHECK(othersOf(all, "e7")["new"] == 2 * (entries - 1));
 }
+
+// Guards against busy endpoints that others are told of late, because rows that only tell how slow an endpoint is make the list long.
+TEST_CASE("Rows without load take no place among the busiest endpoints")
+{
+    entry_loads all;
+    std::map<std::string, std::uint32_t> idle;
+    for (int i = 0; i < 5000; ++i)
+        idle["idle" + std::to_string(i)] = 0;
+    all.replace("a", loadsOf(idle));
+    CHECK(othersOf(all, "b").empty());
+    all.replace("b", loadsOf({ { "d1", 1 } }));
+    CHECK(othersOf(all, "a") == std::map<std::string, std::uint32_t> { { "d1", 1 } });
+}
--- a/Tests/Forwarding/ChangingSpeedsTest.cpp
+++ b/Tests/Forwarding/ChangingSpeedsTest.cpp
@@ -118,3 +118,30 @@
     query.memoryTokens = 1000;
     CHECK(selections(registry, query)["e0"] > trials / 4);
 }
+
+TEST_CASE("Entries tell the leader what endpoints stated a moment ago, with its age")
+{
+    // Failure: the leader knows nothing of endpoints whose calls entries place themselves, or takes old reports for new ones.
+    manual_clock_source clock;
+    endpoint_registry registry(clock, "a", 1);
+    registry.onEndpoints(makeRows(3), true);
+    registry.updateLoad("e0", makeLoad(2.5));
+    registry.updateLoad("e1", makeLoad(std::nullopt));
+    registry.addRequest("e1", 0);
+    clock.advance(milliseconds(120));
+    google::protobuf::RepeatedPtrField<wire::endpoint_load> rows;
+    registry.fillLoad(rows);
+    REQUIRE(rows.size() == 2);
+    CHECK(rows[0].id() == "e0");
+    CHECK(rows[0].requests() == 0);
+    CHECK(rows[0].slowdown_percent() == 250);
+    CHECK(rows[0].slowdown_age_ms() == 120);
+    CHECK(rows[1].id() == "e1");
+    CHECK(rows[1].requests() == 1);
+    CHECK(rows[1].slowdown_percent() == 0);
+    clock.advance(milliseconds(2000));
+    rows.Clear();
+    registry.fillLoad(rows);
+    REQUIRE(rows.size() == 1);
+    CHECK(rows[0].id() == "e1");
+}
--- a/Tests/Scheduling/ChangingSpeedsTest.cpp
+++ b/Tests/Scheduling/ChangingSpeedsTest.cpp
@@ -119,3 +119,17 @@
     planner.replaceCalls("other", {}, makeReport("a", 4 * usualPercent), clock.now());
     CHECK(planner.expectedCompletions("desk", soon, clock.now()) < 0.5 * usual);
 }
+
+TEST_CASE("Endpoints that are slow at the moment are counted once any states its slowdown")
+{
+    manual_clock_source clock;
+    slot_planner planner(1);
+    for (const char* id : { "a", "b", "c" })
+        planner.updateEndpoint(makeRow(id));
+    CHECK_FALSE(planner.slowEndpoints(clock.now()));
+    planner.replaceCalls("entry", {}, makeReport("a", 3 * usualPercent), clock.now());
+    planner.replaceCalls("entry", {}, makeReport("b", usualPercent), clock.now());
+    CHECK(planner.slowEndpoints(clock.now()) == 1);
+    clock.advance(milliseconds(2000));
+    CHECK(planner.slowEndpoints(clock.now()) == 0);
+}
