--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -160,6 +160,8 @@
         return;
     m_queuedServicesCheckedAt = now;
     updatePlanner();
+    if (auto slow = m_slotPlanner.slowEndpoints(now))
+        m_metrics.gauge("endpoints_slow", *slow);
     if (!m_slotPlanner.updateQueued(now))
         return;
     ++m_queuedServicesVersion;
@@ -174,7 +176,7 @@
     const auto& release = message.engine_release();
     const auto& entry = session->second.name;
     auto now = m_clock.now();
-    if (m_slotPlanner.release(entry, release.call_id(), release.succeeded_size() > 0, now)) {
+    if (m_slotPlanner.release(entry, release.call_id(), release.succeeded_size() > 0, now, release.stated())) {
         recordOutcomes(m_slotPlanner, release, now);
         if (!m_slotQueue.empty())
             processSlotQueue();
--- a/Source/scheduling/slot_planner.cpp
+++ b/Source/scheduling/slot_planner.cpp
@@ -13,8 +13,6 @@
     constexpr double calmBelow = 0.4;
     /// How long the load must stay low before entries choose by themselves again.
     constexpr milliseconds calmPeriod { 2000 };
-    /// Calls at an endpoint beyond its slots, so that it has work until the message that frees a slot arrives.
-    constexpr unsigned callsAhead = 1;
     /// Service time of a service without completed calls.
     constexpr double defaultServiceMs = 50;
     constexpr double minSampleWeight = 0.02;
@@ -24,6 +22,9 @@
     /// An endpoint that fails all its calls is used only if all others are full.
     constexpr double failureCost = 4;
     constexpr double remoteCost = 0.02;
+    /// Operators are told how many endpoints are at least as much slower than usual.
+    constexpr double slowAbove = 1.5;
+    constexpr double percent = 100;
     /// An endpoint that has just started and is still slow is used only if the others are nearly full.
     constexpr double coldCost = 1;
     /// Backoff after a refusal, in mean service times, doubled with each further one.
@@ -44,6 +45,8 @@
         updated.failureRate = 0;
         updated.refusals = 0;
         updated.backoffUntil = {};
+        updated.window = {};
+        updated.slowdown = {};
         m_breaker.reset(report.id());
     }
     updated.row = row;
@@ -69,9 +72,15 @@
     return report.service() == service && report.state() == wire::ENDPOINT_SERVING && !candidate.row.silent() && !m_evacuated.count(report.data_centre());
 }
 
-unsigned slot_planner::capacityOf(const endpoint& candidate)
+unsigned slot_planner::capacityOf(const endpoint& candidate, time_point now)
 {
-    return candidate.row.report().slots() + callsAhead;
+    return candidate.window.limit(candidate.row.report().slots(), candidate.slowdown.relativeAt(now));
+}
+
+void slot_planner::recordSlowdown(endpoint& reporter, unsigned stated, time_point reportedAt)
+{
+    // Zero means unknown, which the estimate ignores.
+    reporter.slowdown.record(stated / percent, reportedAt);
 }
 
 duration slot_planner::meanServiceTime(const std::string& service) const
@@ -116,11 +125,15 @@
     double bestCost = 0;
     for (auto* candidate : candidates(request, now)) {
         const auto& report = candidate->row.report();
-        auto load = loadOf(*candidate, now);
-        if (load + 1 > capacityOf(*candidate) || !m_pacer.allows(report.id(), now))
+        auto requests = loadOf(*candidate, now);
+        if (requests + 1 > capacityOf(*candidate, now) || !m_pacer.allows(report.id(), now))
             continue;
         double tieBreak = std::uniform_real_distribution<double>(0, 0.01)(m_random);
-        double cost = load / report.slots() + failureCost * candidate->failureRate + tieBreak;
+        // The time until the call is done, in usual times beyond the first: a free slot of a slow endpoint is worth as much as a
+        // place in the queue of one that is as much faster.
+        double load = requests / report.slots();
+        double time = load + (candidate->slowdown.at(now) - 1) * (1 + load);
+        double cost = time + failureCost * candidate->failureRate + tieBreak;
         cost += report.data_centre() == request.dataCentre ? 0 : remoteCost;
         cost += report.cold_ms() > 0 ? coldCost : 0;
         if (best && cost >= bestCost)
@@ -171,8 +184,12 @@
             current.placed.emplace(id, call);
     }
     for (const auto& row : load) {
+        auto reporter = m_endpoints.find(row.id());
+        if (reporter == m_endpoints.end())
+            continue;
+        recordSlowdown(reporter->second, row.slowdown_percent(), now - milliseconds(row.slowdown_age_ms()));
         auto known = listed[row.id()];
-        if (m_endpoints.count(row.id()) && row.requests() > known)
+        if (row.requests() > known)
             current.unplaced[row.id()] = row.requests() - known;
     }
     untrack(tracked);
@@ -180,7 +197,7 @@
     track(tracked);
 }
 
-bool slot_planner::release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now)
+bool slot_planner::release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now, const wire::endpoint_statement& stated)
 {
     auto calls = m_entries.find(entry);
     if (calls == m_entries.end())
@@ -191,6 +208,8 @@
     auto call = ended->second;
     calls->second.placed.erase(ended);
     auto& endpoint = m_endpoints[call.endpoint];
+    endpoint.window.record({ stated.running(), stated.waiting(), stated.slots() }, loadOf(endpoint, now));
+    recordSlowdown(endpoint, stated.slowdown_percent(), now);
     --endpoint.placed;
     m_breaker.onInconclusive(call.endpoint);
     if (!succeeded)
@@ -198,6 +217,7 @@
     auto& service = m_services[endpoint.row.report().service()];
     auto weight = std::max(minSampleWeight, 1.0 / ++service.samples);
     service.meanServiceMs += weight * (toMs(now - call.placedAt) - service.meanServiceMs);
+    service.meanSlowdown += weight * (endpoint.slowdown.at(now) - service.meanSlowdown);
     return true;
 }
 
@@ -223,7 +243,10 @@
 void slot_planner::recordRefusal(const std::string& id, time_point now)
 {
     auto found = m_endpoints.find(id);
-    if (found == m_endpoints.end() || now < found->second.backoffUntil)
+    if (found == m_endpoints.end())
+        return;
+    found->second.window.recordRefusal(loadOf(found->second, now));
+    if (now < found->second.backoffUntil)
         return;
     auto doublings = std::min(found->second.refusals++, maxBackoffDoublings);
     found->second.backoffUntil = now + meanServiceTime(found->second.row.report().service()) * (1 << doublings);
@@ -273,7 +296,7 @@
         bool queued = service.queued ? load.slots > 0 && (!calm || now - service.calmSince < calmPeriod) : busy;
         if (queued == service.queued)
             continue;
-        logEvent(queued ? "service_queued" : "service_unqueued", { { "service", name }, { "requests", std::lround(load.requests) }, { "slots", std::lround(load.slots) }, { "service_ms", std::lround(toMs(meanServiceTime(name))) } });
+        logEvent(queued ? "service_queued" : "service_unqueued", { { "service", name }, { "requests", std::lround(load.requests) }, { "slots", std::lround(load.slots) }, { "service_ms", std::lround(toMs(meanServiceTime(name))) }, { "slowdown_percent", std::lround(percent * meanSlowdownNow(name, now)) } });
         service.queued = queued;
         service.queuedSince = now;
         changed = true;
@@ -291,6 +314,29 @@
     return queued;
 }
 
+double slot_planner::meanSlowdownNow(const std::string& service, time_point now) const
+{
+    double sum = 0;
+    unsigned count = 0;
+    for (const auto& [id, candidate] : m_endpoints) {
+        if (!isUsable(candidate, service))
+            continue;
+        sum += candidate.slowdown.at(now);
+        ++count;
+    }
+    return count == 0 ? 1 : sum / count;
+}
+
+std::optional<unsigned> slot_planner::slowEndpoints(time_point now) const
+{
+    std::optional<unsigned> slow;
+    for (const auto& [id, candidate] : m_endpoints) {
+        if (candidate.slowdown.isKnown())
+            slow = slow.value_or(0) + (candidate.slowdown.at(now) >= slowAbove ? 1 : 0);
+    }
+    return slow;
+}
+
 duration slot_planner::timeToFirstEvent(const placement_request& request) const
 {
     return meanServiceTime(request.service) * tailFactor;
@@ -298,6 +344,9 @@
 
 double slot_planner::expectedCompletions(const std::string& service, duration within, time_point now) const
 {
+    auto learnt = m_services.find(service);
+    auto meanSlowdown = learnt == m_services.end() ? 1 : learnt->second.meanSlowdown;
+    // Slots that would do the same at the mean speed.
     double busySlots = 0;
     double pacedCalls = 0;
     for (const auto& [id, candidate] : m_endpoints) {
@@ -305,8 +354,10 @@
             continue;
         // A cold or limited endpoint may have free slots, but takes the next call only after a pause.
         pacedCalls += m_pacer.expectedCalls(id, within, now);
+        // The mean service time includes the time that calls wait ahead of the slots.
+        auto countedCalls = capacityOf(candidate, now) - endpoint_window::minAhead;
         if (!m_pacer.namesLimit(id))
-            busySlots += std::min(loadOf(candidate, now), static_cast<double>(candidate.row.report().slots()));
+            busySlots += std::min(loadOf(candidate, now), static_cast<double>(countedCalls)) * meanSlowdown / candidate.slowdown.at(now + within / 2);
     }
     return pacedCalls + busySlots * toMs(within) / toMs(meanServiceTime(service));
 }
--- a/Source/scheduling/slot_planner.h
+++ b/Source/scheduling/slot_planner.h
@@ -2,9 +2,12 @@
 #include "kernel/kernel.h"
 #include "scheduling/circuit_breaker.h"
 #include "scheduling/endpoint_pacer.h"
+#include "scheduling/endpoint_window.h"
 #include "scheduling/placement_types.h"
+#include "scheduling/slowdown_estimate.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -16,7 +19,8 @@
 /// calls a second each, so their own view says nothing about an endpoint and the reported load changes several times
 /// between reports. Near the capacity they fill the queues of some endpoints, which refuse or answer late, while others
 /// have free slots. Below that, an entry chooses well enough by itself and its calls need no message to the owner.
-/// Slots come from the endpoints' reports; service times and failures are learnt from completed calls. An entry's list of
+/// Slots come from the endpoints' reports; service times and failures are learnt from completed calls, and for a moment the
+/// speed that endpoints state with them. An entry's list of
 /// running calls replaces what was tracked for it, so a lost message or a dead entry holds no slot.
 /// Pure; not thread-safe.
 class slot_planner {
@@ -42,8 +46,8 @@
     /// Replaces the calls tracked for an entry by its list of running calls. The load is that of all its requests; the part
     /// beyond the listed calls was placed by the entry itself.
     void replaceCalls(const std::string& entry, const std::vector<wire::running_call>& calls, const std::vector<wire::endpoint_load>& load, time_point now);
-    /// Removes a call that ended. Returns whether it was tracked here.
-    bool release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now);
+    /// Removes a call that ended, with what its endpoint stated then, if anything. Returns whether it was tracked here.
+    bool release(const std::string& entry, std::uint64_t callId, bool succeeded, time_point now, const wire::endpoint_statement& stated = {});
     void recordSuccess(const std::string& endpoint);
     void recordFailure(const std::string& endpoint, time_point now);
     /// Records that an endpoint refused a call as full although a slot seemed free.
@@ -56,6 +60,8 @@
     /// Decides again which services are queued. Returns whether that changed.
     bool updateQueued(time_point now);
     std::vector<std::string> queuedServices() const;
+    /// Number of endpoints that are much slower than usual at the moment; empty if none has stated its slowdown.
+    std::optional<unsigned> slowEndpoints(time_point now) const;
     /// Whether any endpoint of the service could be used, apart from its load.
     bool hasEndpoints(const placement_request& request) const;
 
@@ -72,6 +78,8 @@
         /// Calls placed here, and those that entries placed themselves by their last lists.
         unsigned placed = 0;
         unsigned unplaced = 0;
+        endpoint_window window;
+        slowdown_estimate slowdown;
         /// Exponentially weighted share of failed calls.
         double failureRate = 0;
         unsigned refusals = 0;
@@ -88,6 +96,8 @@
     };
     struct service_state {
         double meanServiceMs = 0;
+        /// Mean slowdown of the endpoints whose calls gave the mean service time.
+        double meanSlowdown = 1;
         unsigned samples = 0;
         bool queued = false;
         time_point queuedSince {};
@@ -96,9 +106,12 @@
     };
 
     bool isUsable(const endpoint& candidate, const std::string& service) const;
-    static unsigned capacityOf(const endpoint& candidate);
+    static unsigned capacityOf(const endpoint& candidate, time_point now);
+    static void recordSlowdown(endpoint& reporter, unsigned stated, time_point reportedAt);
     duration meanServiceTime(const std::string& service) const;
     double loadOf(const endpoint& candidate, time_point now) const;
+    /// Mean slowdown of the service's usable endpoints; 1 if they state none.
+    double meanSlowdownNow(const std::string& service, time_point now) const;
     std::vector<endpoint*> candidates(const placement_request& request, time_point now);
     void removeEndpoint(const std::string& id);
     /// Adds an entry's calls to the counts of their endpoints, or takes them off. All tracked calls are at known endpoints.
--- a/Tests/Scheduling/service_scenario.h
+++ b/Tests/Scheduling/service_scenario.h
@@ -22,6 +22,18 @@
     /// Calls that an endpoint queues beyond its slots; it refuses any more.
     unsigned queueLimit = 24;
     milliseconds meanServiceTime { 60 };
+    /// Time of each message between an entry and an endpoint; a call holds its slot meanwhile.
+    milliseconds networkDelay { 1 };
+    /// Time from a placement to the arrival of the call at the endpoint, and from its end to the release. No slot is held.
+    milliseconds messageDelay { 0 };
+    /// Whether endpoints state their load with their responses.
+    bool statesLoad = false;
+    /// Endpoints are slow for this share of the time, by a factor, and change independently of each other after this mean time.
+    double slowShare = 0;
+    double slowFactor = 1;
+    milliseconds speedChangeInterval { 100 };
+    /// Whether endpoints that state their load also state how slow they are.
+    bool statesSlowdown = false;
     milliseconds target { 300 };
     milliseconds deadline { 4000 };
     unsigned entries = 195;
