Scheduling, Forwarding, Coordination: Serve urgent calls before patient ones in shortage

A burst of calls on patient routes delayed callers on urgent routes that share the endpoints, and had them refused: priorities of routes and organisations were decoded and not used, so all calls of a service shared one order.

Entries send the rank of the organisation, or else of the route, in engine_plan_request.priority. The queue orders the calls of a service by rank after the started streams; within a rank, organisations and returning callers share as before, each rank with virtual times and credits of its own. Less urgent calls keep 15% of the work before the more urgent ones, divided in the same way among more than two ranks; a call larger than the credit is placed and its debt paid off. Calls that go before one count in whether it can start in time, so displaced patient calls are refused without waiting out their patience. Services whose calls have one rank are served as before.

--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -86,6 +86,7 @@
 {
     queued_request queued;
     queued.organisation = request.organisation();
+    queued.priority = request.priority();
     queued.request = decodeRequest(request);
     queued.waitDeadline = now + milliseconds(request.patience_ms());
     // Entries of earlier versions don't send this field.
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -2,6 +2,7 @@
 // Calls to model engines. Included only by call_forwarder.h.
 #include "forwarding/call_forwarder.h"
 #include "forwarding/call_forwarder_common.h"
+#include "routing/call_priority.h"
 
 namespace pistachiolatch {
 
@@ -132,6 +133,7 @@
     planRequest.set_slot(!m_service->engine);
     if (m_service->engine)
         planRequest.set_memory_tokens(m_service->engine->memoryTokens);
+    planRequest.set_priority(callPriority(*m_route, m_organisation));
     if (m_organisation)
         planRequest.set_organisation(m_organisation->name);
     planRequest.set_fingerprint(fingerprint());
--- a/Source/scheduling/placement_queue.h
+++ b/Source/scheduling/placement_queue.h
@@ -20,6 +20,8 @@
     std::string entry;
     /// Empty if the call belongs to no organisation.
     std::string organisation;
+    /// Calls with lower values are more urgent.
+    unsigned priority = 0;
     placement_request request;
     /// When the entry stops waiting for a placement.
     time_point waitDeadline;
@@ -80,6 +82,9 @@
 /// and after them beyond it: they have missed their targets, so serving them first would make every other call late too.
 /// Organisations share the rest fairly, by the work of their calls, so that one that floods a service lengthens only its
 /// own queue.
+/// All of this holds among calls of one priority. Started streams apart, more urgent calls go first, so that a burst of
+/// patient calls doesn't make callers late who wait for their answers. Patient calls keep a fixed share of the work, or a
+/// steady load of urgent ones would starve them.
 /// A stream that was begun waits only for endpoints of its software version. Calls that may use any version don't wait behind
 /// it, but leave those endpoints to it: they would take each place that becomes free there, and a version that is being
 /// replaced has few.
@@ -100,13 +105,31 @@
         double virtualTime = 0;
         unsigned waiting = 0;
     };
-    using flow_key = std::pair<std::string, std::string>;
-    static flow_key keyOf(const queued_request& queued) { return { queued.request.service, queued.organisation }; }
+    /// Service, priority and organisation.
+    using flow_key = std::tuple<std::string, unsigned, std::string>;
+    static flow_key keyOf(const queued_request& queued) { return { queued.request.service, queued.priority, queued.organisation }; }
+    /// Calls of one priority to a service.
+    struct lane {
+        /// The virtual time of the call that was placed last.
+        double virtualTime = 0;
+        /// Work that returning calls may take before others.
+        double returningCredit = 0;
+        /// Work that less urgent calls may take before those of this lane; negative after a call that exceeded it.
+        double patientCredit = 0;
+        unsigned waiting = 0;
+    };
+    /// Service and priority.
+    using lane_key = std::pair<std::string, unsigned>;
+    static lane_key laneOf(const queued_request& queued) { return { queued.request.service, queued.priority }; }
     void sortWaiting();
-    /// Moves the first returning call of each service to the front if the share for returning calls has room for it.
+    /// Moves the first returning call of each lane to its front if the share for returning calls has room for it.
     void advanceReturning();
-    /// Charges the organisation for a call that was placed.
-    void recordPlacement(const queued_request& queued);
+    /// Moves the first call that is less urgent than a lane before it if the share for patient calls has room.
+    void advancePatient();
+    /// Adjusts the counts for a call that no longer waits.
+    void recordRemoval(const queued_request& queued);
+    /// Charges the organisation and the shares for a call that was placed.
+    void recordPlacement(const queued_request& queued, bool returning);
     void removeIdleState(time_point now);
     /// Calls of a service that wait before the one under consideration. Later calls must not overtake the first one that waits
     /// for the same endpoints, or small prompts would starve a large one.
@@ -126,10 +149,7 @@
     };
     std::deque<waiting_request> m_waiting;
     std::map<flow_key, flow> m_flows;
-    /// By service: the virtual time of the call that was placed last.
-    std::map<std::string, double> m_virtualTimes;
-    /// By service: work that returning calls may take before others.
-    std::map<std::string, double> m_returningCredit;
+    std::map<lane_key, lane> m_lanes;
     /// When requests were refused, by fingerprint.
     std::unordered_map<std::uint64_t, time_point> m_refusedAt;
     /// When a call was last refused for lack of capacity, by service.
@@ -147,6 +167,10 @@
     constexpr double returningShare = 0.1;
     /// Upper bound of the credit of returning calls, in calls, so that they don't go first all at once after a calm period.
     constexpr double maxReturningCredit = 4;
+    /// Share of the work that less urgent calls get before more urgent ones.
+    constexpr double patientShare = 0.15;
+    /// Upper bound of the credit of patient calls, in calls.
+    constexpr double maxPatientCredit = 1;
     /// How long a refused request is remembered; callers that wait longer than the longest retry delay are rare.
     constexpr milliseconds refusalMemory { 6000 };
     constexpr std::size_t maxRefusals = 20'000;
@@ -162,9 +186,11 @@
 void placement_queue<Planner>::add(queued_request request, time_point now)
 {
     auto& organisation = m_flows[keyOf(request)];
+    auto& lane = m_lanes[laneOf(request)];
+    ++lane.waiting;
     // An organisation that was idle has neither credit nor debt from the past.
     if (organisation.waiting++ == 0)
-        organisation.virtualTime = std::max(organisation.virtualTime, m_virtualTimes[request.request.service]);
+        organisation.virtualTime = std::max(organisation.virtualTime, lane.virtualTime);
     auto refused = m_refusedAt.find(request.fingerprint);
     bool returning = refused != m_refusedAt.end() && now - refused->second <= placement_queue_detail::refusalMemory;
     if (refused != m_refusedAt.end())
@@ -178,8 +204,9 @@
     if (m_waiting.size() < 2)
         return;
     struct position {
-        /// Started streams 0, on-time calls 1, returning calls 2.
-        int rank;
+        bool later;
+        unsigned priority;
+        bool returning;
         double tag;
         waiting_request* waiting;
     };
@@ -190,41 +217,81 @@
         auto key = keyOf(waiting.queued);
         auto& work = workAhead[key];
         work += waiting.queued.request.cost();
-        int rank = waiting.queued.streamStarted ? 0 : waiting.returning ? 2
-                                                                        : 1;
-        order.push_back({ rank, m_flows[key].virtualTime + work, &waiting });
+        bool started = waiting.queued.streamStarted;
+        order.push_back({ !started, waiting.queued.priority, !started && waiting.returning, m_flows[key].virtualTime + work, &waiting });
     }
     std::stable_sort(order.begin(), order.end(), [](const position& left, const position& right) {
-        return std::tie(left.rank, left.tag) < std::tie(right.rank, right.tag);
+        return std::tie(left.later, left.priority, left.returning, left.tag) < std::tie(right.later, right.priority, right.returning, right.tag);
     });
     std::deque<waiting_request> sorted;
     for (const auto& item : order)
         sorted.push_back(std::move(*item.waiting));
     m_waiting = std::move(sorted);
     advanceReturning();
+    advancePatient();
 }
 
 template <placement_planner Planner>
 void placement_queue<Planner>::advanceReturning()
 {
-    std::set<std::string> seen;
+    std::set<lane_key> seen;
     for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
-        if (!it->returning || it->queued.streamStarted || !seen.insert(it->queued.request.service).second)
+        if (!it->returning || it->queued.streamStarted || !seen.insert(laneOf(it->queued)).second)
             continue;
-        if (m_returningCredit[it->queued.request.service] < it->queued.request.cost())
+        if (m_lanes[laneOf(it->queued)].returningCredit < it->queued.request.cost())
             continue;
-        auto firstOther = std::find_if(m_waiting.begin(), it, [](const auto& waiting) { return !waiting.queued.streamStarted; });
+        auto firstOther = std::find_if(m_waiting.begin(), it, [&](const auto& waiting) {
+            return !waiting.queued.streamStarted && waiting.queued.priority == it->queued.priority;
+        });
         std::rotate(firstOther, it, std::next(it));
     }
 }
 
 template <placement_planner Planner>
-void placement_queue<Planner>::recordPlacement(const queued_request& queued)
+void placement_queue<Planner>::advancePatient()
+{
+    // The least urgent lanes come first, so that each share goes to the call that is next by the shares after it.
+    for (auto item = m_lanes.rbegin(); item != m_lanes.rend(); ++item) {
+        const auto& [service, priority] = item->first;
+        if (item->second.waiting == 0 || item->second.patientCredit <= 0)
+            continue;
+        auto isWaiting = [&](const waiting_request& waiting) { return !waiting.queued.streamStarted && waiting.queued.request.service == service; };
+        auto firstOfLane = std::find_if(m_waiting.begin(), m_waiting.end(), [&, priority = priority](const auto& waiting) {
+            return waiting.queued.priority == priority && isWaiting(waiting);
+        });
+        auto patient = std::find_if(firstOfLane, m_waiting.end(), [&, priority = priority](const auto& waiting) {
+            return waiting.queued.priority > priority && isWaiting(waiting);
+        });
+        if (patient != m_waiting.end())
+            std::rotate(firstOfLane, patient, std::next(patient));
+    }
+}
+
+template <placement_planner Planner>
+void placement_queue<Planner>::recordRemoval(const queued_request& queued)
 {
-    const auto& service = queued.request.service;
+    --m_flows[keyOf(queued)].waiting;
+    --m_lanes[laneOf(queued)].waiting;
+}
+
+template <placement_planner Planner>
+void placement_queue<Planner>::recordPlacement(const queued_request& queued, bool returning)
+{
+    using namespace placement_queue_detail;
+    auto cost = queued.request.cost();
     auto& organisation = m_flows[keyOf(queued)];
-    organisation.virtualTime += queued.request.cost();
-    m_virtualTimes[service] = std::max(m_virtualTimes[service], organisation.virtualTime);
+    auto own = m_lanes.find(laneOf(queued));
+    auto& lane = own->second;
+    organisation.virtualTime += cost;
+    lane.virtualTime = std::max(lane.virtualTime, organisation.virtualTime);
+    lane.returningCredit = returning ? std::max(0.0, lane.returningCredit - cost) : std::min(lane.returningCredit + cost * returningShare / (1 - returningShare), cost * maxReturningCredit);
+    lane.patientCredit = std::min(lane.patientCredit + cost * patientShare / (1 - patientShare), cost * maxPatientCredit);
+    if (queued.streamStarted)
+        return;
+    for (auto urgent = m_lanes.lower_bound({ queued.request.service, 0 }); urgent != own; ++urgent) {
+        if (urgent->second.waiting > 0)
+            urgent->second.patientCredit -= cost;
+    }
 }
 
 template <placement_planner Planner>
@@ -246,12 +313,9 @@
             ++ahead;
             return false;
         }
-        --m_flows[keyOf(queued)].waiting;
-        auto& credit = m_returningCredit[service];
-        auto cost = queued.request.cost();
+        recordRemoval(queued);
         if (!placement.full) {
-            recordPlacement(queued);
-            credit = waiting.returning ? std::max(0.0, credit - cost) : std::min(credit + cost * returningShare / (1 - returningShare), cost * maxReturningCredit);
+            recordPlacement(queued, waiting.returning);
         } else if (queued.fingerprint != 0) {
             m_refusedAt[queued.fingerprint] = now;
         }
@@ -324,7 +388,7 @@
     std::erase_if(m_waiting, [&](const auto& waiting) {
         if (waiting.queued.entry != entry)
             return false;
-        --m_flows[keyOf(waiting.queued)].waiting;
+        recordRemoval(waiting.queued);
         return true;
     });
 }
@@ -346,8 +410,7 @@
 {
     m_waiting.clear();
     m_flows.clear();
-    m_virtualTimes.clear();
-    m_returningCredit.clear();
+    m_lanes.clear();
     m_refusedAt.clear();
     m_lastRetryTimes.clear();
     m_fullAt.clear();
--- a/Tests/Forwarding/ForwardingDecisionsTest.cpp
+++ b/Tests/Forwarding/ForwardingDecisionsTest.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/event_splitter.h"
 #include "forwarding/retry_policy.h"
 #include "forwarding/stall_policy.h"
+#include "routing/call_priority.h"
 #include <catch2/catch.hpp>
 
 using namespace pistachiolatch;
@@ -310,3 +311,18 @@
         CHECK(stallTimeout(stream) < maxToleratedPause(target, milliseconds(300)));
     }
 }
+
+// Guards against urgent calls that the leader takes for patient ones, and the reverse.
+TEST_CASE("A call has its organisation's rank, or else its route's")
+{
+    route_config route;
+    route.priority = 3;
+    organisation_config organisation;
+    CHECK(callPriority(route, nullptr) == 3);
+    CHECK(callPriority(route, &organisation) == 3);
+    // The most urgent rank is a rank of its own, not a missing one.
+    organisation.priority = 0;
+    CHECK(callPriority(route, &organisation) == 0);
+    organisation.priority = 7;
+    CHECK(callPriority(route, &organisation) == 7);
+}
