Scheduling, Coordination: Tell what organisations wait and are refused in shortage

Whether a shortage was shared fairly could only be found in the lines of single calls. The queue's results name the call's organisation and its wait.

Five gauges have the number of organisations that are compared and the worst and mean of both, without a series for each organisation. organisations_refused, at most one line a second and only while calls are refused, names the worst and the best organisation.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -105,8 +105,10 @@
     if (changed || m_blocks.version() != blocksBefore)
         pushChanges();
     balanceStages();
-    if (m_replica.isLeader())
+    if (m_replica.isLeader()) {
         updateQueuedServices();
+        reportOrganisationWaits();
+    }
 }
 
 bool entry_coordinator::onMessage(const wire::envelope& message, const peer_network::peer& from)
@@ -277,6 +279,8 @@
     m_pendingPlans.clear();
     m_planQueue.clear();
     m_slotQueue.clear();
+    m_organisationWaits.clear();
+    publishOrganisationWaits({});
     m_slotPlanner = slot_planner(generateIncarnation());
     m_planner = engine_planner(generateIncarnation());
     m_plannerVersion = 0;
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -10,6 +10,7 @@
 #include "membership/membership.h"
 #include "replication/replication.h"
 #include "routing/routing.h"
+#include "scheduling/organisation_waits.h"
 #include "scheduling/placement_queue.h"
 #include "scheduling/slot_planner.h"
 #include <functional>
@@ -138,6 +139,9 @@
     void armTimer(one_shot_timer& timer, milliseconds delay, void (entry_coordinator::*action)());
     template <typename Planner>
     void placeWaiting(placement_queue<Planner>& queue, Planner& planner);
+    /// Tells operators how the organisations fare in shortage.
+    void reportOrganisationWaits();
+    void publishOrganisationWaits(const organisation_wait_summary& summary);
     static queued_request decodeQueuedRequest(const wire::engine_plan_request& request, time_point now);
     /// Tells the entries if other services than before are queued.
     void updateQueuedServices();
@@ -196,6 +200,7 @@
     placement_queue<engine_planner> m_planQueue;
     slot_planner m_slotPlanner;
     placement_queue<slot_planner> m_slotQueue;
+    organisation_waits m_organisationWaits;
     std::uint64_t m_queuedServicesVersion = 0;
     time_point m_queuedServicesCheckedAt {};
     std::map<std::uint64_t, pending_request> m_pendingPlans;
--- a/Source/coordination/entry_coordinator_plans.cpp
+++ b/Source/coordination/entry_coordinator_plans.cpp
@@ -136,8 +136,36 @@
 void entry_coordinator::placeWaiting(placement_queue<Planner>& queue, Planner& planner)
 {
     updatePlanner();
-    for (const auto& decision : queue.step(planner, m_clock.now()))
+    auto now = m_clock.now();
+    for (const auto& decision : queue.step(planner, now)) {
+        if (decision.placement.full)
+            m_organisationWaits.recordRefused(decision.organisation, now);
+        else
+            m_organisationWaits.recordPlaced(decision.organisation, decision.waited, now);
         sendPlanReply(decision.ticket, decision.placement, decision.retryAfter);
+    }
+}
+
+void entry_coordinator::reportOrganisationWaits()
+{
+    auto summary = m_organisationWaits.dueSummary(m_clock.now());
+    if (!summary)
+        return;
+    publishOrganisationWaits(*summary);
+    bool anyRefused = m_organisationWaits.takeRefused();
+    if (!anyRefused || summary->organisations == 0)
+        return;
+    logEvent("organisations_refused", { { "organisations", summary->organisations }, { "worst", summary->worst }, { "worst_refused_share", summary->worstRefusedShare }, { "best", summary->best }, { "best_refused_share", summary->bestRefusedShare }, { "mean_refused_share", summary->meanRefusedShare }, { "worst_wait_ms", summary->worstWait.count() }, { "mean_wait_ms", summary->meanWait.count() } });
+}
+
+void entry_coordinator::publishOrganisationWaits(const organisation_wait_summary& summary)
+{
+    using seconds = std::chrono::duration<double>;
+    m_metrics.gauge("organisations_compared", static_cast<double>(summary.organisations));
+    m_metrics.gauge("organisation_wait_worst_seconds", seconds(summary.worstWait).count());
+    m_metrics.gauge("organisation_wait_mean_seconds", seconds(summary.meanWait).count());
+    m_metrics.gauge("organisation_refused_share_worst", summary.worstRefusedShare);
+    m_metrics.gauge("organisation_refused_share_mean", summary.meanRefusedShare);
 }
 
 void entry_coordinator::processPlanQueue()
--- a/Source/scheduling/placement_queue.h
+++ b/Source/scheduling/placement_queue.h
@@ -41,6 +41,10 @@
     engine_placement placement;
     /// When the caller should retry; set only if the endpoints are full.
     milliseconds retryAfter { 0 };
+    /// Empty if the call belongs to no organisation.
+    std::string organisation;
+    /// How long the call was in the queue.
+    duration waited { 0 };
 };
 
 /// Chooses endpoints for calls and predicts when they are free.
@@ -145,6 +149,7 @@
 
     struct waiting_request {
         queued_request queued;
+        time_point since;
         bool returning = false;
     };
     std::deque<waiting_request> m_waiting;
@@ -195,7 +200,7 @@
     bool returning = refused != m_refusedAt.end() && now - refused->second <= placement_queue_detail::refusalMemory;
     if (refused != m_refusedAt.end())
         m_refusedAt.erase(refused);
-    m_waiting.push_back({ std::move(request), returning });
+    m_waiting.push_back({ std::move(request), now, returning });
 }
 
 template <placement_planner Planner>
@@ -323,7 +328,7 @@
         if (placement.full && !wasteful && version.empty())
             m_fullAt[service] = now;
         auto retryAfter = placement.full ? nextRetryDelay(service, planner, now) : milliseconds(0);
-        results.push_back({ queued.ticket, std::move(placement), retryAfter });
+        results.push_back({ queued.ticket, std::move(placement), retryAfter, queued.organisation, now - waiting.since });
         return true;
     });
     removeIdleState(now);
--- a/Source/scheduling/scheduling.h
+++ b/Source/scheduling/scheduling.h
@@ -3,6 +3,7 @@
 /// This is the library's only public header.
 #include "scheduling/endpoint_pacer.h"
 #include "scheduling/engine_planner.h"
+#include "scheduling/organisation_waits.h"
 #include "scheduling/output_estimator.h"
 #include "scheduling/placement_queue.h"
 #include "scheduling/poison_list.h"
