Scheduling: Tell urgent and long-waiting callers the earlier times to come back

Callers refused in one step got their retry times in the order of the queue. A patient call that the share had put first came back before urgent ones, and of one rank those with less work ahead before those that had waited longest. Times of a step are now given by rank, then by time waited. How they are spaced is as before.

PriorityOrderTest: both new tests fail with the queue of the parent (a trial) and pass with this one.

--- a/Source/scheduling/placement_queue.h
+++ b/Source/scheduling/placement_queue.h
@@ -146,6 +146,16 @@
     /// Whether the call would probably hold its endpoint in vain, while others are refused.
     bool wouldWasteCapacity(const queued_request& queued, Planner& planner, time_point now) const;
     milliseconds nextRetryDelay(const std::string& service, const Planner& planner, time_point now);
+    /// A request that is refused in this step.
+    struct refused_request {
+        unsigned priority;
+        time_point since;
+        std::string service;
+        /// Its position among the results.
+        std::size_t result;
+    };
+    /// Gives the earlier retry times to more urgent calls, and among those of one priority to those that waited longer.
+    void assignRetryDelays(std::vector<refused_request> refused, std::vector<placement_result>& results, const Planner& planner, time_point now);
 
     struct waiting_request {
         queued_request queued;
@@ -304,6 +314,7 @@
 {
     using namespace placement_queue_detail;
     std::vector<placement_result> results;
+    std::vector<refused_request> refused;
     sortWaiting();
     std::map<std::string, waiting_ahead> waitingAhead;
     std::erase_if(m_waiting, [&](const auto& waiting) {
@@ -327,14 +338,26 @@
         // A version without room says nothing about the others.
         if (placement.full && !wasteful && version.empty())
             m_fullAt[service] = now;
-        auto retryAfter = placement.full ? nextRetryDelay(service, planner, now) : milliseconds(0);
-        results.push_back({ queued.ticket, std::move(placement), retryAfter, queued.organisation, now - waiting.since });
+        if (placement.full)
+            refused.push_back({ queued.priority, waiting.since, service, results.size() });
+        results.push_back({ queued.ticket, std::move(placement), milliseconds(0), queued.organisation, now - waiting.since });
         return true;
     });
+    assignRetryDelays(std::move(refused), results, planner, now);
     removeIdleState(now);
     return results;
 }
 
+template <placement_planner Planner>
+void placement_queue<Planner>::assignRetryDelays(std::vector<refused_request> refused, std::vector<placement_result>& results, const Planner& planner, time_point now)
+{
+    std::stable_sort(refused.begin(), refused.end(), [](const refused_request& left, const refused_request& right) {
+        return std::tie(left.priority, left.since) < std::tie(right.priority, right.since);
+    });
+    for (const auto& request : refused)
+        results[request.result].retryAfter = nextRetryDelay(request.service, planner, now);
+}
+
 template <placement_planner Planner>
 engine_placement placement_queue<Planner>::place(const queued_request& queued, const waiting_ahead& ahead, Planner& planner, time_point now) const
 {
--- a/Tests/Scheduling/PriorityOrderTest.cpp
+++ b/Tests/Scheduling/PriorityOrderTest.cpp
@@ -52,7 +52,8 @@
 
 class shared_endpoints {
 public:
-    void submit(const std::string& organisation, unsigned priority, std::uint64_t tokens = 100)
+    /// Returns the ticket.
+    std::uint64_t submit(const std::string& organisation, unsigned priority, std::uint64_t tokens = 100)
     {
         queued_request queued;
         queued.ticket = ++m_lastTicket;
@@ -66,6 +67,7 @@
         m_calls[queued.ticket] = { organisation, priority, clock.now() };
         ++counts[{ organisation, priority }].submitted;
         queue.add(std::move(queued), clock.now());
+        return m_lastTicket;
     }
 
     /// Processes the queue and lets a tick pass. Returns the results.
@@ -263,3 +265,56 @@
     REQUIRE(results.size() == 1);
     CHECK_FALSE(results.front().placement.full);
 }
+
+// Guards against urgent callers who are told to come back after the patient ones that were refused with them.
+TEST_CASE("Of the calls refused in one step, urgent ones are told the earlier times")
+{
+    shared_endpoints endpoints;
+    for (std::size_t i = 0; i < slot_pool::slots; ++i)
+        endpoints.submit("a", urgent);
+    endpoints.step();
+    for (int i = 0; i < 15; ++i) {
+        endpoints.submit("b", patient);
+        endpoints.submit("a", urgent);
+    }
+    endpoints.clock.advance(patience);
+    milliseconds latestUrgent { 0 };
+    milliseconds soonestPatient = milliseconds::max();
+    std::set<milliseconds> delays;
+    for (const auto& result : endpoints.step()) {
+        REQUIRE(result.placement.full);
+        delays.insert(result.retryAfter);
+        if (endpoints.priorityOf(result.ticket) == urgent)
+            latestUrgent = std::max(latestUrgent, result.retryAfter);
+        else
+            soonestPatient = std::min(soonestPatient, result.retryAfter);
+    }
+    CHECK(latestUrgent < soonestPatient);
+    CHECK(delays.size() > 10);
+}
+
+// Guards against callers who waited in vain and then have to wait longest again.
+TEST_CASE("Of the calls refused in one step, those that waited longest are told the earliest times")
+{
+    shared_endpoints endpoints;
+    for (std::size_t i = 0; i < slot_pool::slots; ++i)
+        endpoints.submit("a", urgent);
+    endpoints.step();
+    // The order of organisations differs from that of arrival: the first one's calls have more work.
+    std::vector<std::uint64_t> inOrderOfArrival;
+    for (int i = 0; i < 5; ++i) {
+        inOrderOfArrival.push_back(endpoints.submit("large", urgent, 1000));
+        endpoints.clock.advance(tick);
+        inOrderOfArrival.push_back(endpoints.submit("small", urgent, 100));
+        endpoints.clock.advance(tick);
+    }
+    endpoints.clock.advance(patience);
+    std::map<std::uint64_t, milliseconds> delays;
+    for (const auto& result : endpoints.step()) {
+        REQUIRE(result.placement.full);
+        delays[result.ticket] = result.retryAfter;
+    }
+    REQUIRE(delays.size() == inOrderOfArrival.size());
+    for (std::size_t i = 1; i < inOrderOfArrival.size(); ++i)
+        CHECK(delays[inOrderOfArrival[i - 1]] < delays[inOrderOfArrival[i]]);
+}
