Limits, Coordination: Let callers come back once control can be back, while the limits have no owner

With all control processes gone for three seconds, 165 model calls of two seconds were refused with limit_unreachable while engines were free. They were told to come back after 0.6 s, found no owner again, and that refusal was final. outage_backoff now follows the length of the outage, at least the time that a restart of all control processes takes, and spreads the returns over a second.

--- a/Source/coordination/token_limiter.cpp
+++ b/Source/coordination/token_limiter.cpp
@@ -12,8 +12,6 @@
     constexpr milliseconds ownerSkipPeriod { 200 };
     /// Delay before the next request while no owner is known.
     constexpr milliseconds ownerRetryInterval { 60 };
-    /// Retry delay returned to callers while the limits have no owner; an election takes about a second.
-    constexpr milliseconds retryAfterWithoutOwner { 600 };
 }
 
 token_limiter::token_limiter(boost::asio::io_context& context, peer_network& network, const clock_source& clock, control_link& link, token_limiter_settings settings)
@@ -23,6 +21,7 @@
     , m_link(link)
     , m_settings(settings)
     , m_fallback(generateIncarnation())
+    , m_backoff(generateIncarnation())
 {
 }
 
@@ -57,6 +56,7 @@
             handleOwnerUnavailable(request);
             return;
         }
+        m_backoff.recordReply();
         const auto& answer = reply->limit_reply();
         request->done({ answer.granted() >= request->tokens, true, milliseconds(answer.retry_after_ms()) });
     });
@@ -64,12 +64,13 @@
 
 void token_limiter::handleOwnerUnavailable(const std::shared_ptr<token_request>& request)
 {
+    m_backoff.recordSilence(m_clock.now());
     if (takeFallbackTokens(*request)) {
         request->done({ true, false, milliseconds(0) });
         return;
     }
     if (m_clock.now() + ownerRetryInterval >= request->deadline) {
-        request->done({ false, false, retryAfterWithoutOwner });
+        request->done({ false, false, m_backoff.retryAfter(m_clock.now()) });
         return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, ownerRetryInterval);
--- a/Source/coordination/token_limiter.h
+++ b/Source/coordination/token_limiter.h
@@ -48,6 +48,7 @@
     /// The owner is not asked until then, since it did not reply.
     time_point m_skipOwnerUntil {};
     fallback_limiter m_fallback;
+    outage_backoff m_backoff;
 };
 
 } // namespace pistachiolatch
--- a/Source/limits/limits.h
+++ b/Source/limits/limits.h
@@ -4,6 +4,7 @@
 #include "limits/entry_retry_share.h"
 #include "limits/fallback_limiter.h"
 #include "limits/grant_cache.h"
+#include "limits/outage_backoff.h"
 #include "limits/rate_limiter.h"
 #include "limits/retry_ledger.h"
 #include "limits/retry_tolerance.h"
