Forwarding: Let calls wait at an entry that has just started for its first configuration

After a power loss everywhere, entries refused 422 calls with no_config in the 0.9 s before a leader had been elected; most of these callers had used their attempts on VMs without power. Calls now wait for a third of their deadline, 1.2 s at most, in the first 2.5 s of an entry. An entry that had a configuration refuses at once as before.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -10,6 +10,7 @@
 #include "forwarding/retry_policy.h"
 #include "forwarding/send_window.h"
 #include "forwarding/stall_policy.h"
+#include "forwarding/startup_wait.h"
 #include "scheduling/output_estimator.h"
 #include <boost/asio/steady_timer.hpp>
 
@@ -29,6 +30,7 @@
     send_window& sendWindow;
     output_estimator& outputEstimator;
     std::mt19937_64& random;
+    startup_wait& startupWait;
     /// How long endpoints go on serving after the confirmation that they leave.
     milliseconds endpointDrainTime;
     /// Whether the entry is shutting down; responses then close their connections.
@@ -93,6 +95,8 @@
         Failed,
     };
 
+    /// Waits until an entry that has just started has a configuration, for as long as the call may wait.
+    task_of<void> awaitFirstConfiguration();
     std::optional<error_response> admit();
     /// Finds out which software version began the stream that the caller continues. Returns an error if that is not known, or
     /// if the route doesn't lead to its service any more.
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -31,6 +31,8 @@
     constexpr milliseconds evacuatedRetryAfter { 2000 };
     /// Refusals after which an endpoint isn't asked again to continue a stream.
     constexpr unsigned maxRefusalsToContinue = 8;
+    /// Interval at which calls that wait for the first configuration look for it.
+    constexpr milliseconds configurationPollInterval { 20 };
     /// Minimum Retry-After for a caller over its rate limit.
     constexpr milliseconds minRateRetryAfter { 200 };
     /// Returns the cost of a call against the organisation's limit; a call that declares no tokens costs plainTokens.
@@ -69,6 +71,7 @@
 template <call_codec Codec>
 task_of<bool> call_forwarder<Codec>::run()
 {
+    co_await awaitFirstConfiguration();
     auto refused = admit();
     if (refused) {
         co_await sendErrorResponse(*refused);
@@ -122,6 +125,26 @@
     co_await sendErrorResponse(error);
 }
 
+template <call_codec Codec>
+task_of<void> call_forwarder<Codec>::awaitFirstConfiguration()
+{
+    if (m_table || m_shared.link.hasCurrentConfiguration())
+        co_return;
+    auto until = m_receivedAt + m_shared.startupWait.timeFor(m_metadata.deadline, m_receivedAt);
+    if (until <= m_receivedAt)
+        co_return;
+    m_shared.startupWait.recordWaiting();
+    boost::asio::steady_timer timer(m_shared.context);
+    while (!m_shared.link.hasCurrentConfiguration() && m_shared.clock.now() < until && !m_caller->isClosed()) {
+        timer.expires_after(forwarding_detail::configurationPollInterval);
+        co_await timer.async_wait(forwarding_detail::asTuple);
+    }
+    m_shared.startupWait.recordResumed();
+    m_table = m_shared.link.routeTable();
+    m_shared.counters.count(m_table ? "calls_resumed_after_start" : "calls_refused_after_start");
+    m_shared.counters.observe("start_wait_seconds", m_shared.clock.now() - m_receivedAt);
+}
+
 template <call_codec Codec>
 std::optional<error_response> call_forwarder<Codec>::admit()
 {
