Forwarding: Account what an entry buffers for slow peers against one limit

Callers saw an entry vanish with all its calls once a few dozen peers read slowly: each connection is bounded, their sum isn't, and a process above its VM's memory is killed. buffer_budget accounts bytes to holders, tells when to stop reading, when to take nothing new in, and which holder to end. Nothing uses it yet.

--- /dev/null
+++ b/Source/forwarding/buffer_budget.h
@@ -0,0 +1,112 @@
+#pragma once
+#include "kernel/kernel.h"
+#include <map>
+#include <optional>
+
+namespace pistachiolatch {
+
+/// Decides how much an entry buffers for all its callers and endpoints together. Load pattern: many callers, or endpoints, read
+/// slowly at the same time. Each connection is bounded, but a few dozen of them hold more than the VM has, and the process is
+/// killed with all its calls. While the limit is near, large buffers grow no further; at the limit nothing new is taken in, and
+/// the largest holder whose peer takes nothing is ended.
+/// Pure; not thread-safe.
+class buffer_budget {
+public:
+    /// Identifies a caller's connection with the call on it.
+    using holder_id = std::uint64_t;
+
+    /// Why bytes are held.
+    enum class wait_for {
+        /// A peer has to read or send; a holder is ended for such bytes.
+        Peer,
+        /// A call that waits for its turn. They count for the limit, but are no reason to end the holder.
+        Turn,
+    };
+
+    /// A holder to end, and what it held.
+    struct stalled_holder {
+        holder_id id = 0;
+        std::size_t bytes = 0;
+        duration idleTime { 0 };
+    };
+
+    /// Holders of at most this many bytes may use the whole limit, so that short calls pass while long ones wait.
+    static constexpr std::size_t smallHolderBytes = 64UL * 1024;
+    /// The share of the limit at which larger holders have to wait.
+    static constexpr double largeHolderShare = 0.75;
+    /// How long a holder may make no progress while there is no room. Endpoints cut off responses that stay unread for some
+    /// seconds.
+    static constexpr milliseconds maxIdleTime { 1000 };
+    /// The share of a VM's memory that buffers may take; the rest is for the program, connections and copies in between.
+    static constexpr double memoryShare = 0.5;
+
+    /// Sets the limit to the share of a VM's memory in MB; 0 means no limit.
+    void setMemory(std::size_t megabytes);
+    /// The limit in bytes; 0 if there is none.
+    std::size_t limit() const { return m_limit; }
+    /// The bytes that are held.
+    std::size_t held() const { return m_held; }
+    holder_id addHolder() { return ++m_lastHolder; }
+
+    /// Whether the holder may take in more. If not, its source should not be read until there is room.
+    bool hasRoom(holder_id holder) const;
+    /// Whether new connections and requests may be taken in.
+    bool takesNewCalls() const { return m_limit == 0 || m_held < m_limit; }
+    /// Returns the largest holder that made no progress for maxIdleTime, while large holders have to wait. It is returned once:
+    /// the next call finds another one only if the holders that are not ended still hold too much.
+    std::optional<stalled_holder> endStalled(time_point now);
+
+    /// Accounts bytes to a holder. The first ones that wait for a peer count as progress.
+    void hold(holder_id holder, std::size_t bytes, wait_for wait, time_point now);
+    /// Takes bytes off again. Precondition: as many were held.
+    void release(holder_id holder, std::size_t bytes, wait_for wait);
+    /// Records that a peer of the holder took or sent bytes.
+    void recordProgress(holder_id holder, time_point now);
+
+private:
+    struct usage {
+        std::size_t peerBytes = 0;
+        std::size_t turnBytes = 0;
+        time_point progressAt {};
+        bool ended = false;
+    };
+
+    std::size_t largeHolderLimit() const { return static_cast<std::size_t>(static_cast<double>(m_limit) * largeHolderShare); }
+
+    std::size_t m_limit = 0;
+    std::size_t m_held = 0;
+    holder_id m_lastHolder = 0;
+    /// Holders of at least one byte.
+    std::map<holder_id, usage> m_holders;
+};
+
+/// Bytes that are accounted to a holder until the charge is destroyed. Precondition: the budget outlives it. Not thread-safe.
+class buffer_charge {
+public:
+    buffer_charge() = default;
+    buffer_charge(buffer_budget& budget, buffer_budget::holder_id holder, buffer_budget::wait_for wait = buffer_budget::wait_for::Peer)
+        : m_budget(&budget)
+        , m_holder(holder)
+        , m_wait(wait)
+    {
+    }
+    ~buffer_charge() { clear(); }
+    buffer_charge(buffer_charge&& other) noexcept;
+    buffer_charge& operator=(buffer_charge&& other) noexcept;
+
+    /// Changes the charge to this many bytes. Bytes that are added count as progress.
+    void resize(std::size_t bytes, time_point now);
+    /// Has the bytes wait for something else.
+    void setWait(buffer_budget::wait_for wait, time_point now);
+    /// Records that the peer took some of the bytes.
+    void recordProgress(time_point now);
+    void clear();
+
+private:
+    buffer_budget* m_budget = nullptr;
+    buffer_budget::holder_id m_holder = 0;
+    buffer_budget::wait_for m_wait = buffer_budget::wait_for::Peer;
+    std::size_t m_bytes = 0;
+};
+
+} // namespace pistachiolatch
--- /dev/null
+++ b/Tests/Forwarding/BufferBudgetTest.cpp
@@ -0,0 +1,130 @@
+// Guards against entries that buffer more for slow callers and endpoints than their VMs have, or end callers without need.
+#include "forwarding/buffer_budget.h"
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace pistachiolatch;
+
+namespace {
+constexpr std::size_t megabyte = 1024UL * 1024;
+
+struct budget_case {
+    manual_clock_source clock;
+    buffer_budget budget;
+
+    budget_case() { budget.setMemory(80); }
+
+    buffer_charge charge(buffer_budget::holder_id holder, std::size_t bytes, buffer_budget::wait_for wait = buffer_budget::wait_for::Peer)
+    {
+        buffer_charge charge(budget, holder, wait);
+        charge.resize(bytes, clock.now());
+        return charge;
+    }
+};
+}
+
+TEST_CASE("A budget without a limit always has room and ends nobody")
+{
+    budget_case test;
+    test.budget.setMemory(0);
+    auto holder = test.budget.addHolder();
+    auto charge = test.charge(holder, 4000 * megabyte);
+    test.clock.advance(std::chrono::seconds(60));
+    CHECK(test.budget.hasRoom(holder));
+    CHECK(test.budget.takesNewCalls());
+    CHECK_FALSE(test.budget.endStalled(test.clock.now()));
+}
+
+TEST_CASE("Large holders wait before small ones and new calls do")
+{
+    budget_case test;
+    REQUIRE(test.budget.limit() == 40 * megabyte);
+    auto large = test.budget.addHolder();
+    auto small = test.budget.addHolder();
+    auto largeCharge = test.charge(large, 29 * megabyte);
+    auto smallCharge = test.charge(small, 1000);
+    CHECK(test.budget.hasRoom(large));
+    largeCharge.resize(30 * megabyte, test.clock.now());
+    CHECK_FALSE(test.budget.hasRoom(large));
+    CHECK(test.budget.hasRoom(small));
+    CHECK(test.budget.hasRoom(test.budget.addHolder()));
+    CHECK(test.budget.takesNewCalls());
+    largeCharge.resize(40 * megabyte, test.clock.now());
+    CHECK_FALSE(test.budget.hasRoom(small));
+    CHECK_FALSE(test.budget.takesNewCalls());
+}
+
+// Guards against callers that are cut off although others take all the memory, or although they read.
+TEST_CASE("The largest holder whose peer takes nothing is ended")
+{
+    budget_case test;
+    auto reading = test.charge(test.budget.addHolder(), 20 * megabyte);
+    auto smaller = test.charge(test.budget.addHolder(), 4 * megabyte);
+    auto largerHolder = test.budget.addHolder();
+    auto larger = test.charge(largerHolder, 8 * megabyte);
+    CHECK_FALSE(test.budget.endStalled(test.clock.now()));
+    test.clock.advance(buffer_budget::maxIdleTime);
+    reading.recordProgress(test.clock.now());
+    auto stalled = test.budget.endStalled(test.clock.now());
+    REQUIRE(stalled);
+    CHECK(stalled->id == largerHolder);
+    CHECK(stalled->bytes == 8 * megabyte);
+    CHECK(stalled->idleTime == buffer_budget::maxIdleTime);
+    // What it held is about to be freed, which is enough.
+    CHECK_FALSE(test.budget.endStalled(test.clock.now()));
+    larger.clear();
+    CHECK_FALSE(test.budget.endStalled(test.clock.now()));
+}
+
+// Guards against one holder being ended at a time while many fill the memory.
+TEST_CASE("As many holders are ended as are needed")
+{
+    budget_case test;
+    std::vector<buffer_charge> charges;
+    for (int i = 0; i < 40; ++i)
+        charges.push_back(test.charge(test.budget.addHolder(), megabyte));
+    test.clock.advance(buffer_budget::maxIdleTime);
+    int ended = 0;
+    while (test.budget.endStalled(test.clock.now()))
+        ++ended;
+    CHECK(ended == 11);
+    charges.resize(29);
+    CHECK(test.budget.hasRoom(test.budget.addHolder()));
+    CHECK_FALSE(test.budget.endStalled(test.clock.now()));
+}
+
+// Guards against calls that are cut off because they wait for an endpoint.
+TEST_CASE("A call that waits for its turn is not ended")
+{
+    budget_case test;
+    auto holder = test.budget.addHolder();
+    auto charge = test.charge(holder, 40 * megabyte, buffer_budget::wait_for::Turn);
+    test.clock.advance(std::chrono::seconds(60));
+    CHECK_FALSE(test.budget.takesNewCalls());
+    CHECK_FALSE(test.budget.endStalled(test.clock.now()));
+    charge.setWait(buffer_budget::wait_for::Peer, test.clock.now());
+    CHECK_FALSE(test.budget.endStalled(test.clock.now()));
+    test.clock.advance(buffer_budget::maxIdleTime);
+    CHECK(test.budget.endStalled(test.clock.now()));
+}
+
+// Guards against a budget that fills up although nothing is held any more.
+TEST_CASE("Charges are released once, wherever they are moved")
+{
+    budget_case test;
+    auto holder = test.budget.addHolder();
+    {
+        auto first = test.charge(holder, 3 * megabyte);
+        auto second = test.charge(holder, 2 * megabyte, buffer_budget::wait_for::Turn);
+        CHECK(test.budget.held() == 5 * megabyte);
+        auto moved = std::move(first);
+        CHECK(test.budget.held() == 5 * megabyte);
+        second = std::move(moved);
+        CHECK(test.budget.held() == 3 * megabyte);
+        second.resize(megabyte, test.clock.now());
+        CHECK(test.budget.held() == megabyte);
+        second.setWait(buffer_budget::wait_for::Turn, test.clock.now());
+        CHECK(test.budget.held() == megabyte);
+    }
+    CHECK(test.budget.held() == 0);
+}
