Forwarding, Platform: Bound what an entry buffers for slow peers in sum

Callers lost all calls of an entry that was killed because a few dozen slow callers or endpoints filled its VM's memory. Request bodies, the encoded requests, buffered responses, bytes being written to callers and incomplete events are now charged to the caller's connection. Without room the entry stops reading the source; at the limit new connections are closed unread and new requests refused with buffers_full; the largest holders without progress for a second are ended, with stalled_holder_ended in the log. Two copies that outlived their use are dropped: the encoded request of a connection that is kept, and a response's body beside its encoded form.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "coordination/coordination.h"
+#include "forwarding/buffer_budget.h"
 #include "forwarding/call_arrivals.h"
 #include "forwarding/caller_connection.h"
 #include "forwarding/connection_pool.h"
@@ -27,6 +28,7 @@
     endpoint_connector& connector;
     retry_budget_client& retryBudget;
     send_window& sendWindow;
+    buffer_budget& bufferBudget;
     output_estimator& outputEstimator;
     std::mt19937_64& random;
     /// How long endpoints go on serving after the confirmation that they leave.
@@ -44,7 +46,8 @@
 template <call_codec Codec>
 class call_forwarder {
 public:
-    call_forwarder(forwarding_context& shared, std::shared_ptr<caller_connection> caller, caller_request request);
+    /// The charge accounts for the request, and for the copy of it that is sent to an endpoint.
+    call_forwarder(forwarding_context& shared, std::shared_ptr<caller_connection> caller, caller_request request, buffer_charge charge);
     ~call_forwarder();
     call_forwarder(const call_forwarder&) = delete;
     call_forwarder& operator=(const call_forwarder&) = delete;
@@ -54,6 +57,8 @@
     /// Rejects the call because the entry may stop before the response is complete. The caller's next attempt reaches
     /// another entry.
     task_of<void> rejectForShutdown();
+    /// Gives the call up, because the buffer budget needs what it holds. Precondition: its connection is closed.
+    void end();
     const std::string& requestId() const { return m_metadata.id; }
     /// Logs the end of a call that is interrupted because the process stops.
     void handleShutdown();
@@ -182,6 +187,8 @@
     task_of<attempt_outcome> forwardStream(const selected_endpoint& endpoint, const response_metadata& response);
     task_of<attempt_outcome> storeFallbackResponse(const selected_endpoint& endpoint, const response_metadata& response);
     task_of<attempt_outcome> forwardCompleteResponse(const selected_endpoint& endpoint, const response_metadata& response);
+    /// Reads the rest of a response's body, accounted to the call, and no more of it while the buffer budget has no room.
+    task_of<body_end> readWholeBody(std::string& body, buffer_charge& charge);
     task_of<call_failure> readMatchingHead(response_metadata& response);
     /// Returns a connection on which a request may be sent; null if there is none or the endpoint was evacuated.
     task_of<std::shared_ptr<endpoint_connection>> openConnection(const selected_endpoint& endpoint, bool idempotent);
@@ -220,6 +227,7 @@
     forwarding_context& m_shared;
     std::shared_ptr<caller_connection> m_caller;
     caller_request m_request;
+    buffer_charge m_requestCharge;
     request_metadata m_metadata;
     time_point m_receivedAt;
     time_point m_deadlineAt;
@@ -268,6 +276,7 @@
     event_splitter m_eventSplitter;
     /// An endpoint's error response, sent to the caller if no other endpoint can serve the call.
     std::string m_fallbackResponse;
+    buffer_charge m_fallbackCharge;
     unsigned m_fallbackStatus = 0;
     unsigned m_status = 0;
     /// How the body of the last response that was read for the caller ended.
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -14,6 +14,8 @@
     constexpr std::size_t maxResponseBytes = 16UL * 1024 * 1024;
     /// Status of an endpoint that isn't the expected one.
     constexpr unsigned misdirected = 421;
+    /// How often a body that waits for room in the buffer budget is looked at again.
+    constexpr milliseconds bufferRetryInterval { 100 };
     /// Size limit of bodies that are only discarded, or that hold a few fields. A longer one may never end.
     constexpr std::size_t maxSmallBodyBytes = 64UL * 1024;
     /// Size limit of an event of a stream. Incomplete events are buffered.
@@ -43,10 +45,11 @@
 }
 
 template <call_codec Codec>
-call_forwarder<Codec>::call_forwarder(forwarding_context& shared, std::shared_ptr<caller_connection> caller, caller_request request)
+call_forwarder<Codec>::call_forwarder(forwarding_context& shared, std::shared_ptr<caller_connection> caller, caller_request request, buffer_charge charge)
     : m_shared(shared)
     , m_caller(std::move(caller))
     , m_request(std::move(request))
+    , m_requestCharge(std::move(charge))
     , m_metadata(Codec::parseRequest(m_request))
     , m_receivedAt(shared.clock.now())
     , m_deadlineAt(m_receivedAt + m_metadata.deadline.value_or(milliseconds(std::chrono::hours(1))))
@@ -240,7 +243,9 @@
 void call_forwarder<Codec>::startSend(const attempt_options& options)
 {
     m_bytesToSend.spend(m_request.body().size());
-    m_connection->startSend(Codec::encodeRequest(m_request, options), m_shared.sendWindow);
+    // The connection accounts for the copy from now on.
+    m_requestCharge.resize(m_request.body().size(), m_shared.clock.now());
+    m_connection->startSend(Codec::encodeRequest(m_request, options), m_shared.sendWindow, m_shared.clock, buffer_charge(m_shared.bufferBudget, m_caller->holder()));
 }
 
 template <call_codec Codec>
@@ -548,6 +553,7 @@
         m_responseStarted = true;
         m_status = m_fallbackStatus;
         m_outcome = "answered";
+        m_fallbackCharge.clear();
         bool written = co_await m_caller->write(std::move(m_fallbackResponse));
         m_callerGone = !written;
         co_return;
@@ -614,6 +620,13 @@
     m_shared.counters.count(fmt::format("endpoint_body_end_{}", bodyEndName(end)));
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::end()
+{
+    m_callerGone = true;
+    closeCurrentConnection();
+}
+
 template <call_codec Codec>
 void call_forwarder<Codec>::handleShutdown()
 {
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -340,18 +340,18 @@
     if (!unused || m_shared.clock.now() - unused->completedAt > m_service->engine->handleLifetime || m_shared.endpoints.isResting(unused->endpoint.id))
         return;
     // The result won't be fetched, so free its memory at the endpoint before it expires.
-    auto release = [](endpoint_connector& connector, send_window& window, prefill_result prefill) -> task_of<void> {
+    auto release = [](endpoint_connector& connector, send_window& window, const clock_source& clock, prefill_result prefill) -> task_of<void> {
         std::shared_ptr<endpoint_connection> connection;
         std::function<bool()> neverAborted = [] { return false; };
         bool opened = co_await connector.open(prefill.endpoint, true, connection, neverAborted);
         if (opened) {
-            connection->startSend(Codec::encodePrefillRelease(prefill.endpoint.address, prefill.handle), window);
+            connection->startSend(Codec::encodePrefillRelease(prefill.endpoint.address, prefill.handle), window, clock);
             co_await connection->readResponseHead(false);
         }
         if (connection)
             connection->close();
     };
-    boost::asio::co_spawn(m_shared.context, release(m_shared.connector, m_shared.sendWindow, std::move(*unused)), boost::asio::detached);
+    boost::asio::co_spawn(m_shared.context, release(m_shared.connector, m_shared.sendWindow, m_shared.clock, std::move(*unused)), boost::asio::detached);
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -85,12 +85,38 @@
     co_return co_await forwardCompleteResponse(endpoint, response);
 }
 
+template <call_codec Codec>
+task_of<body_end> call_forwarder<Codec>::readWholeBody(std::string& body, buffer_charge& charge)
+{
+    auto connection = m_connection;
+    boost::asio::steady_timer timer(m_shared.context);
+    while (true) {
+        while (!m_shared.bufferBudget.hasRoom(m_caller->holder()) && !isAborted() && !m_attemptExpired) {
+            timer.expires_after(forwarding_detail::bufferRetryInterval);
+            co_await timer.async_wait(forwarding_detail::asTuple);
+        }
+        std::string chunk;
+        auto end = co_await connection->readBodyChunk(chunk);
+        body += chunk;
+        charge.resize(body.size(), m_shared.clock.now());
+        if (body.size() > forwarding_detail::maxResponseBytes) {
+            connection->close();
+            co_return body_end::Reset;
+        }
+        if (end != body_end::Open)
+            co_return end;
+    }
+}
+
 template <call_codec Codec>
 task_of<attempt_outcome> call_forwarder<Codec>::storeFallbackResponse(const selected_endpoint& endpoint, const response_metadata& response)
 {
     std::string body;
-    auto end = co_await m_connection->readRemainingBody(body, forwarding_detail::maxResponseBytes);
+    m_fallbackCharge = buffer_charge(m_shared.bufferBudget, m_caller->holder());
+    auto end = co_await readWholeBody(body, m_fallbackCharge);
     recordBodyEnd(end);
+    // It waits for other endpoints from now on, not for a peer.
+    m_fallbackCharge.setWait(buffer_budget::wait_for::Turn, m_shared.clock.now());
     if (!isCompleteBody(end) || !response.sealed)
         co_return attempt_outcome::MayHaveRun;
     m_fallbackStatus = m_connection->status();
@@ -104,8 +130,9 @@
 task_of<attempt_outcome> call_forwarder<Codec>::forwardCompleteResponse(const selected_endpoint& endpoint, const response_metadata& response)
 {
     std::string body;
+    buffer_charge charge(m_shared.bufferBudget, m_caller->holder());
     auto status = m_connection->status();
-    auto end = co_await m_connection->readRemainingBody(body, forwarding_detail::maxResponseBytes);
+    auto end = co_await readWholeBody(body, charge);
     recordBodyEnd(end);
     if (!isCompleteBody(end)) {
         if (!isAborted())
@@ -116,13 +143,15 @@
     if (status < 500)
         recordOutcome(endpoint.id, endpoint_outcome::Succeeded);
     m_keepAlive = m_keepAlive && !closesConnections();
-    auto bytes = encodeResponseHead(status, m_connection->reasonPhrase(), m_connection->fields(), { body.size(), !m_keepAlive });
+    auto head = encodeResponseHead(status, m_connection->reasonPhrase(), m_connection->fields(), { body.size(), !m_keepAlive });
     releaseConnection(endpoint.id, response);
     m_responseStarted = true;
     m_status = status;
     m_outcome = "answered";
-    bytes += body;
-    bool written = co_await m_caller->write(std::move(bytes));
+    // Put before the body, of which there must not be a second copy while a slow caller reads.
+    body.insert(0, head);
+    charge.clear();
+    bool written = co_await m_caller->write(std::move(body));
     m_callerGone = m_callerGone || !written;
     co_return attempt_outcome::Completed;
 }
--- a/Source/forwarding/call_forwarder_resumption.h
+++ b/Source/forwarding/call_forwarder_resumption.h
@@ -160,7 +160,7 @@
 {
     auto connection = m_connection;
     m_sentAt = m_shared.clock.now();
-    connection->startSend(Codec::encodeStatusRequest(endpoint.address), m_shared.sendWindow);
+    connection->startSend(Codec::encodeStatusRequest(endpoint.address), m_shared.sendWindow, m_shared.clock);
     startAttemptTimer(forwarding_detail::runCheckTimeout);
     std::string body;
     auto failure = co_await connection->readResponseHead(false);
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -146,6 +146,7 @@
     }
     if (isResumable() && m_possibleRuns < m_route->maxEndpoints)
         scheduleStallCheck(endpoint, stallTimeout(measureIdleTime(endpoint.id)));
+    buffer_charge charge(m_shared.bufferBudget, m_caller->holder(), buffer_budget::wait_for::Turn);
     while (true) {
         std::string chunk;
         m_waitingSince = m_shared.clock.now();
@@ -159,6 +160,7 @@
             recordBodyEnd(end);
         }
         auto events = m_eventSplitter.takeCompleteEvents();
+        charge.resize(m_eventSplitter.remainder().size(), m_shared.clock.now());
         bool isLast = isCompleteStream(end, m_eventSplitter.isInsideEvent(), m_endpointEvents + events.count > 0);
         // Only complete events of a resumable stream are passed on, because another endpoint resumes it behind them.
         if (isResumable())
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -36,6 +36,8 @@
         time_point phaseStartedAt;
         bool receiving = false;
         bool inCall = false;
+        /// The request that is being read, and the copy that will be sent to an endpoint.
+        buffer_charge request;
         /// Whether a request was read on the connection.
         bool open = false;
         /// What its first request will probably send, until that is known.
@@ -53,6 +55,12 @@
     void reportTurnedAway();
     task_of<void> serveConnection(caller_ptr caller);
     task_of<std::optional<caller_request>> readRequest(caller_ptr caller);
+    /// Reads the body, accounted to the caller, and no more of it while the buffer budget has no room.
+    task_of<boost::system::error_code> readBody(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser);
+    /// Answers a request whose rest is not read, and lets the caller read the answer.
+    task_of<void> refuseUnread(const caller_ptr& caller, const error_response& error, const request_metadata& metadata);
+    /// Ends callers that hold most of a buffer budget that is used up.
+    void endStalled();
     task_of<void> sendParseError(const caller_ptr& caller, boost::system::error_code error);
     /// Whether the shutdown is so advanced that a new call might not complete before the process ends.
     bool rejectsNewCalls() const { return m_shared.draining && m_shared.clock.now() - m_drainStartedAt > m_settings.acceptWhileDraining; }
@@ -82,6 +90,8 @@
     /// Maximum duration of one write to a caller. Closing a blocked connection frees its endpoint.
     constexpr milliseconds maxWriteTime { 10000 };
     constexpr milliseconds acceptRetryDelay { 20 };
+    /// Retry-After while the buffers are full. Holders that make no progress have been ended by then.
+    constexpr milliseconds buffersRetryAfter { 2000 };
     /// Connections accepted in one turn of the event loop.
     constexpr int maxAcceptBatch = 64;
     constexpr milliseconds loopMeasurement { 5 };
@@ -138,7 +148,7 @@
 void call_gateway<Codec>::handleAccepted(boost::asio::ip::tcp::socket socket)
 {
     measureLoopDelay();
-    if (!m_gate.admit(m_shared.sendWindow.backlog(), m_shared.clock.now())) {
+    if (!m_gate.admit(m_shared.sendWindow.backlog(), m_shared.clock.now()) || !m_shared.bufferBudget.takesNewCalls()) {
         // Closed without having been read, so that the caller may send any request again.
         ++m_turnedAway;
         m_shared.counters.count("connections_turned_away");
@@ -146,7 +156,7 @@
     }
     ++m_takenIn;
     auto caller = std::make_shared<caller_state>();
-    caller->connection = std::make_shared<caller_connection>(std::move(socket), m_shared.clock);
+    caller->connection = std::make_shared<caller_connection>(std::move(socket), m_shared.clock, m_shared.bufferBudget);
     caller->expectedBytes = send_commitment(m_shared.sendWindow, m_shared.sendWindow.meanCallBytes());
     m_callers.insert(caller);
     boost::asio::co_spawn(m_shared.context, serveConnection(caller), boost::asio::detached);
@@ -203,7 +213,7 @@
         bool keepAlive = false;
         bool reject = rejectsNewCalls();
         {
-            call_forwarder<Codec> call(m_shared, caller->connection, std::move(*request));
+            call_forwarder<Codec> call(m_shared, caller->connection, std::move(*request), std::move(caller->request));
             if (reject) {
                 co_await call.rejectForShutdown();
             } else {
@@ -217,6 +227,7 @@
         if (!keepAlive)
             break;
     }
+    caller->request.clear();
     caller->connection->close();
     m_callers.erase(caller);
 }
@@ -236,6 +247,14 @@
     auto error = headError;
     caller->receiving = true;
     caller->phaseStartedAt = m_shared.clock.now();
+    if (!error && !m_shared.bufferBudget.takesNewCalls()) {
+        auto metadata = Codec::parseRequest(parser.get());
+        m_shared.counters.countRefusal(reason::BuffersFull);
+        logEvent("request_refused_unread", { { "request", metadata.id }, { "why", reasonName(reason::BuffersFull) }, { "held", m_shared.bufferBudget.held() }, { "limit", m_shared.bufferBudget.limit() } });
+        error_response full { reason::BuffersFull, httpStatus(reason::BuffersFull), gateway_detail::buffersRetryAfter };
+        co_await refuseUnread(caller, full, metadata);
+        co_return std::nullopt;
+    }
     if (!error && parser.get()[http::field::expect] == "100-continue") {
         std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
         bool written = co_await connection.write(std::move(interim));
@@ -243,15 +262,37 @@
             co_return std::nullopt;
     }
     if (!error && !parser.is_done()) {
-        auto [bodyError, bodyBytes] = co_await http::async_read(connection.socket(), connection.buffer(), parser, gateway_detail::asTuple);
-        error = bodyError;
+        error = co_await readBody(caller, parser);
     }
-    if (!error)
+    if (!error) {
+        caller->request.setWait(buffer_budget::wait_for::Turn, m_shared.clock.now());
         co_return parser.release();
+    }
     co_await sendParseError(caller, error);
     co_return std::nullopt;
 }
 
+template <call_codec Codec>
+task_of<boost::system::error_code> call_gateway<Codec>::readBody(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser)
+{
+    namespace http = boost::beast::http;
+    auto& connection = *caller->connection;
+    boost::asio::steady_timer timer(m_shared.context);
+    caller->request = buffer_charge(m_shared.bufferBudget, connection.holder());
+    parser.eager(true);
+    while (!parser.is_done()) {
+        while (!m_shared.bufferBudget.hasRoom(connection.holder()) && !connection.isClosed()) {
+            timer.expires_after(forwarding_detail::bufferRetryInterval);
+            co_await timer.async_wait(gateway_detail::asTuple);
+        }
+        auto [error, bytes] = co_await http::async_read_some(connection.socket(), connection.buffer(), parser, gateway_detail::asTuple);
+        caller->request.resize(parser.get().body().size() * 2, m_shared.clock.now());
+        if (error)
+            co_return error;
+    }
+    co_return boost::system::error_code();
+}
+
 template <call_codec Codec>
 task_of<void> call_gateway<Codec>::sendParseError(const caller_ptr& caller, boost::system::error_code error)
 {
@@ -263,7 +304,15 @@
                                                                                                                 : reason::BadRequest;
     m_shared.counters.countRefusal(cause);
     logEvent("request_unreadable", { { "why", reasonName(cause) }, { "error", error.message() } });
-    auto bytes = Codec::encodeErrorResponse({}, { cause, httpStatus(cause), std::nullopt }, true);
+    error_response response { cause, httpStatus(cause), std::nullopt };
+    request_metadata unknown;
+    co_await refuseUnread(caller, response, unknown);
+}
+
+template <call_codec Codec>
+task_of<void> call_gateway<Codec>::refuseUnread(const caller_ptr& caller, const error_response& error, const request_metadata& metadata)
+{
+    auto bytes = Codec::encodeErrorResponse(metadata, error, true);
     bool written = co_await caller->connection->write(std::move(bytes));
     if (!written)
         co_return;
@@ -315,10 +364,30 @@
         if (writeTimedOut || readTimedOut || idleInShutdown)
             connection.close();
     }
+    endStalled();
     m_shared.pool.closeExpired();
     reportTurnedAway();
 }
 
+template <call_codec Codec>
+void call_gateway<Codec>::endStalled()
+{
+    auto& budget = m_shared.bufferBudget;
+    m_shared.counters.gauge("buffered_bytes", static_cast<double>(budget.held()));
+    auto now = m_shared.clock.now();
+    while (auto stalled = budget.endStalled(now)) {
+        auto found = std::find_if(m_callers.begin(), m_callers.end(), [&](const auto& caller) { return caller->connection->holder() == stalled->id; });
+        if (found == m_callers.end())
+            continue;
+        const auto& caller = *found;
+        m_shared.counters.count("stalled_holders_ended");
+        logEvent("stalled_holder_ended", { { "request", caller->call ? caller->call->requestId() : std::string() }, { "bytes", stalled->bytes }, { "idle_ms", std::chrono::duration_cast<milliseconds>(stalled->idleTime).count() }, { "held", budget.held() }, { "limit", budget.limit() } });
+        caller->connection->close();
+        if (caller->call)
+            caller->call->end();
+    }
+}
+
 template <call_codec Codec>
 void call_gateway<Codec>::drain()
 {
--- a/Source/forwarding/caller_connection.cpp
+++ b/Source/forwarding/caller_connection.cpp
@@ -9,11 +9,15 @@
 
 namespace {
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    /// Offered to the socket at a time.
+    constexpr std::size_t maxWriteBytes = 64UL * 1024;
 }
 
-caller_connection::caller_connection(asio::ip::tcp::socket socket, const clock_source& clock)
+caller_connection::caller_connection(asio::ip::tcp::socket socket, const clock_source& clock, buffer_budget& budget)
     : m_socket(std::move(socket))
     , m_clock(clock)
+    , m_budget(budget)
+    , m_holder(budget.addHolder())
 {
     boost::system::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -23,7 +27,16 @@
 {
     auto self = shared_from_this();
     m_writeStartedAt = m_clock.now();
-    auto [error, count] = co_await asio::async_write(m_socket, asio::buffer(bytes), asTuple);
+    buffer_charge charge(m_budget, m_holder);
+    charge.resize(bytes.size(), m_clock.now());
+    boost::system::error_code error;
+    for (std::size_t written = 0; !error && written < bytes.size();) {
+        auto [partError, count] = co_await m_socket.async_write_some(asio::buffer(bytes.data() + written, std::min(maxWriteBytes, bytes.size() - written)), asTuple);
+        error = partError;
+        written += count;
+        if (count > 0)
+            charge.recordProgress(m_clock.now());
+    }
     m_writeStartedAt = {};
     co_return !error && !m_closed;
 }
--- a/Source/forwarding/caller_connection.h
+++ b/Source/forwarding/caller_connection.h
@@ -1,4 +1,5 @@
 #pragma once
+#include "forwarding/buffer_budget.h"
 #include "http/http.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,18 +11,21 @@
 /// The connection to a caller: writes responses and detects that the caller has disconnected. Used on one thread.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
-    caller_connection(boost::asio::ip::tcp::socket socket, const clock_source& clock);
+    /// Precondition: the clock and the budget outlive the connection.
+    caller_connection(boost::asio::ip::tcp::socket socket, const clock_source& clock, buffer_budget& budget);
 
     boost::asio::ip::tcp::socket& socket() { return m_socket; }
     boost::beast::flat_buffer& buffer() { return m_buffer; }
     /// Writes bytes; returns false if the caller has disconnected. Completes only when all bytes are written, so a slow
-    /// caller exerts backpressure on the endpoint's stream and memory use stays bounded.
+    /// caller exerts backpressure on the endpoint's stream and memory use stays bounded. The bytes are accounted to holder() until then.
     task_of<bool> write(std::string bytes);
     /// Calls onDisconnect once if the caller closes its connection before stopWatching() is called.
     void watchDisconnect(std::function<void()> onDisconnect);
     void stopWatching();
     void close();
     bool isClosed() const { return m_closed; }
+    /// To whom the budget accounts what is held for this connection and its calls.
+    buffer_budget::holder_id holder() const { return m_holder; }
     /// Start of the write in progress; zero if there is none.
     time_point writeStartedAt() const { return m_writeStartedAt; }
 
@@ -29,6 +33,8 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     const clock_source& m_clock;
+    buffer_budget& m_budget;
+    buffer_budget::holder_id m_holder;
     std::function<void()> m_onDisconnect;
     std::uint64_t m_watchId = 0;
     time_point m_writeStartedAt {};
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -53,25 +53,33 @@
     co_return reply.status();
 }
 
-void endpoint_connection::startSend(std::string bytes, send_window& window)
+void endpoint_connection::startSend(std::string bytes, send_window& window, const clock_source& clock, buffer_charge charge)
 {
+    m_sendCharge = std::move(charge);
+    m_sendCharge.resize(bytes.size(), clock.now());
     m_sendBuffer = std::move(bytes);
     m_bytesSent = 0;
     m_sendComplete = false;
-    sendNextPart(window);
+    sendNextPart(window, clock);
 }
 
-void endpoint_connection::sendNextPart(send_window& window)
+void endpoint_connection::sendNextPart(send_window& window, const clock_source& clock)
 {
     auto size = std::min(sendPartBytes, m_sendBuffer.size() - m_bytesSent);
-    window.acquire(size, [self = shared_from_this(), size, &window] {
+    window.acquire(size, [self = shared_from_this(), size, &window, &clock] {
         if (self->m_closed)
             return false;
-        asio::async_write(self->m_stream, asio::buffer(self->m_sendBuffer.data() + self->m_bytesSent, size), [self, &window](beast::error_code error, std::size_t count) {
+        self->m_sending = true;
+        asio::async_write(self->m_stream, asio::buffer(self->m_sendBuffer.data() + self->m_bytesSent, size), [self, &window, &clock](beast::error_code error, std::size_t count) {
+            self->m_sending = false;
             self->m_bytesSent += count;
             self->m_sendComplete = !error && self->m_bytesSent == self->m_sendBuffer.size();
-            if (!error && !self->m_sendComplete)
-                self->sendNextPart(window);
+            if (count > 0)
+                self->m_sendCharge.recordProgress(clock.now());
+            if (self->m_closed || self->m_sendComplete)
+                self->dropSendBuffer();
+            else if (!error)
+                self->sendNextPart(window, clock);
         });
         return true;
     });
@@ -141,11 +149,21 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void endpoint_connection::dropSendBuffer()
+{
+    std::string().swap(m_sendBuffer);
+    m_bytesSent = 0;
+    m_sendCharge.clear();
+}
+
 void endpoint_connection::close()
 {
     m_closed = true;
     beast::error_code ignored;
     m_stream.socket().close(ignored);
+    // A write in progress refers to the buffer until its handler runs.
+    if (!m_sending)
+        dropSendBuffer();
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -1,4 +1,5 @@
 #pragma once
+#include "forwarding/buffer_budget.h"
 #include "forwarding/call_types.h"
 #include "forwarding/endpoint_stream.h"
 #include "forwarding/send_window.h"
@@ -24,8 +25,9 @@
     /// it can't be reused.
     task_of<wire::relay_status> connectThrough(const std::string& relayAddress, const wire::relay_open& request);
     /// Starts to send a request, as fast as the window has room for it. The response may be read at once: an endpoint may
-    /// respond before it has read everything. Precondition: the window outlives the context's handlers.
-    void startSend(std::string bytes, send_window& window);
+    /// respond before it has read everything. The bytes are accounted to a holder of the budget until they are sent.
+    /// Precondition: the window, the clock and the budget outlive the context's handlers.
+    void startSend(std::string bytes, send_window& window, const clock_source& clock, buffer_charge charge = {});
     /// Reads a response head and skips interim responses. Precondition: startSend() was called since the last response.
     task_of<call_failure> readResponseHead(bool noBody);
     unsigned status() const { return m_parser->get().result_int(); }
@@ -54,7 +56,8 @@
     milliseconds maxIdleTime { 0 };
 
 private:
-    void sendNextPart(send_window& window);
+    void sendNextPart(send_window& window, const clock_source& clock);
+    void dropSendBuffer();
     body_end bodyEnd() const;
 
     endpoint_stream m_stream;
@@ -62,6 +65,9 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     std::string m_sendBuffer;
     std::size_t m_bytesSent = 0;
+    /// Whether a part of the buffer is being written.
+    bool m_sending = false;
+    buffer_charge m_sendCharge;
     bool m_sendComplete = false;
     bool m_readFailed = false;
     std::string m_relayAddress;
--- a/Source/kernel/reason.cpp
+++ b/Source/kernel/reason.cpp
@@ -45,6 +45,7 @@
         reason_row { reason::SuspectedPoison, "suspected_poison", 503, "Connections to endpoints broke while they ran this request; come back after Retry-After." },
         reason_row { reason::ShuttingDown, "shutting_down", 503, "This VM is shutting down; send the request again." },
         reason_row { reason::TooManyConnections, "too_many_connections", 503, "This VM has too many connections; come back after Retry-After." },
+        reason_row { reason::BuffersFull, "buffers_full", 503, "This VM holds too much for slow readers; come back after Retry-After." },
         reason_row { reason::LedgerUnavailable, "ledger_unavailable", 503, "The at-most-once ledger has no quorum; come back after Retry-After." },
         reason_row { reason::OutcomeUnknown, "outcome_unknown", 409, "The call may have run; check its effect before you use a new Idempotency-Key." },
         reason_row { reason::EndpointFailed, "endpoint_failed", 502, "The endpoint failed while it ran the request." },
--- a/Source/kernel/reason.h
+++ b/Source/kernel/reason.h
@@ -39,6 +39,7 @@
     SuspectedPoison,
     ShuttingDown,
     TooManyConnections,
+    BuffersFull,
     LedgerUnavailable,
     OutcomeUnknown,
     EndpointFailed,
