--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -42,6 +42,8 @@
     void restartEntry(int n);
     /// Kills the leader and starts it again once another control process leads. Returns whether there was one and is one.
     bool replaceLeader();
+    /// States the memory of VMs, in MB, to entries that are started from now on; 0 states none.
+    void setMemory(int megabytes) { m_memoryMb = megabytes; }
     /// Has entries that are started from now on run with sockets that partitionEntry() can cut.
     void makePartitionable() { m_partitionable = true; }
     /// Has an entry that is started from now on share one link of this many bytes a second in each direction among its callers,
@@ -88,6 +90,7 @@
     int m_controlCount;
     int m_entryCount;
     bool m_partitionable = false;
+    int m_memoryMb = 0;
     std::set<int> m_narrowed;
     mutable std::mutex m_partitionMutex;
     loopback_subnet m_reservedSubnet;
