Coordination: Don't refuse the part that all prompts have while nothing succeeds

No call had ended whole anywhere. The crash of one engine was known only from a sound call that it cut, so the common part had one crash more than the part that crashes engines and wasn't inseparable from it; and as most crashes were under a single call, it passed for one that hardly any other call has.

While fewer than three calls without a part succeed, the part's crashes no longer count that a rarer suspect with crashes at three moments may explain, if that never occurs without it. The new test of crashes that parts explain together failed before. Blocks that rest on successes of other calls are decided as before.

--- a/Source/coordination/prompt_part_blocks.cpp
+++ b/Source/coordination/prompt_part_blocks.cpp
@@ -166,7 +166,7 @@
     m_knowledge = std::move(known);
 }
 
-bool prompt_part_blocks::isBlocked(const part_evidence& evidence, const moment_counts& moments, const part_knowledge& knowledge, time_point now) const
+bool prompt_part_blocks::isBlocked(const part_evidence& evidence, const moment_counts& moments, std::size_t ownMoments, const part_knowledge& knowledge, time_point now) const
 {
     if (now - knowledge.suspectedAt < answerTime)
         return false;
@@ -177,10 +177,30 @@
         return moments.confirmed >= confirmedToBlockKnown && moments.all >= momentsToBlockKnown && successesWithout >= successesWithoutToBlockKnown && now - knowledge.succeededAt >= failingTimeOfKnown;
     // Without any success, only a part that hardly any other call had can be told from what all calls have in common.
     bool isSpecific = evidence.calls * 2 <= evidence.runs.size() * 3;
-    bool isEnough = successesWithout >= successesWithoutToBlock || (isSpecific && moments.all >= momentsToBlockAlone);
+    bool isEnough = successesWithout >= successesWithoutToBlock || (isSpecific && ownMoments >= momentsToBlockAlone);
     return moments.confirmed >= confirmedToBlock && moments.all >= momentsToBlock && isEnough;
 }
 
+bool prompt_part_blocks::accompanies(std::uint64_t part, std::uint64_t other, const std::vector<crashed_run>& runs, const part_evidence& others)
+{
+    return std::all_of(others.runs.begin(), others.runs.end(), [&](auto position) {
+        const auto& calls = runs[position].calls;
+        return std::all_of(calls.begin(), calls.end(), [&](const auto& call) { return !hasAll(call, { other }) || hasAll(call, { part }); });
+    });
+}
+
+std::size_t prompt_part_blocks::countOwnMoments(std::uint64_t part, const part_evidence& own, const std::vector<crashed_run>& runs, const evidence_map& evidence) const
+{
+    auto positions = own.runs;
+    for (auto other : m_suspects) {
+        const auto& others = evidence.at(other);
+        bool mayExplain = others.calls < own.calls && countMoments(runs, others.runs).all >= momentsToBlock && accompanies(part, other, runs, others);
+        if (mayExplain)
+            std::erase_if(positions, [&](auto position) { return std::binary_search(others.runs.begin(), others.runs.end(), position); });
+    }
+    return countMoments(runs, positions).all;
+}
+
 prompt_part_blocks::part_set prompt_part_blocks::findInseparable(std::uint64_t part, const part_evidence& own, const std::vector<crashed_run>& runs, const evidence_map& evidence) const
 {
     part_set together;
@@ -188,10 +208,7 @@
         const auto& others = evidence.at(other).runs;
         if (!std::includes(others.begin(), others.end(), own.runs.begin(), own.runs.end()))
             return false;
-        return std::all_of(own.runs.begin(), own.runs.end(), [&](auto position) {
-            const auto& calls = runs[position].calls;
-            return std::all_of(calls.begin(), calls.end(), [&](const auto& call) { return !hasAll(call, { part }) || hasAll(call, { other }); });
-        });
+        return accompanies(other, part, runs, own);
     });
     return together;
 }
@@ -226,7 +243,9 @@
         auto own = evidence.at(part);
         std::erase_if(own.runs, [&](auto position) { return explained.count(position) > 0 && !hasAll(explained.at(position), { part }); });
         auto moments = countMoments(runs, own.runs);
-        if (!isBlocked(own, moments, m_knowledge.at(part), now))
+        const auto& knowledge = m_knowledge.at(part);
+        // Counting the part's own moments takes long, so it is left for parts that would be blocked otherwise.
+        if (!isBlocked(own, moments, moments.all, knowledge, now) || !isBlocked(own, moments, countOwnMoments(part, own, runs, evidence), knowledge, now))
             continue;
         auto together = findInseparable(part, own, runs, evidence);
         for (auto position : own.runs)
--- a/Source/coordination/prompt_part_blocks.h
+++ b/Source/coordination/prompt_part_blocks.h
@@ -19,7 +19,8 @@
 /// the only evidence are calls that had no event yet, and each of their parts is a candidate. A call that ran to its end clears
 /// all of its parts of earlier crashes. A part is blocked once it was in calls under which endpoints crashed at several moments,
 /// without a success in between, while calls without it succeeded:
-///   - a few crashes are enough for a part that never succeeded;
+///   - a few crashes are enough for a part that never succeeded; more without any other success, and then those don't count that
+///     a rarer part may explain which never occurs without it;
 ///   - more of them, over some time, are needed for one that did, so that a wave of crashes by another cause is not put down
 ///     to a popular part.
 /// Crashes at the same moment count once, since they may have one cause outside. The parts that the fewest calls had come first, and a
@@ -84,7 +85,11 @@
     evidence_map collectEvidence(const std::vector<crashed_run>& runs) const;
     static moment_counts countMoments(const std::vector<crashed_run>& runs, const std::vector<std::size_t>& positions);
     void selectSuspects(const std::vector<crashed_run>& runs, const evidence_map& evidence, time_point now);
-    bool isBlocked(const part_evidence& evidence, const moment_counts& moments, const part_knowledge& knowledge, time_point now) const;
+    bool isBlocked(const part_evidence& evidence, const moment_counts& moments, std::size_t ownMoments, const part_knowledge& knowledge, time_point now) const;
+    /// Whether a part was in all calls of the other one's crashes that had the other one.
+    static bool accompanies(std::uint64_t part, std::uint64_t other, const std::vector<crashed_run>& runs, const part_evidence& others);
+    /// The moments of a part's crashes that no rarer suspect which it accompanies may explain.
+    std::size_t countOwnMoments(std::uint64_t part, const part_evidence& own, const std::vector<crashed_run>& runs, const evidence_map& evidence) const;
     /// The parts that were in each call with this one, and had no success either.
     part_set findInseparable(std::uint64_t part, const part_evidence& own, const std::vector<crashed_run>& runs, const evidence_map& evidence) const;
     static bool hasAll(const part_set& call, const part_set& parts);
--- a/Tests/Coordination/PromptPartBlocksTest.cpp
+++ b/Tests/Coordination/PromptPartBlocksTest.cpp
@@ -187,6 +187,48 @@
     CHECK_FALSE(leader.isBlocked({ popular, 2, 3, 4, 5 }));
 }
 
+// Guards against accusing parts for waves of crashes while no other call shows that endpoints run without them.
+TEST_CASE("Without enough calls that succeed, a part is blocked only after crashes at five moments")
+{
+    auto successes = GENERATE(0, 2, 3);
+    decisions leader;
+    std::uint64_t other = 20;
+    auto crashAll = [&](std::initializer_list<int> pauses) {
+        for (int pause : pauses) {
+            leader.crash({ { popular, poison }, { popular, ++other } });
+            leader.confirmCrash();
+            leader.wait(milliseconds(pause));
+        }
+    };
+    // Eight crashes at three moments.
+    crashAll({ 14, 6, 13, 4400 });
+    for (int i = 0; i < successes; ++i)
+        leader.succeed({ popular, 30 });
+    crashAll({ 2, 10, 370, 3800 });
+    CHECK(leader.isBlocked({ popular, poison }) == (successes == 3));
+    crashAll({ 13, 13, 13, 1900 });
+    CHECK(leader.isBlocked({ popular, poison }) == (successes == 3));
+    crashAll({ 10 });
+    CHECK(leader.isBlocked({ popular, poison }));
+    CHECK_FALSE(leader.isBlocked({ popular, 21 }));
+}
+
+// Guards against refusing all prompts because one crash is known only from calls that a crashing part's call was cut with.
+TEST_CASE("Crashes that parts explain together accuse none of them alone while nothing succeeds")
+{
+    decisions leader;
+    auto crash = [&](const std::vector<std::vector<std::uint64_t>>& calls) {
+        leader.crash(calls);
+        leader.confirmCrash();
+        leader.wait(milliseconds(500));
+    };
+    crash({ { popular, 20 } });
+    for (int n = 0; n < 6; ++n)
+        crash({ { popular, poison } });
+    CHECK(leader.isBlocked({ popular, poison }));
+    CHECK_FALSE(leader.isBlocked({ popular, 21 }));
+}
+
 // Guards against counting one crash several times because entries notice it at different times.
 TEST_CASE("A run of an endpoint counts as one moment, however late its crash is noticed")
 {
