Tests: Compare estimates of slowdowns exactly again

The estimate at the time of a report is the report itself since it is interpolated by std::lerp, so the tolerance that put into its test isn't needed.

--- a/Tests/Scheduling/SlowdownEstimateTest.cpp
+++ b/Tests/Scheduling/SlowdownEstimateTest.cpp
@@ -49,9 +49,9 @@
 {
     slowdown_estimate estimate;
     estimate.record(1e9, start);
-    CHECK(estimate.at(start) == Approx(slowdown_estimate::maxSlowdown));
+    CHECK(estimate.at(start) == slowdown_estimate::maxSlowdown);
     estimate.record(1e-9, start + milliseconds(1));
-    CHECK(estimate.at(start + milliseconds(1)) == Approx(slowdown_estimate::minSlowdown));
+    CHECK(estimate.at(start + milliseconds(1)) == slowdown_estimate::minSlowdown);
     for (double value : { 0.0, -3.0, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN() })
         estimate.record(value, start + milliseconds(2));
     CHECK(estimate.last() == slowdown_estimate::minSlowdown);
