--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of deploy/system.toml and review/build.sh.
 folder=$(cd "$(dirname "$0")" && pwd)
 repository=$(cd "$folder/../.." && pwd)
-[ -x "$repository/target/review/denied_case" ] || exit 2
-exec "$repository/target/review/denied_case" "$repository" "$folder/record.txt"
+[ -x "$repository/target/review/version_case" ] || exit 2
+exec "$repository/target/review/version_case" "$repository" "$folder/record.txt"
