Tests: Compile the session tests of the commands on arm64

GCC 12 for arm64 reports an out-of-bounds copy where a short std::string takes a literal (-Warray-bounds, a false report: the copy goes to the heap), which -Werror turns into an error: CommandSessionTest.cpp:96 didn't compile. Both parts of the path are literals, so the compiler joins them. The checks are the same.

--- a/Tests/Command/CommandSessionTest.cpp
+++ b/Tests/Command/CommandSessionTest.cpp
@@ -93,7 +93,7 @@
 TEST_CASE("The example settings and traffic files are valid")
 {
     fleet where({});
-    auto utilities = std::string(PISTACHIOLATCH_TESTS_FOLDER) + "/../Utilities/";
+    std::string utilities = PISTACHIOLATCH_TESTS_FOLDER "/../Utilities/";
     for (const char* program : { "entry", "scheduler", "control" }) {
         auto output = runToEnd(build + "/pistachiolatch-" + program, { "--settings", utilities + "examples/settings/" + program + ".toml", "--check" }, where.folder() + "/example");
         INFO(output.err);
