Tests: Compile the evacuation test on arm64

The same false report of GCC 12 for arm64 (-Warray-bounds at a literal that is added to a short std::string) stopped the build at EvacuationTest.cpp:173. The path is formatted instead; the check is the same.

--- a/Tests/Platform/EvacuationTest.cpp
+++ b/Tests/Platform/EvacuationTest.cpp
@@ -170,7 +170,7 @@
         CHECK(answer.status == 400);
         CHECK(answer.body.find("error") != std::string::npos);
     }
-    auto unknown = test.fleet.call(test.fleet.controlAddress(1), "POST", std::string(platform_names::evacuationPath) + "nowhere");
+    auto unknown = test.fleet.call(test.fleet.controlAddress(1), "POST", fmt::format("{}nowhere", platform_names::evacuationPath));
     CHECK(unknown.status == 200);
     CHECK(unknown.body.find("warning") != std::string::npos);
     CHECK(test.serves());
