--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -79,6 +79,42 @@
         bool sent = false;
     };
 
+    /// One attempt at an endpoint: its connection, and what is measured and reported of it.
+    struct attempt_state {
+        /// Identifies the attempt to the planner; 0 if this entry chose the endpoint of a service without engines, or once the
+        /// attempt's end was reported.
+        std::uint64_t callId = 0;
+        std::string endpointId;
+        std::shared_ptr<endpoint_connection> connection;
+        /// Counts the attempt as load of its endpoint.
+        std::shared_ptr<endpoint_reservation> reservation;
+        /// The endpoint's software version; empty if unknown.
+        std::string softwareVersion;
+        /// Address of the entry that relays the connection; empty if it is direct.
+        std::string relayedBy;
+        /// Events of the attempt, and when its first one arrived.
+        std::uint64_t events = 0;
+        time_point generationStartedAt {};
+        /// How the body of the last response that was read for the caller ended.
+        body_end bodyEnd = body_end::Open;
+        /// Speed and health of engines, reported with the attempt's release.
+        call_measurements measurements;
+        engine_outcomes outcomes;
+        /// What the endpoints stated with their responses.
+        wire::endpoint_statement stated;
+        wire::endpoint_statement prefillStated;
+    };
+
+    /// A stream whose endpoint has stalled, while another endpoint is asked to continue it.
+    struct stalled_source {
+        selected_endpoint endpoint;
+        attempt_state attempt;
+        /// Whether the endpoint has sent anything since.
+        bool resumed = false;
+        /// Whether the other endpoint has taken over.
+        bool left = false;
+    };
+
     /// The endpoints selected for one attempt at a model call, or the endpoint to which a stalled stream of a service without engines
     /// moves.
     struct model_placement {
@@ -126,7 +162,7 @@
     /// Records where a resumable stream is placed, before the request is sent there.
     void recordPlacement();
     /// Opens a connection on which the attempt may be sent. A resumable stream needs one to the run that the endpoint reported:
-    /// another run under the same id may have another software version. Returns whether m_connection is such a connection.
+    /// another run under the same id may have another software version. Returns whether the attempt has such a connection now.
     task_of<bool> openVerifiedConnection(const selected_endpoint& endpoint);
     task_of<run_check> checkRun(const selected_endpoint& endpoint);
     /// Returns an error if the request is blocked because endpoints crash while running it.
@@ -157,10 +193,11 @@
     bool stopIfEvacuated(reason& cause);
     /// Chooses an endpoint of a service without engines: the leader does if the service is busy, else this entry.
     task_of<std::optional<selected_endpoint>> awaitSlot();
-    /// Runs one attempt at an endpoint, and reports its end if the leader chose it.
-    task_of<attempt_outcome> attemptServiceCall(const selected_endpoint& endpoint);
-    /// Frees the slot that the leader reserved, if it did, and reports the outcomes of its endpoint.
-    void reportPlacedCallEnded();
+    /// Runs one attempt and reports its end.
+    task_of<attempt_outcome> runAttempt(const model_placement& placement);
+    /// Frees what the planner reserved for the current attempt, if anything, and reports what was measured. Does nothing the second
+    /// time.
+    void finishAttempt();
     task_of<void> runModelCall();
     task_of<std::optional<model_placement>> awaitPlacement();
     task_of<void> pauseBeforePoll();
@@ -174,14 +211,20 @@
     wire::engine_plan_request makePlanRequest(std::uint64_t callId, milliseconds timeout);
     void countEvents(std::uint64_t count);
     idle_stream measureIdleTime(const std::string& endpointId) const;
-    void scheduleStallCheck(selected_endpoint endpoint, milliseconds delay);
-    void requestMigration(const selected_endpoint& endpoint);
+    /// Whether another endpoint may continue the stream if it stalls.
+    bool mayMove() const;
+    /// Interrupts the read of the stream once it has stalled.
+    void scheduleStallCheck(const selected_endpoint& endpoint, milliseconds delay);
+    /// Asks another endpoint to continue a stalled stream. The stream's own endpoint keeps it until the other one begins to
+    /// answer, and goes on with it if it sends anything before. Returns the outcome at the other endpoint, or nothing if the
+    /// stream stays.
+    task_of<std::optional<attempt_outcome>> moveStalledStream(const selected_endpoint& endpoint);
+    task_of<std::optional<model_placement>> selectAlternative(const selected_endpoint& endpoint);
+    /// Whether the endpoint has sent anything since the stream stalled, or answers a status request.
+    task_of<bool> isResponding(const selected_endpoint& endpoint);
+    /// Ends the attempt at the stalled stream's endpoint, if any, because the next endpoint has begun to answer.
+    void leaveSource(const selected_endpoint& next);
     std::optional<model_placement> placementFromPlan(const wire::engine_plan_reply& plan, std::uint64_t callId) const;
-    std::optional<model_placement> findAlternativePlacement(const std::optional<wire::engine_plan_reply>& plan, const selected_endpoint& endpoint, std::uint64_t callId);
-    /// Moves a stalled stream to another endpoint once a retry of the budget is granted for it.
-    void acquireMigration(const model_placement& placement, const selected_endpoint& endpoint);
-    void migrateTo(const model_placement& placement, const selected_endpoint& endpoint);
-    void recordMigration(const std::string& endpointId);
     /// Records an outcome in the registry and, for model calls, in the release message that reports it to the leader.
     void recordOutcome(const std::string& endpointId, endpoint_outcome outcome);
     task_of<attempt_outcome> attemptModelCall(const model_placement& placement);
@@ -201,9 +244,7 @@
     /// Returns a connection on which a request may be sent; null if there is none or the endpoint was evacuated.
     task_of<std::shared_ptr<endpoint_connection>> openConnection(const selected_endpoint& endpoint, bool idempotent);
     /// Drops what is left of the attempt before.
-    void beginAttempt();
-    /// Prepares the move of a stalled stream if it is why the attempt ended, or else a retry. Returns whether an attempt follows.
-    task_of<bool> prepareNextAttempt(attempt_outcome outcome, const std::string& endpointId);
+    void beginAttempt(const model_placement& placement);
     /// Decides after an attempt whether another one follows, and acquires a retry of the budget for it.
     task_of<bool> prepareRetry(attempt_outcome outcome, const std::string& endpointId);
     /// Acquires retries of the budget until the call holds as many. Returns false if the budget is spent.
@@ -227,7 +268,8 @@
     void logTruncation(std::string_view cause) const;
 
     bool closesConnections() const { return m_shared.draining || m_shared.crowded; }
-    bool isAborted() const { return m_callerGone || m_deadlinePassed; }
+    /// Whether the current attempt is to be given up.
+    bool isAborted() const { return m_callerGone || m_deadlinePassed || (m_source && m_source->resumed); }
     bool isIdempotent() const { return m_route->kind == call_kind::Idempotent || isResumable(); }
     /// The software version that the next endpoint must have; empty if any will do.
     std::string requiredVersion() const { return m_origin ? m_origin->softwareVersion : std::string(); }
@@ -256,11 +298,9 @@
     std::uint32_t m_placements = 0;
     /// The software version that the leader recorded for the placement that it chose.
     std::optional<std::string> m_leaderVersion;
-    /// The software version of the current attempt's endpoint; empty if unknown.
-    std::string m_attemptVersion;
     /// What the call has yet to send to endpoints if nothing fails.
     send_commitment m_bytesToSend;
-    std::shared_ptr<endpoint_connection> m_connection;
+    attempt_state m_attempt;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_attemptTimer;
     std::uint64_t m_attemptNumber = 0;
@@ -279,8 +319,6 @@
     unsigned m_refusals = 0;
     std::set<std::string> m_triedEndpoints;
     std::string m_endpointIds;
-    /// Address of the entry that relayed the last connection to an endpoint; empty if it was direct.
-    std::string m_relayedBy;
     std::optional<prefill_result> m_prefill;
     /// The endpoint of the last successful prefill; empty if decode endpoints process the prompt themselves.
     std::string m_prefillEndpointId;
@@ -291,29 +329,14 @@
     buffer_charge m_fallbackCharge;
     unsigned m_fallbackStatus = 0;
     unsigned m_status = 0;
-    /// How the body of the last response that was read for the caller ended.
-    body_end m_bodyEnd = body_end::Open;
     std::string m_outcome;
     milliseconds m_firstEventLatency { -1 };
-    /// Identifies the attempt to the planner; 0 if this entry chose the endpoint of a service without engines.
-    std::uint64_t m_callId = 0;
     std::uint64_t m_eventsForwarded = 0;
-    /// Events of the current attempt, and when its first one arrived.
-    std::uint64_t m_endpointEvents = 0;
-    time_point m_generationStartedAt {};
-    /// Speed and health of engines measured by the current attempt, reported with its release.
-    call_measurements m_measurements;
-    engine_outcomes m_outcomes;
-    /// What the endpoints of the current attempt stated with their responses.
-    wire::endpoint_statement m_stated;
-    wire::endpoint_statement m_prefillStated;
     /// Since when the stream's next data is awaited; zero while it is blocked by a slow caller.
     time_point m_waitingSince {};
     milliseconds m_longestPause { 0 };
-    /// Target of the migration of a stalled stream, which has been charged to the retry budget.
-    std::optional<model_placement> m_nextPlacement;
-    /// Whether the stream was migrated away from a live endpoint, which is not counted as a failure of the endpoint.
-    bool m_leftAliveEndpoint = false;
+    /// The stalled stream while another endpoint is asked to continue it, or null.
+    stalled_source* m_source = nullptr;
     milliseconds m_retryAfter { 0 };
     /// Why the call is not retried; None while it may be.
     no_retry_reason m_noRetryReason = no_retry_reason::None;
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -247,7 +247,7 @@
     report.set_request_id(toPlainIdentifier(m_metadata.id, maxReportedRequestIdBytes));
     report.set_attempt(m_crashReports++);
     // Endpoints crash on a part of a prompt when they begin to write, not when they process it or later in the stream.
-    if (m_brokenStage == attempt_stage::Full && m_endpointEvents == 0)
+    if (m_brokenStage == attempt_stage::Full && m_attempt.events == 0)
         report.mutable_parts()->Assign(m_metadata.promptParts.begin(), m_metadata.promptParts.end());
     pending_reply<std::uint32_t> reply(m_shared.context.get_executor());
     m_shared.link.reportCrash(report, reply.completer());
@@ -268,7 +268,7 @@
     m_bytesToSend.spend(m_request.body().size());
     // The connection accounts for the copy from now on.
     m_requestCharge.resize(m_request.body().size(), m_shared.clock.now());
-    m_connection->startSend(Codec::encodeRequest(m_request, options), m_shared.sendWindow, m_shared.clock, buffer_charge(m_shared.bufferBudget, m_caller->holder()));
+    m_attempt.connection->startSend(Codec::encodeRequest(m_request, options), m_shared.sendWindow, m_shared.clock, buffer_charge(m_shared.bufferBudget, m_caller->holder()));
 }
 
 template <call_codec Codec>
@@ -305,7 +305,8 @@
         if (error || !*alive || attempt != m_attemptNumber)
             return;
         m_attemptExpired = true;
-        closeCurrentConnection();
+        if (m_attempt.connection)
+            m_attempt.connection->close();
     });
 }
 
@@ -320,8 +321,10 @@
 void call_forwarder<Codec>::closeCurrentConnection()
 {
     // Closing the connection cancels the request at the endpoint.
-    if (m_connection)
-        m_connection->close();
+    if (m_attempt.connection)
+        m_attempt.connection->close();
+    if (m_source)
+        m_source->attempt.connection->close();
 }
 
 template <call_codec Codec>
@@ -341,22 +344,23 @@
     if (m_shared.endpoints.isResting(endpoint.id))
         co_return nullptr;
     std::function<bool()> aborted = [this] { return isAborted(); };
-    bool opened = co_await m_shared.connector.open(endpoint, idempotent, m_connection, aborted);
+    bool opened = co_await m_shared.connector.open(endpoint, idempotent, m_attempt.connection, aborted);
     if (!opened) {
-        closeCurrentConnection();
-        m_connection.reset();
+        if (m_attempt.connection)
+            m_attempt.connection->close();
+        m_attempt.connection.reset();
         if (!isAborted())
             recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
         co_return nullptr;
     }
-    m_relayedBy = m_connection->relayAddress();
+    m_attempt.relayedBy = m_attempt.connection->relayAddress();
     // The data centre may have been evacuated after the endpoint was chosen, such as while the prompt was processed, or the
     // endpoint may have asked for rest.
     if (m_shared.endpoints.isEvacuated(endpoint.id) || m_shared.endpoints.isResting(endpoint.id)) {
         releaseUnusedConnection(endpoint.id);
         co_return nullptr;
     }
-    co_return m_connection;
+    co_return m_attempt.connection;
 }
 
 template <call_codec Codec>
@@ -374,16 +378,10 @@
 {
     reason cause = reason::NoEndpoint;
     while (!isAborted()) {
-        if (stopIfEvacuated(cause) || (!m_nextPlacement && (stopIfVersionGone(cause) || stopIfResting(cause))))
+        if (stopIfEvacuated(cause) || stopIfVersionGone(cause) || stopIfResting(cause))
             break;
         auto waitStartedAt = m_shared.clock.now();
-        std::optional<selected_endpoint> endpoint;
-        if (auto moved = std::exchange(m_nextPlacement, std::nullopt)) {
-            m_callId = moved->callId;
-            endpoint = moved->decode;
-        } else {
-            endpoint = co_await awaitSlot();
-        }
+        auto endpoint = co_await awaitSlot();
         m_endpointWait += std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - waitStartedAt);
         if (!endpoint) {
             cause = m_enginesFull ? reason::NoCapacity : cause;
@@ -392,10 +390,11 @@
         }
         // The caller may have left while the call waited for a slot.
         if (isAborted()) {
-            reportPlacedCallEnded();
+            finishAttempt();
             break;
         }
-        auto outcome = co_await attemptServiceCall(*endpoint);
+        model_placement placement { *endpoint, std::nullopt, false, m_attempt.callId };
+        auto outcome = co_await runAttempt(placement);
         if (outcome == attempt_outcome::Completed)
             co_return;
         co_await reportCrash();
@@ -403,7 +402,7 @@
                                                                                                                      : reason::EndpointFailed;
         if (isAborted())
             break;
-        bool mayRetry = co_await prepareNextAttempt(outcome, endpoint->id);
+        bool mayRetry = co_await prepareRetry(outcome, m_attempt.endpointId);
         if (!mayRetry)
             break;
     }
@@ -411,30 +410,62 @@
 }
 
 template <call_codec Codec>
-void call_forwarder<Codec>::beginAttempt()
+void call_forwarder<Codec>::beginAttempt(const model_placement& placement)
 {
-    m_endpointEvents = 0;
-    m_generationStartedAt = {};
+    m_attempt.callId = placement.callId;
+    m_attempt.endpointId = placement.decode.id;
+    m_attempt.events = 0;
+    m_attempt.generationStartedAt = {};
     // The endpoint before may have stopped in the middle of an event, which the next one sends from its beginning.
-    m_eventSplitter.discardRemainder();
+    if (!m_source)
+        m_eventSplitter.discardRemainder();
+    m_attempt.reservation = std::make_shared<endpoint_reservation>(m_shared.endpoints, placement.decode.id, m_service->engine ? m_tokens : 0);
+    if (m_attempt.callId == 0)
+        return;
+    auto promptTokens = m_service->engine && m_metadata.tokens ? m_metadata.tokens->prompt : 0;
+    m_shared.endpoints.addRunningCall(m_attempt.callId, placement.decode.id, promptTokens, m_service->engine ? estimateOutputTokens() : 0);
 }
 
 template <call_codec Codec>
-task_of<bool> call_forwarder<Codec>::prepareNextAttempt(attempt_outcome outcome, const std::string& endpointId)
+void call_forwarder<Codec>::finishAttempt()
 {
-    if (!m_nextPlacement)
-        co_return co_await prepareRetry(outcome, endpointId);
-    recordMigration(endpointId);
-    co_return true;
+    m_attempt.reservation.reset();
+    m_shared.endpoints.removeRunningCall(m_attempt.callId);
+    auto measurements = std::exchange(m_attempt.measurements, {});
+    if (m_service->engine) {
+        auto generating = m_attempt.generationStartedAt == time_point {} ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_attempt.generationStartedAt);
+        measurements.generatedTokens = m_attempt.events * m_service->engine->tokensPerEvent;
+        measurements.generationTime = generating;
+    }
+    auto outcomes = std::exchange(m_attempt.outcomes, {});
+    auto stated = std::exchange(m_attempt.stated, {});
+    auto prefillStated = std::exchange(m_attempt.prefillStated, {});
+    if (auto callId = std::exchange(m_attempt.callId, 0); callId != 0)
+        m_shared.link.reportFinished({ callId, std::move(measurements), std::move(outcomes), std::move(stated), std::move(prefillStated) });
+}
+
+template <call_codec Codec>
+task_of<attempt_outcome> call_forwarder<Codec>::runAttempt(const model_placement& placement)
+{
+    beginAttempt(placement);
+    auto outcome = attempt_outcome::NotSent;
+    if (m_service->engine) {
+        outcome = co_await attemptModelCall(placement);
+    } else {
+        auto options = makeAttemptOptions(placement.decode);
+        outcome = co_await sendAttempt(placement.decode, std::move(options));
+    }
+    finishAttempt();
+    co_return outcome;
 }
 
 template <call_codec Codec>
 task_of<std::optional<selected_endpoint>> call_forwarder<Codec>::awaitSlot()
 {
-    m_callId = 0;
+    m_attempt.callId = 0;
     m_enginesFull = false;
     if (!m_service->engine && m_shared.link.isQueued(m_service->name) && !onlyLeavingCanContinue()) {
-        m_callId = m_shared.endpoints.nextCallId();
+        m_attempt.callId = m_shared.endpoints.nextCallId();
         auto plan = co_await requestPlan();
         m_enginesFull = plan && plan->full();
         if (m_enginesFull) {
@@ -447,36 +478,13 @@
             co_return planned;
         }
         if (plan)
-            reportPlacedCallEnded();
-        m_callId = 0;
+            finishAttempt();
+        m_attempt.callId = 0;
     }
     m_leaderVersion.reset();
     co_return m_shared.endpoints.select(makeAttemptQuery());
 }
 
-template <call_codec Codec>
-task_of<attempt_outcome> call_forwarder<Codec>::attemptServiceCall(const selected_endpoint& endpoint)
-{
-    endpoint_reservation reservation(m_shared.endpoints, endpoint.id, 0);
-    if (m_callId != 0)
-        m_shared.endpoints.addRunningCall(m_callId, endpoint.id, 0, 0);
-    beginAttempt();
-    auto options = makeAttemptOptions(endpoint);
-    auto outcome = co_await sendAttempt(endpoint, std::move(options));
-    m_shared.endpoints.removeRunningCall(m_callId);
-    reportPlacedCallEnded();
-    co_return outcome;
-}
-
-template <call_codec Codec>
-void call_forwarder<Codec>::reportPlacedCallEnded()
-{
-    auto outcomes = std::exchange(m_outcomes, {});
-    auto stated = std::exchange(m_stated, {});
-    if (m_callId != 0)
-        m_shared.link.reportFinished({ m_callId, {}, std::move(outcomes), std::move(stated), {} });
-}
-
 template <call_codec Codec>
 task_of<bool> call_forwarder<Codec>::acquireRetries(unsigned needed, retry_need need)
 {
@@ -518,7 +526,7 @@
                                                                                                                          : reason::EndpointFailed;
     if (allowed)
         m_shared.counters.countRetry(cause);
-    logEvent("attempt_failed", { { "request", m_metadata.id }, { "endpoint", endpointId }, { "why", reasonName(cause) }, { "stalled", outcome == attempt_outcome::Stalled ? 1 : 0 }, { "may_have_run_at", m_possibleRuns }, { "body_end", bodyEndName(m_bodyEnd) }, { "again", allowed ? 1 : 0 }, { "no_retry_reason", noRetryReasonName(m_noRetryReason) }, { "arrivals", m_arrivals.count() }, { "age_ms", age().count() } });
+    logEvent("attempt_failed", { { "request", m_metadata.id }, { "endpoint", endpointId }, { "why", reasonName(cause) }, { "stalled", outcome == attempt_outcome::Stalled ? 1 : 0 }, { "may_have_run_at", m_possibleRuns }, { "body_end", bodyEndName(m_attempt.bodyEnd) }, { "again", allowed ? 1 : 0 }, { "no_retry_reason", noRetryReasonName(m_noRetryReason) }, { "arrivals", m_arrivals.count() }, { "age_ms", age().count() } });
     co_return allowed;
 }
 
@@ -547,13 +555,13 @@
         co_return attempt_outcome::NotSent;
     }
     recordPlacement();
-    auto connection = m_connection;
+    auto connection = m_attempt.connection;
     recordFirstArrival();
     m_arrivals.recordSent();
     ++m_sendCount;
     ++m_possibleRuns;
     m_attemptExpired = false;
-    m_bodyEnd = body_end::Open;
+    m_attempt.bodyEnd = body_end::Open;
     m_endpointIds += (m_endpointIds.empty() ? "" : ",") + endpoint.id;
     options.timeLeft = timeLeft();
     m_sentAt = m_shared.clock.now();
@@ -564,10 +572,10 @@
     auto outcome = co_await receiveResponse(endpoint);
     bool expired = m_attemptExpired;
     cancelAttemptTimer();
-    if (outcome != attempt_outcome::Completed && m_connection) {
-        if (!m_connection->isReusable())
-            m_connection->close();
-        m_connection.reset();
+    if (outcome != attempt_outcome::Completed && m_attempt.connection) {
+        if (!m_attempt.connection->isReusable())
+            m_attempt.connection->close();
+        m_attempt.connection.reset();
     }
     if (outcome == attempt_outcome::RefusedNotRun)
         --m_possibleRuns;
@@ -644,24 +652,24 @@
 {
     m_shared.endpoints.recordOutcome(endpointId, outcome);
     if (outcome == endpoint_outcome::Succeeded)
-        m_outcomes.succeeded.push_back(endpointId);
+        m_attempt.outcomes.succeeded.push_back(endpointId);
     else if (outcome != endpoint_outcome::Refused)
-        m_outcomes.failed.push_back(endpointId);
-    else if (!m_leftAliveEndpoint)
-        m_outcomes.refused.push_back(endpointId);
+        m_attempt.outcomes.failed.push_back(endpointId);
+    else
+        m_attempt.outcomes.refused.push_back(endpointId);
 }
 
 template <call_codec Codec>
 void call_forwarder<Codec>::logTruncation(std::string_view cause) const
 {
     auto latestVersion = m_shared.link.routeTable() ? m_shared.link.routeTable()->version() : 0;
-    logEvent("answer_cut", { { "request", m_metadata.id }, { "why", cause }, { "route", m_route->name }, { "version", m_table->version() }, { "latest_version", latestVersion }, { "events", m_eventsForwarded }, { "body_end", bodyEndName(m_bodyEnd) }, { "partial_event_bytes", m_eventSplitter.remainder().size() }, { "may_have_run_at", m_possibleRuns }, { "most_endpoints", m_route->maxEndpoints }, { "resumable", isResumable() ? 1 : 0 }, { "deadline_ms", m_metadata.deadline.value_or(milliseconds(0)).count() }, { "timeout_ms", m_route->timeout.count() }, { "time_left_ms", timeLeft().count() }, { "endpoint_wait_ms", m_endpointWait.count() }, { "engines_full", m_enginesFull ? 1 : 0 }, { "draining", m_shared.draining ? 1 : 0 }, { "age_ms", age().count() } });
+    logEvent("answer_cut", { { "request", m_metadata.id }, { "why", cause }, { "route", m_route->name }, { "version", m_table->version() }, { "latest_version", latestVersion }, { "events", m_eventsForwarded }, { "body_end", bodyEndName(m_attempt.bodyEnd) }, { "partial_event_bytes", m_eventSplitter.remainder().size() }, { "may_have_run_at", m_possibleRuns }, { "most_endpoints", m_route->maxEndpoints }, { "resumable", isResumable() ? 1 : 0 }, { "deadline_ms", m_metadata.deadline.value_or(milliseconds(0)).count() }, { "timeout_ms", m_route->timeout.count() }, { "time_left_ms", timeLeft().count() }, { "endpoint_wait_ms", m_endpointWait.count() }, { "engines_full", m_enginesFull ? 1 : 0 }, { "draining", m_shared.draining ? 1 : 0 }, { "age_ms", age().count() } });
 }
 
 template <call_codec Codec>
 void call_forwarder<Codec>::recordBodyEnd(body_end end)
 {
-    m_bodyEnd = end;
+    m_attempt.bodyEnd = end;
     m_shared.counters.count(fmt::format("endpoint_body_end_{}", bodyEndName(end)));
 }
 
@@ -691,7 +699,7 @@
     if (std::exchange(m_endLogged, true))
         return;
     m_shared.counters.observe("call_seconds", age());
-    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "body_end", bodyEndName(m_bodyEnd) }, { "endpoints", m_endpointIds }, { "relayed_by", m_relayedBy }, { "software_version", m_attemptVersion }, { "first_attempt", m_metadata.firstAttemptId }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "endpoint_wait_ms", m_endpointWait.count() }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
+    logEvent("call_ended", { { "request", m_metadata.id }, { "route", m_route ? m_route->name : std::string() }, { "organisation", m_organisation ? m_organisation->name : std::string() }, { "version", m_table ? m_table->version() : 0 }, { "outcome", m_outcome }, { "status", m_status }, { "body_end", bodyEndName(m_attempt.bodyEnd) }, { "endpoints", m_endpointIds }, { "relayed_by", m_attempt.relayedBy }, { "software_version", m_attempt.softwareVersion }, { "first_attempt", m_metadata.firstAttemptId }, { "prompt_read_at", m_prefillEndpointId }, { "prompt_read_ms", m_prefillDuration.count() }, { "sends", m_sendCount }, { "endpoint_wait_ms", m_endpointWait.count() }, { "tokens", m_tokens }, { "first_ms", m_firstEventLatency.count() }, { "pause_ms", m_longestPause.count() }, { "ms", age().count() } });
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -37,32 +37,17 @@
 {
     reason cause = reason::NoCapacity;
     while (!isAborted()) {
-        if (stopIfEvacuated(cause) || stopIfBlocked() || (!m_nextPlacement && (stopIfVersionGone(cause) || stopIfResting(cause))))
+        if (stopIfEvacuated(cause) || stopIfBlocked() || stopIfVersionGone(cause) || stopIfResting(cause))
             break;
-        auto placement = std::exchange(m_nextPlacement, std::nullopt);
-        if (!placement) {
-            m_callId = m_shared.endpoints.nextCallId();
-            auto waitStartedAt = m_shared.clock.now();
-            placement = co_await awaitPlacement();
-            m_endpointWait = std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - waitStartedAt);
-        }
+        m_attempt.callId = m_shared.endpoints.nextCallId();
+        auto waitStartedAt = m_shared.clock.now();
+        auto placement = co_await awaitPlacement();
+        m_endpointWait = std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - waitStartedAt);
         if (!placement) {
             m_noRetryReason = no_retry_reason::NoEndpoint;
             break;
         }
-        m_callId = placement->callId;
-        attempt_outcome outcome = attempt_outcome::NotSent;
-        beginAttempt();
-        m_shared.endpoints.addRunningCall(m_callId, placement->decode.id, m_metadata.tokens ? m_metadata.tokens->prompt : 0, estimateOutputTokens());
-        {
-            endpoint_reservation reservation(m_shared.endpoints, placement->decode.id, m_tokens);
-            outcome = co_await attemptModelCall(*placement);
-        }
-        m_shared.endpoints.removeRunningCall(m_callId);
-        auto generating = m_generationStartedAt == time_point {} ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_generationStartedAt);
-        m_measurements.generatedTokens = m_endpointEvents * m_service->engine->tokensPerEvent;
-        m_measurements.generationTime = generating;
-        m_shared.link.reportFinished({ m_callId, std::exchange(m_measurements, {}), std::exchange(m_outcomes, {}), std::exchange(m_stated, {}), std::exchange(m_prefillStated, {}) });
+        auto outcome = co_await runAttempt(*placement);
         if (outcome == attempt_outcome::Completed)
             co_return;
         co_await reportCrash();
@@ -70,7 +55,7 @@
                                                                                                                      : reason::EndpointFailed;
         if (isAborted())
             break;
-        bool mayRetry = co_await prepareNextAttempt(outcome, placement->decode.id);
+        bool mayRetry = co_await prepareRetry(outcome, m_attempt.endpointId);
         if (!mayRetry)
             break;
         if (m_origin && outcome == attempt_outcome::RefusedNotRun)
@@ -146,7 +131,7 @@
 task_of<std::optional<wire::engine_plan_reply>> call_forwarder<Codec>::requestPlan()
 {
     pending_reply<std::optional<wire::engine_plan_reply>> reply(m_shared.context.get_executor());
-    auto planRequest = makePlanRequest(m_callId, placementTimeout());
+    auto planRequest = makePlanRequest(m_attempt.callId, placementTimeout());
     describeStream(planRequest);
     m_shared.link.requestPlan(std::move(planRequest), reply.completer());
     auto plan = co_await reply.wait(timeLeft());
@@ -176,7 +161,7 @@
         m_retryAfter = milliseconds(plan->retry_after_ms());
         co_return std::nullopt;
     }
-    auto planned = plan ? placementFromPlan(*plan, m_callId) : std::nullopt;
+    auto planned = plan ? placementFromPlan(*plan, m_attempt.callId) : std::nullopt;
     m_leaderVersion.reset();
     if (planned) {
         m_leaderVersion = plan->software_version();
@@ -187,7 +172,7 @@
     while (!isAborted()) {
         auto decode = m_shared.endpoints.select(makeAttemptQuery());
         if (decode && canPrefillSoon(*decode))
-            co_return model_placement { *decode, std::nullopt, false, m_callId };
+            co_return model_placement { *decode, std::nullopt, false, m_attempt.callId };
         if (m_shared.clock.now() >= waitDeadline)
             break;
         // Endpoints tried before may be available again: their queues drain while this call waits.
@@ -215,9 +200,12 @@
         options.prefillAddress = m_prefill->endpoint.address;
         options.prefillHandle = m_prefill->handle;
     }
+    auto sentHandle = options.prefillHandle;
     auto outcome = co_await sendAttempt(placement.decode, std::move(options));
-    // A handle can be used once. It is still valid only if the decode endpoint was not reached or did not run the call.
-    if (outcome != attempt_outcome::NotSent && outcome != attempt_outcome::RefusedNotRun)
+    // A handle can be used once. It is still valid only if the decode endpoint was not reached or did not run the call. A move that
+    // failed may have left another one.
+    bool isUsed = outcome != attempt_outcome::NotSent && outcome != attempt_outcome::RefusedNotRun;
+    if (isUsed && m_prefill && m_prefill->handle == sentHandle)
         m_prefill.reset();
     co_return outcome;
 }
@@ -271,9 +259,9 @@
         if (handle) {
             m_prefillEndpointId = endpoint->id;
             m_prefill = prefill_result { *endpoint, *handle, m_shared.clock.now() };
-            m_measurements.prefillTokens = m_metadata.tokens ? m_metadata.tokens->prompt : 0;
+            m_attempt.measurements.prefillTokens = m_metadata.tokens ? m_metadata.tokens->prompt : 0;
             m_prefillDuration = std::chrono::duration_cast<milliseconds>(m_prefill->completedAt - now);
-            m_measurements.prefillTime = m_prefillDuration;
+            m_attempt.measurements.prefillTime = m_prefillDuration;
             co_return;
         }
         if (!isAborted())
@@ -307,7 +295,7 @@
         end = co_await connection->readRemainingBody(body, forwarding_detail::maxSmallBodyBytes);
     }
     cancelAttemptTimer();
-    m_connection.reset();
+    m_attempt.connection.reset();
     if (!isCompleteBody(end)) {
         connection->close();
         if (!isAborted())
@@ -316,8 +304,8 @@
         co_return prefill_attempt { std::nullopt, true };
     }
     auto status = connection->status();
-    m_connection = connection;
-    recordLoad(endpoint, response, m_prefillStated);
+    m_attempt.connection = connection;
+    recordLoad(endpoint, response, m_attempt.prefillStated);
     releaseConnection(endpoint.id, response);
     std::optional<std::string> handle;
     if (status == 200)
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -12,10 +12,10 @@
 {
     bool noBody = m_request.method() == boost::beast::http::verb::head;
     for (int stray = 0;; ++stray) {
-        auto failure = co_await m_connection->readResponseHead(noBody);
+        auto failure = co_await m_attempt.connection->readResponseHead(noBody);
         if (failure != call_failure::None)
             co_return failure;
-        response = Codec::parseResponse(m_connection->fields());
+        response = Codec::parseResponse(m_attempt.connection->fields());
         if (response.requestId.empty() || response.requestId == m_metadata.id)
             co_return call_failure::None;
         // A late response to an earlier request on this connection; the expected one follows.
@@ -23,7 +23,7 @@
         std::string discarded;
         if (stray == forwarding_detail::maxStrayResponses || !response.sealed)
             co_return call_failure::Broken;
-        auto end = co_await m_connection->readRemainingBody(discarded, forwarding_detail::maxResponseBytes);
+        auto end = co_await m_attempt.connection->readRemainingBody(discarded, forwarding_detail::maxResponseBytes);
         if (!isCompleteBody(end))
             co_return call_failure::Broken;
     }
@@ -43,15 +43,18 @@
         recordBrokenConnection(endpoint);
         co_return attempt_outcome::MayHaveRun;
     }
-    auto status = m_connection->status();
+    // The stalled stream has gone on at its own endpoint, and this connection was closed.
+    if (m_source && m_source->resumed)
+        co_return attempt_outcome::MayHaveRun;
+    auto status = m_attempt.connection->status();
     recordStatements(endpoint, response);
-    recordLoad(endpoint, response, m_stated);
+    recordLoad(endpoint, response, m_attempt.stated);
     // Another endpoint sent a 421, so its limit is that of another.
     if (status != forwarding_detail::misdirected)
         recordCallLimit(endpoint, response, response.sealed && status < 500);
     if (response.guaranteedNotRun || status == forwarding_detail::misdirected) {
         std::string discarded;
-        auto end = co_await m_connection->readRemainingBody(discarded, forwarding_detail::maxSmallBodyBytes);
+        auto end = co_await m_attempt.connection->readRemainingBody(discarded, forwarding_detail::maxSmallBodyBytes);
         recordBodyEnd(end);
         if (isCompleteBody(end))
             releaseConnection(endpoint.id, response);
@@ -87,7 +90,7 @@
 template <call_codec Codec>
 task_of<body_end> call_forwarder<Codec>::readWholeBody(std::string& body, buffer_charge& charge)
 {
-    auto connection = m_connection;
+    auto connection = m_attempt.connection;
     boost::asio::steady_timer timer(m_shared.context);
     while (true) {
         while (!m_shared.bufferBudget.hasRoom(m_caller->holder()) && !isAborted() && !m_attemptExpired) {
@@ -118,9 +121,9 @@
     m_fallbackCharge.setWait(buffer_budget::wait_for::Turn, m_shared.clock.now());
     if (!isCompleteBody(end) || !response.sealed)
         co_return attempt_outcome::MayHaveRun;
-    m_fallbackStatus = m_connection->status();
+    m_fallbackStatus = m_attempt.connection->status();
     // A shutdown may start while the call waits for another endpoint, so this response always closes the connection.
-    m_fallbackResponse = encodeResponseHead(m_fallbackStatus, m_connection->reasonPhrase(), m_connection->fields(), { body.size(), true }) + body;
+    m_fallbackResponse = encodeResponseHead(m_fallbackStatus, m_attempt.connection->reasonPhrase(), m_attempt.connection->fields(), { body.size(), true }) + body;
     releaseConnection(endpoint.id, response);
     co_return attempt_outcome::MayHaveRun;
 }
@@ -130,7 +133,7 @@
 {
     std::string body;
     buffer_charge charge(m_shared.bufferBudget, m_caller->holder());
-    auto status = m_connection->status();
+    auto status = m_attempt.connection->status();
     auto end = co_await readWholeBody(body, charge);
     recordBodyEnd(end);
     if (!isCompleteBody(end)) {
@@ -142,7 +145,7 @@
     if (status < 500)
         recordOutcome(endpoint.id, endpoint_outcome::Succeeded);
     m_keepAlive = m_keepAlive && !closesConnections();
-    auto head = encodeResponseHead(status, m_connection->reasonPhrase(), m_connection->fields(), { body.size(), !m_keepAlive });
+    auto head = encodeResponseHead(status, m_attempt.connection->reasonPhrase(), m_attempt.connection->fields(), { body.size(), !m_keepAlive });
     releaseConnection(endpoint.id, response);
     m_responseStarted = true;
     m_status = status;
@@ -159,13 +162,13 @@
 void call_forwarder<Codec>::releaseUnusedConnection(const std::string& endpointId)
 {
     // The endpoint's timeout is unknown here. Without one the pool keeps the connection for a short time.
-    m_shared.pool.release(endpointId, std::exchange(m_connection, nullptr), std::nullopt);
+    m_shared.pool.release(endpointId, std::exchange(m_attempt.connection, nullptr), std::nullopt);
 }
 
 template <call_codec Codec>
 void call_forwarder<Codec>::releaseConnection(const std::string& endpointId, const response_metadata& response)
 {
-    auto connection = std::exchange(m_connection, nullptr);
+    auto connection = std::exchange(m_attempt.connection, nullptr);
     if (connection->isReusable())
         m_shared.pool.release(endpointId, std::move(connection), response.keepAlive);
     else
--- a/Source/forwarding/call_forwarder_resumption.h
+++ b/Source/forwarding/call_forwarder_resumption.h
@@ -100,13 +100,13 @@
 {
     if (m_stream == 0)
         return;
-    bool isKnownToLeader = m_leaderVersion && *m_leaderVersion == m_attemptVersion;
+    bool isKnownToLeader = m_leaderVersion && *m_leaderVersion == m_attempt.softwareVersion;
     if (!isKnownToLeader)
         ++m_placements;
     wire::stream_origin origin;
     origin.set_stream(m_stream);
     origin.set_service(m_service->name);
-    origin.set_software_version(m_attemptVersion);
+    origin.set_software_version(m_attempt.softwareVersion);
     origin.set_placement(m_placements);
     origin.set_lifetime_ms(saturatingCast<std::uint32_t>(streamLifetime().count()));
     m_shared.link.streamOrigins().recordPlacement(origin, isKnownToLeader);
@@ -115,7 +115,7 @@
 template <call_codec Codec>
 task_of<bool> call_forwarder<Codec>::openVerifiedConnection(const selected_endpoint& endpoint)
 {
-    m_attemptVersion.clear();
+    m_attempt.softwareVersion.clear();
     for (int i = 0; i < forwarding_detail::maxRunChecks; ++i) {
         auto connection = co_await openConnection(endpoint, isIdempotent());
         if (!connection)
@@ -123,7 +123,7 @@
         if (m_stream == 0 && !m_origin)
             co_return true;
         if (connection->incarnation == endpoint.incarnation) {
-            m_attemptVersion = endpoint.softwareVersion;
+            m_attempt.softwareVersion = endpoint.softwareVersion;
             co_return true;
         }
         auto check = co_await checkRun(endpoint);
@@ -132,11 +132,11 @@
         if (check == run_check::Expected)
             connection->incarnation = endpoint.incarnation;
         if ((check == run_check::Expected || mayBegin) && connection->isReadyForRequest()) {
-            m_attemptVersion = check == run_check::Expected ? endpoint.softwareVersion : std::string();
+            m_attempt.softwareVersion = check == run_check::Expected ? endpoint.softwareVersion : std::string();
             co_return true;
         }
         connection->close();
-        m_connection.reset();
+        m_attempt.connection.reset();
         if (isAborted())
             co_return false;
         // The endpoint may have dropped an idle connection, which says nothing about a new one.
@@ -158,7 +158,7 @@
 template <call_codec Codec>
 task_of<typename call_forwarder<Codec>::run_check> call_forwarder<Codec>::checkRun(const selected_endpoint& endpoint)
 {
-    auto connection = m_connection;
+    auto connection = m_attempt.connection;
     m_sentAt = m_shared.clock.now();
     connection->startSend(Codec::encodeStatusRequest(endpoint.address), m_shared.sendWindow, m_shared.clock);
     startAttemptTimer(forwarding_detail::runCheckTimeout);
--- a/Source/forwarding/call_forwarder_statements.h
+++ b/Source/forwarding/call_forwarder_statements.h
@@ -22,7 +22,7 @@
 template <call_codec Codec>
 void call_forwarder<Codec>::recordStatements(const selected_endpoint& endpoint, const response_metadata& response)
 {
-    auto status = m_connection->status();
+    auto status = m_attempt.connection->status();
     // Another endpoint sent a 421.
     if (status == forwarding_detail::misdirected)
         return;
@@ -33,15 +33,15 @@
     }
     m_shared.endpoints.recordLeaving(endpoint, response.leaves, m_sentAt);
     // The endpoint asked the entry that connected to it.
-    if (!m_connection->relayAddress().empty() && (rest > milliseconds(0) || response.leaves))
-        m_shared.connector.tellRelay(m_connection->relayAddress(), endpoint, rest, response.leaves);
+    if (!m_attempt.connection->relayAddress().empty() && (rest > milliseconds(0) || response.leaves))
+        m_shared.connector.tellRelay(m_attempt.connection->relayAddress(), endpoint, rest, response.leaves);
 }
 
 template <call_codec Codec>
 void call_forwarder<Codec>::recordLoad(const selected_endpoint& endpoint, const response_metadata& response, wire::endpoint_statement& stated)
 {
     // Another endpoint sent a 421.
-    if (!response.load || m_connection->status() == forwarding_detail::misdirected)
+    if (!response.load || m_attempt.connection->status() == forwarding_detail::misdirected)
         return;
     m_shared.endpoints.updateLoad(endpoint.id, *response.load);
     stated.set_running(response.load->running);
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -1,13 +1,13 @@
 #pragma once
-// Forwarding of event streams and their migration to other endpoints. Included only by call_forwarder.h.
+// Forwarding of event streams and their moves to other endpoints. Included only by call_forwarder.h.
 #include "forwarding/call_forwarder.h"
 #include "forwarding/call_forwarder_models.h"
 
 namespace pistachiolatch {
 
 namespace forwarding_detail {
-    /// Interval between migration attempts of a stalled stream. Calls complete, and free capacity, more often than this.
-    constexpr milliseconds migrationRetryInterval { 150 };
+    /// Interval between attempts to move a stalled stream. Calls complete, and free capacity, more often than this.
+    constexpr milliseconds moveRetryInterval { 150 };
 }
 
 template <call_codec Codec>
@@ -15,15 +15,15 @@
 {
     if (count == 0)
         return;
-    if (m_generationStartedAt == time_point {}) {
-        m_generationStartedAt = m_shared.clock.now();
+    if (m_attempt.generationStartedAt == time_point {}) {
+        m_attempt.generationStartedAt = m_shared.clock.now();
         if (m_prefill)
-            m_measurements.firstEventDelay = std::chrono::duration_cast<milliseconds>(m_generationStartedAt - m_prefill->completedAt);
+            m_attempt.measurements.firstEventDelay = std::chrono::duration_cast<milliseconds>(m_attempt.generationStartedAt - m_prefill->completedAt);
     }
-    m_endpointEvents += count;
+    m_attempt.events += count;
     m_eventsForwarded += count;
     if (m_service->engine)
-        m_shared.endpoints.updateGeneratedTokens(m_callId, m_eventsForwarded * m_service->engine->tokensPerEvent);
+        m_shared.endpoints.updateGeneratedTokens(m_attempt.callId, m_eventsForwarded * m_service->engine->tokensPerEvent);
 }
 
 template <call_codec Codec>
@@ -36,106 +36,145 @@
 }
 
 template <call_codec Codec>
-void call_forwarder<Codec>::scheduleStallCheck(selected_endpoint endpoint, milliseconds delay)
+bool call_forwarder<Codec>::mayMove() const
+{
+    return isResumable() && m_possibleRuns < m_route->maxEndpoints && m_refusals <= forwarding_detail::maxRefusalsToContinue && !(m_origin && m_origin->softwareVersion.empty());
+}
+
+template <call_codec Codec>
+void call_forwarder<Codec>::scheduleStallCheck(const selected_endpoint& endpoint, milliseconds delay)
 {
     m_attemptTimer.expires_after(delay);
-    m_attemptTimer.async_wait([this, attempt = m_attemptNumber, alive = m_alive, endpoint = std::move(endpoint)](boost::system::error_code error) {
+    m_attemptTimer.async_wait([this, attempt = m_attemptNumber, alive = m_alive, endpoint](boost::system::error_code error) {
         if (error || !*alive || attempt != m_attemptNumber || isAborted())
             return;
         auto stream = measureIdleTime(endpoint.id);
         auto allowed = stallTimeout(stream);
         if (stream.idleTime < allowed)
             scheduleStallCheck(endpoint, allowed - stream.idleTime);
-        else
-            requestMigration(endpoint);
+        else if (!m_attempt.connection->interruptRead())
+            scheduleStallCheck(endpoint, forwarding_detail::moveRetryInterval);
     });
 }
 
 template <call_codec Codec>
-void call_forwarder<Codec>::requestMigration(const selected_endpoint& endpoint)
+task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::moveStalledStream(const selected_endpoint& endpoint)
 {
-    if (m_origin && m_origin->softwareVersion.empty())
-        return;
-    // The stream is closed only once another endpoint has been selected. Otherwise it would end for its caller if no
-    // endpoint had capacity, although its own endpoint might have continued it.
-    if (!m_service->engine && !m_shared.link.isQueued(m_service->name)) {
-        auto placement = findAlternativePlacement(std::nullopt, endpoint, 0);
-        if (placement)
-            acquireMigration(*placement, endpoint);
-        else
-            scheduleStallCheck(endpoint, forwarding_detail::migrationRetryInterval);
-        return;
-    }
-    auto callId = m_shared.endpoints.nextCallId();
-    auto planRequest = makePlanRequest(callId, milliseconds(0));
-    planRequest.add_exclude(endpoint.id);
-    m_shared.link.requestPlan(std::move(planRequest), [this, attempt = m_attemptNumber, since = m_waitingSince, alive = m_alive, endpoint, callId](std::optional<wire::engine_plan_reply> plan) {
-        // The leader drops its reservation with this entry's next list of running calls.
-        if (!*alive || attempt != m_attemptNumber || isAborted())
-            return;
-        auto placement = since == m_waitingSince ? findAlternativePlacement(plan, endpoint, callId) : std::nullopt;
-        if (placement) {
-            acquireMigration(*placement, endpoint);
-            return;
-        }
-        if (plan && !plan->full())
-            m_shared.link.reportFinished({ callId, {}, {}, {}, {} });
-        scheduleStallCheck(endpoint, forwarding_detail::migrationRetryInterval);
-    });
-}
-
-template <call_codec Codec>
-void call_forwarder<Codec>::acquireMigration(const model_placement& placement, const selected_endpoint& endpoint)
-{
-    m_shared.retryBudget.acquire(m_service->name, retry_need::Required, [this, attempt = m_attemptNumber, since = m_waitingSince, alive = m_alive, placement, endpoint](bool granted) {
-        if (!*alive || attempt != m_attemptNumber || isAborted())
-            return;
-        if (granted)
-            m_arrivals.recordGrant(m_shared.clock.now());
-        if (granted && since == m_waitingSince) {
-            migrateTo(placement, endpoint);
-            return;
-        }
-        if (placement.callId != 0)
-            m_shared.link.reportFinished({ placement.callId, {}, {}, {}, {} });
-        scheduleStallCheck(endpoint, forwarding_detail::migrationRetryInterval);
+    stalled_source source { endpoint, std::exchange(m_attempt, {}) };
+    auto connection = source.attempt.connection;
+    m_source = &source;
+    connection->watchReadable([this, &source] {
+        source.resumed = true;
+        if (m_attempt.connection)
+            m_attempt.connection->close();
     });
+    auto outcome = attempt_outcome::NotSent;
+    auto next = co_await selectAlternative(endpoint);
+    if (next) {
+        bool mayStart = co_await isResponding(next->decode);
+        if (mayStart)
+            mayStart = co_await acquireRetries(m_arrivals.grantsToSend(), retry_need::Required);
+        if (mayStart && !isAborted())
+            outcome = co_await runAttempt(*next);
+        else if (next->callId != 0)
+            m_shared.link.reportFinished({ next->callId, {}, {}, {}, {} });
+    }
+    connection->stopWatching();
+    if (source.left)
+        co_return outcome;
+    if (m_attempt.connection)
+        m_attempt.connection->close();
+    m_attempt = std::move(source.attempt);
+    m_source = nullptr;
+    m_attemptExpired = false;
+    cancelAttemptTimer();
+    if (outcome == attempt_outcome::RefusedNotRun)
+        ++m_refusals;
+    if (next)
+        logEvent("stream_stays", { { "request", m_metadata.id }, { "at", endpoint.id }, { "asked", next->decode.id }, { "not_sent", outcome == attempt_outcome::NotSent ? 1 : 0 }, { "refused", outcome == attempt_outcome::RefusedNotRun ? 1 : 0 }, { "resumed", source.resumed ? 1 : 0 }, { "quiet_ms", measureIdleTime(endpoint.id).idleTime.count() }, { "events", m_eventsForwarded } });
+    if (outcome == attempt_outcome::MayHaveRun || outcome == attempt_outcome::Stalled) {
+        m_triedEndpoints.insert(next->decode.id);
+        if (!source.resumed)
+            co_await reportCrash();
+    }
+    co_return std::nullopt;
 }
 
 template <call_codec Codec>
-std::optional<typename call_forwarder<Codec>::model_placement> call_forwarder<Codec>::findAlternativePlacement(const std::optional<wire::engine_plan_reply>& plan, const selected_endpoint& endpoint, std::uint64_t callId)
+task_of<std::optional<typename call_forwarder<Codec>::model_placement>> call_forwarder<Codec>::selectAlternative(const selected_endpoint& endpoint)
 {
+    std::optional<wire::engine_plan_reply> plan;
+    std::uint64_t callId = 0;
+    m_leaderVersion.reset();
+    if (m_service->engine || m_shared.link.isQueued(m_service->name)) {
+        callId = m_shared.endpoints.nextCallId();
+        auto planRequest = makePlanRequest(callId, milliseconds(0));
+        planRequest.add_exclude(endpoint.id);
+        pending_reply<std::optional<wire::engine_plan_reply>> reply(m_shared.context.get_executor());
+        m_shared.link.requestPlan(std::move(planRequest), reply.completer());
+        auto answer = co_await reply.wait(timeLeft());
+        plan = answer.value_or(std::nullopt);
+    }
     if (plan && plan->full())
-        return std::nullopt;
-    auto planned = plan ? placementFromPlan(*plan, callId) : std::nullopt;
-    if (planned)
-        return planned;
+        co_return std::nullopt;
+    if (auto planned = plan ? placementFromPlan(*plan, callId) : std::nullopt)
+        co_return planned;
+    if (plan)
+        m_shared.link.reportFinished({ callId, {}, {}, {}, {} });
     auto query = makeAttemptQuery();
     query.exclude.insert(endpoint.id);
     auto selected = m_shared.endpoints.select(query);
     if (!selected)
-        return std::nullopt;
+        co_return std::nullopt;
     // The leader doesn't count calls to services without engines whose endpoints entries choose.
-    return model_placement { *selected, std::nullopt, false, m_service->engine ? callId : 0 };
+    co_return model_placement { *selected, std::nullopt, false, m_service->engine ? m_shared.endpoints.nextCallId() : 0 };
 }
 
 template <call_codec Codec>
-void call_forwarder<Codec>::migrateTo(const model_placement& placement, const selected_endpoint& endpoint)
+task_of<bool> call_forwarder<Codec>::isResponding(const selected_endpoint& endpoint)
 {
-    auto stream = measureIdleTime(endpoint.id);
-    logEvent("stream_moves", { { "request", m_metadata.id }, { "from", endpoint.id }, { "to", placement.decode.id }, { "quiet_ms", stream.idleTime.count() }, { "endpoint_quiet_ms", stream.endpointIdleTime.count() }, { "events", m_eventsForwarded } });
-    m_leftAliveEndpoint = isEndpointAlive(stream);
-    m_leaderVersion.reset();
-    m_nextPlacement = placement;
-    m_attemptExpired = true;
-    closeCurrentConnection();
+    if (m_shared.endpoints.lastActivityAt(endpoint.id) > m_waitingSince)
+        co_return true;
+    auto connection = co_await openConnection(endpoint, true);
+    if (!connection)
+        co_return false;
+    auto check = co_await checkRun(endpoint);
+    bool responds = (check == run_check::Expected || check == run_check::Untold) && connection->isReadyForRequest();
+    if (responds) {
+        if (check == run_check::Expected)
+            connection->incarnation = endpoint.incarnation;
+        releaseUnusedConnection(endpoint.id);
+    } else {
+        connection->close();
+        m_attempt.connection.reset();
+        if (!isAborted())
+            recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
+    }
+    co_return responds;
 }
 
 template <call_codec Codec>
-void call_forwarder<Codec>::recordMigration(const std::string& endpointId)
+void call_forwarder<Codec>::leaveSource(const selected_endpoint& next)
 {
-    m_triedEndpoints.insert(endpointId);
-    m_leftAliveEndpoint = false;
+    if (!m_source)
+        return;
+    auto& source = *std::exchange(m_source, nullptr);
+    auto stream = measureIdleTime(source.endpoint.id);
+    bool isAlive = isEndpointAlive(stream);
+    logEvent("stream_moves", { { "request", m_metadata.id }, { "from", source.endpoint.id }, { "to", next.id }, { "quiet_ms", stream.idleTime.count() }, { "endpoint_quiet_ms", stream.endpointIdleTime.count() }, { "events", m_eventsForwarded } });
+    source.left = true;
+    source.attempt.connection->close();
+    std::swap(m_attempt, source.attempt);
+    // A move away from a live endpoint is not counted as its failure.
+    if (isAlive)
+        m_shared.endpoints.recordOutcome(source.endpoint.id, endpoint_outcome::Refused);
+    else
+        recordOutcome(source.endpoint.id, endpoint_outcome::Unreachable);
+    finishAttempt();
+    std::swap(m_attempt, source.attempt);
+    // The next endpoint sends the event that was cut off from its beginning.
+    m_eventSplitter.discardRemainder();
+    m_triedEndpoints.insert(source.endpoint.id);
     m_shared.counters.countRetry(reason::EndpointFailed);
 }
 
@@ -143,7 +182,9 @@
 task_of<attempt_outcome> call_forwarder<Codec>::forwardStream(const selected_endpoint& endpoint, const response_metadata& response)
 {
     cancelAttemptTimer();
-    auto connection = m_connection;
+    leaveSource(endpoint);
+    auto connection = m_attempt.connection;
+    m_waitingSince = m_shared.clock.now();
     if (!m_responseStarted) {
         m_keepAlive = m_keepAlive && !closesConnections();
         m_responseStarted = true;
@@ -155,13 +196,27 @@
             co_return attempt_outcome::MayHaveRun;
         }
     }
-    if (isResumable() && m_possibleRuns < m_route->maxEndpoints)
+    if (mayMove())
         scheduleStallCheck(endpoint, stallTimeout(measureIdleTime(endpoint.id)));
     buffer_charge charge(m_shared.bufferBudget, m_caller->holder(), buffer_budget::wait_for::Turn);
     while (true) {
         std::string chunk;
-        m_waitingSince = m_shared.clock.now();
+        if (m_waitingSince == time_point {})
+            m_waitingSince = m_shared.clock.now();
         auto end = co_await connection->readBodyChunk(chunk);
+        bool isInterrupted = chunk.empty() && end == body_end::Open;
+        if (isInterrupted) {
+            // Data may have arrived at the moment of the interruption.
+            std::optional<attempt_outcome> moved;
+            auto stream = measureIdleTime(endpoint.id);
+            if (stream.idleTime >= stallTimeout(stream))
+                moved = co_await moveStalledStream(endpoint);
+            if (moved)
+                co_return *moved;
+            if (mayMove())
+                scheduleStallCheck(endpoint, forwarding_detail::moveRetryInterval);
+            continue;
+        }
         if (end != body_end::Open)
             recordBodyEnd(end);
         m_eventSplitter.append(chunk);
@@ -172,7 +227,7 @@
         }
         auto events = m_eventSplitter.takeCompleteEvents();
         charge.resize(m_eventSplitter.remainder().size(), m_shared.clock.now());
-        bool isLast = isCompleteStream(end, m_eventSplitter.isInsideEvent(), m_endpointEvents + events.count > 0);
+        bool isLast = isCompleteStream(end, m_eventSplitter.isInsideEvent(), m_attempt.events + events.count > 0);
         // Only complete events of a resumable stream are passed on, because another endpoint resumes it behind them.
         if (isResumable())
             chunk = isLast ? events.bytes.append(m_eventSplitter.remainder()) : events.bytes;
@@ -186,7 +241,7 @@
             out += encodeChunk({});
         countEvents(events.count);
         if (isResumable() && !m_origin && events.count > 0)
-            m_origin = stream_origin { m_service->name, m_attemptVersion };
+            m_origin = stream_origin { m_service->name, m_attempt.softwareVersion };
         if (!chunk.empty() && m_firstEventLatency < milliseconds(0)) {
             m_firstEventLatency = age();
             m_shared.counters.observe("first_event_seconds", m_firstEventLatency);
@@ -202,7 +257,7 @@
             break;
         if (end != body_end::Open) {
             if (!isAborted())
-                recordOutcome(endpoint.id, m_leftAliveEndpoint ? endpoint_outcome::Refused : endpoint_outcome::Unreachable);
+                recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
             recordBrokenConnection(endpoint);
             co_return attempt_outcome::MayHaveRun;
         }
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
+#include <utility>
 
 namespace pistachiolatch {
 
@@ -106,7 +107,11 @@
     auto self = shared_from_this();
     auto& body = m_parser->get().body();
     while (body.empty() && !m_parser->is_done()) {
+        if (std::exchange(m_interrupted, false))
+            co_return body_end::Open;
         auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, asTuple);
+        if (error == asio::error::operation_aborted && m_interrupted && !m_closed)
+            continue;
         if (error || m_closed) {
             m_readFailed = true;
             co_return body_end::Reset;
@@ -117,6 +122,30 @@
     co_return bodyEnd();
 }
 
+bool endpoint_connection::interruptRead()
+{
+    // Cancelling also ends a write that is in progress.
+    if (m_sending || m_closed)
+        return false;
+    m_interrupted = true;
+    beast::error_code ignored;
+    m_stream.socket().cancel(ignored);
+    return true;
+}
+
+void endpoint_connection::watchReadable(std::function<void()> onReadable)
+{
+    auto watchId = ++m_watchId;
+    m_stream.socket().async_wait(asio::socket_base::wait_read, [self = shared_from_this(), watchId, onReadable = std::move(onReadable)](beast::error_code error) {
+        if (error || self->m_closed || watchId != self->m_watchId)
+            return;
+        char byte = 0;
+        auto received = ::recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (received > 0)
+            onReadable();
+    });
+}
+
 task_of<body_end> endpoint_connection::readRemainingBody(std::string& body, std::size_t maxBytes)
 {
     auto end = body_end::Open;
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -33,9 +34,15 @@
     unsigned status() const { return m_parser->get().result_int(); }
     std::string reasonPhrase() const { return std::string(m_parser->get().reason()); }
     const header_fields& fields() const { return m_parser->get(); }
-    /// Reads the next bytes of the body. Returns how the body ended, or Open if more may follow. Precondition:
-    /// readResponseHead() returned None.
+    /// Reads the next bytes of the body; none if it is interrupted. Returns how the body ended, or Open if more may follow.
+    /// Precondition: readResponseHead() returned None.
     task_of<body_end> readBodyChunk(std::string& chunk);
+    /// Has the readBodyChunk() that waits for data, or else the next one, return Open without any. The rest of the body can still be
+    /// read. Returns false if that is not possible because a part of the request is being sent.
+    bool interruptRead();
+    /// Calls a handler once data has arrived, unless stopWatching() is called before. Precondition: nothing is read meanwhile.
+    void watchReadable(std::function<void()> onReadable);
+    void stopWatching() { ++m_watchId; }
     /// Reads the rest of the body; never returns Open. A body of more than maxBytes is given up, which is a Reset.
     task_of<body_end> readRemainingBody(std::string& body, std::size_t maxBytes);
     /// Whether another request may be sent: the last one was sent, its response is complete and no data follows.
@@ -70,6 +77,9 @@
     buffer_charge m_sendCharge;
     bool m_sendComplete = false;
     bool m_readFailed = false;
+    bool m_interrupted = false;
+    /// Identifies the handler that waits for data.
+    std::uint64_t m_watchId = 0;
     std::string m_relayAddress;
     bool m_closed = false;
 };
--- a/Source/forwarding/endpoint_stream.h
+++ b/Source/forwarding/endpoint_stream.h
@@ -76,16 +76,25 @@
                     return;
                 }
                 if (stream.m_frameBytesLeft == 0) {
-                    current = step::FrameLength;
-                    boost::asio::async_read(stream.m_socket, boost::asio::buffer(stream.m_frameLength), std::move(self));
+                    readFrameLength(self);
                     return;
                 }
                 readFrame(self);
                 return;
             case step::FrameLength:
-                stream.m_frameBytesLeft = error ? 0 : decodeFrameLength(stream.m_frameLength);
-                if (error || stream.m_frameBytesLeft == 0) {
-                    self.complete(error ? error : boost::asio::error::eof, 0);
+                stream.m_lengthBytesRead += count;
+                if (!error && stream.m_lengthBytesRead < frameLengthBytes) {
+                    readFrameLength(self);
+                    return;
+                }
+                if (error) {
+                    self.complete(error, 0);
+                    return;
+                }
+                stream.m_lengthBytesRead = 0;
+                stream.m_frameBytesLeft = decodeFrameLength(stream.m_frameLength);
+                if (stream.m_frameBytesLeft == 0) {
+                    self.complete(boost::asio::error::eof, 0);
                     return;
                 }
                 readFrame(self);
@@ -99,6 +108,13 @@
             }
         }
 
+        template <typename Self>
+        void readFrameLength(Self& self)
+        {
+            current = step::FrameLength;
+            stream.m_socket.async_read_some(boost::asio::buffer(stream.m_frameLength) + stream.m_lengthBytesRead, std::move(self));
+        }
+
         template <typename Self>
         void readFrame(Self& self)
         {
@@ -110,6 +126,8 @@
     boost::asio::ip::tcp::socket m_socket;
     bool m_framed = false;
     std::size_t m_frameBytesLeft = 0;
+    /// Bytes of the next frame's length that were read, which a cancelled read must not lose.
+    std::size_t m_lengthBytesRead = 0;
     std::array<unsigned char, frameLengthBytes> m_frameLength {};
 };
 
