Forwarding: Ask a silent endpoint again to continue a stream

Callers saw a stream cut after its engine had crashed, while the other engine of its version stood still for a second: the status request had no answer within 250 ms, the endpoint counted as tried, and no other was left. An endpoint that refused is asked up to eight times, since it has room again while the stream waits; one that is silent or can't be reached for a moment now is too, with the same pause between.

SilentEndpointTest, "A stream whose engine crashes goes on at an engine that pauses", failed before (6 of 6 streams cut) and passes. PlainStreamTest prints the entry's log if fewer streams than expected were resumed.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -315,7 +315,7 @@
     unsigned m_possibleRuns = 0;
     call_arrivals m_arrivals;
     bool m_firstArrivalRecorded = false;
-    /// Refusals by endpoints that were asked to continue the stream.
+    /// Refusals by endpoints that were asked to continue the stream, and failures to connect to them.
     unsigned m_refusals = 0;
     std::set<std::string> m_triedEndpoints;
     std::string m_endpointIds;
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -31,7 +31,7 @@
     /// Retry-After while all endpoints of a service are evacuated. Operators take such an order back within seconds; none
     /// of them says when.
     constexpr milliseconds evacuatedRetryAfter { 2000 };
-    /// Refusals after which an endpoint isn't asked again to continue a stream.
+    /// Refusals and failed connections after which an endpoint isn't asked again to continue a stream.
     constexpr unsigned maxRefusalsToContinue = 8;
     /// Interval at which calls that wait for the first configuration look for it.
     constexpr milliseconds configurationPollInterval { 20 };
@@ -405,6 +405,8 @@
         bool mayRetry = co_await prepareRetry(outcome, m_attempt.endpointId);
         if (!mayRetry)
             break;
+        if (m_origin && outcome == attempt_outcome::NotSent)
+            co_await pauseBeforePoll();
     }
     co_await finishUnanswered(cause);
 }
@@ -509,8 +511,9 @@
 template <call_codec Codec>
 task_of<bool> call_forwarder<Codec>::prepareRetry(attempt_outcome outcome, const std::string& endpointId)
 {
-    // Few endpoints may have the version that began a stream; one that was full has room again while the stream waits.
-    bool mayAskAgain = m_origin && outcome == attempt_outcome::RefusedNotRun && ++m_refusals <= forwarding_detail::maxRefusalsToContinue;
+    // Few endpoints may have the version that began a stream; one that was full or silent may take it while the stream waits.
+    bool hasNotRun = outcome == attempt_outcome::RefusedNotRun || outcome == attempt_outcome::NotSent;
+    bool mayAskAgain = m_origin && hasNotRun && ++m_refusals <= forwarding_detail::maxRefusalsToContinue;
     if (!mayAskAgain)
         m_triedEndpoints.insert(endpointId);
     m_noRetryReason = determineNoRetryReason({ outcome, m_route->kind, m_route->resumable, m_possibleRuns, m_route->maxEndpoints, timeLeft() });
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -58,7 +58,7 @@
         bool mayRetry = co_await prepareRetry(outcome, m_attempt.endpointId);
         if (!mayRetry)
             break;
-        if (m_origin && outcome == attempt_outcome::RefusedNotRun)
+        if (m_origin && (outcome == attempt_outcome::RefusedNotRun || outcome == attempt_outcome::NotSent))
             co_await pauseBeforePoll();
     }
     co_await finishUnanswered(cause);
--- a/Tests/Platform/PlainStreamTest.cpp
+++ b/Tests/Platform/PlainStreamTest.cpp
@@ -114,6 +114,7 @@
         CHECK((answer.body == whole || (answer.broken && whole.starts_with(answer.body))));
         resumed += !answer.broken && answer.body == whole ? 1 : 0;
     }
+    INFO(readFile(fleet.folder() + "/entry-1.out"));
     CHECK(resumed > static_cast<int>(firstEvent) / 2);
 }
 
--- a/Tests/Platform/SilentEndpointTest.cpp
+++ b/Tests/Platform/SilentEndpointTest.cpp
@@ -135,3 +135,22 @@
         CHECK(isWholeStream(answer));
     }
 }
+
+TEST_CASE("A stream whose engine crashes goes on at an engine that pauses", "[promise]")
+{
+    pausing_fleet fleet({ decode });
+    endpoint_process second(fleet.platform, 2, decode);
+    for (int i = 0; i < 6; ++i)
+        fleet.send("POST", "/report/x", milliseconds(6000));
+    std::this_thread::sleep_for(2 * eventInterval);
+    endpoint_reporter reporter(fleet.platform, { &second.reporter() });
+    std::this_thread::sleep_for(eventInterval);
+    second.pause();
+    fleet.endpoint(1).kill();
+    std::this_thread::sleep_for(pauseTime);
+    second.resume();
+    for (const auto& answer : fleet.answers()) {
+        INFO(answer.status << " " << answer.body << fleet.entryLog());
+        CHECK(isWholeStream(answer));
+    }
+}
--- a/Tests/Platform/endpoint_process.h
+++ b/Tests/Platform/endpoint_process.h
@@ -24,6 +24,7 @@
 
     void pause() const { m_process.signal(SIGSTOP); }
     void resume() const { m_process.signal(SIGCONT); }
+    void kill() { m_process.kill(); }
     /// Makes the reports of the process, also while it is stopped.
     fake_endpoint& reporter() { return *m_reporter; }
 
