--- a/Tests/Platform/fake_endpoint.cpp
+++ b/Tests/Platform/fake_endpoint.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <cctype>
+#include <thread>
 
 namespace pistachiolatch::test {
 
@@ -113,6 +114,11 @@
         m_server.stopAccepting();
 }
 
+void fake_endpoint::pause(milliseconds time)
+{
+    boost::asio::post(m_threads.first(), [time] { std::this_thread::sleep_for(time); });
+}
+
 std::string fake_endpoint::crashCause() const
 {
     std::lock_guard lock(m_mutex);
--- a/Tests/Platform/fake_endpoint.h
+++ b/Tests/Platform/fake_endpoint.h
@@ -57,6 +57,8 @@
     void setColdTime(milliseconds remaining) { m_coldTime = remaining; }
     /// Sets the duration of a plain request and of each stream event.
     void setDelay(milliseconds delay) { m_delay = delay; }
+    /// Stops it from answering for a time, like a process that is stopped: connections are accepted, and data is received.
+    void pause(milliseconds time);
     /// Sets the requests per second that its responses state as its limit; 0 states none.
     void setRequestLimit(double perSecond) { m_requestLimit = perSecond; }
     /// Sets the rest that its refusals ask for from now on, rounded down to seconds; zero asks for none.
--- a/Tests/Soak/kept_connection.cpp
+++ b/Tests/Soak/kept_connection.cpp
@@ -26,9 +26,16 @@
     }
     if (answer.broken)
         m_stream.reset();
+    m_usedAt = std::chrono::steady_clock::now();
     return answer;
 }
 
+void kept_connection::closeIfIdle(milliseconds time)
+{
+    if (std::chrono::steady_clock::now() - m_usedAt > time)
+        m_stream.reset();
+}
+
 task_of<bool> kept_connection::connect()
 {
     m_stream = std::make_unique<boost::beast::tcp_stream>(m_context);
--- a/Tests/Soak/soak_main.cpp
+++ b/Tests/Soak/soak_main.cpp
@@ -35,6 +35,9 @@
     /// Of the first attempts that entries read, beside all other faults.
     constexpr double minServedShare = 0.5;
     constexpr milliseconds reportInterval { 400 };
+    /// The callers' idle times of configurations, and how long callers reuse a connection: four fifths of the shortest.
+    constexpr std::array idleTimes { 2000, 5000, 15000 };
+    constexpr milliseconds maxReuseTime { 1600 };
     constexpr milliseconds operatorInterval { 150 };
 
     /// Returns a configuration with or without the second key.
@@ -59,6 +62,8 @@
         bool even = false;
         /// Whether endpoints ask for rest.
         bool resting = false;
+        /// Whether endpoints stand still and go on, beside changes of the configuration's times and faults of control only.
+        bool pauses = false;
 
         bool hasExtraEngines() const { return versions || crashingParts; }
     };
@@ -140,7 +145,9 @@
         {
             random_engine random(seed);
             while (steady::now() < end) {
-                if (m_options.versions && randomUpTo(random, 3) == 1)
+                if (m_options.pauses)
+                    pauseEndpoints(random);
+                else if (m_options.versions && randomUpTo(random, 3) == 1)
                     replaceEngine(random);
                 else if (m_options.fullDisks && randomUpTo(random, 2) == 1)
                     injectFaultWithFullDisk(random);
@@ -151,6 +158,38 @@
             }
         }
 
+        /// Has all endpoints or some stand still for about a second, at times while a control process is stopped or killed.
+        void pauseEndpoints(random_engine& random)
+        {
+            int count = randomUpTo(random, 2) == 1 ? endpoints() : randomUpTo(random, endpoints());
+            auto pauseTime = milliseconds(900 + 100 * randomUpTo(random, 4));
+            std::vector<std::shared_ptr<fake_endpoint>> paused;
+            for (int i = 0; i < endpoints(); ++i)
+                paused.push_back(endpointAt(i));
+            std::shuffle(paused.begin(), paused.end(), random);
+            for (int i = 0; i < count; ++i)
+                paused[static_cast<std::size_t>(i)]->pause(pauseTime);
+            if (randomUpTo(random, 4) == 1)
+                injectControlFault(random);
+            std::this_thread::sleep_for(pauseTime);
+            sleepRandomly(random, 1500, 4000);
+        }
+
+        void injectControlFault(random_engine& random)
+        {
+            int n = randomUpTo(random, controls);
+            std::lock_guard lock(m_controlFaults[n]);
+            if (randomUpTo(random, 2) == 1) {
+                m_fleet.control(n).signal(SIGSTOP);
+                sleepRandomly(random, 100, 3000);
+                m_fleet.control(n).signal(SIGCONT);
+                return;
+            }
+            m_fleet.control(n).kill();
+            sleepRandomly(random, 0, 1000);
+            m_fleet.startControl(n, false);
+        }
+
         /// Starts an endpoint; in place of the one before, if there is one.
         void startEndpoint(int i, const std::string& id, const std::string& version)
         {
@@ -169,6 +208,8 @@
                 endpoint->setCrashingParts({ crashingPart });
             if (m_options.hasExtraEngines())
                 endpoint->setStartTime(fake_endpoint::firstStartTime + 1000 * ++m_starts);
+            if (m_options.pauses)
+                endpoint->setDelay(milliseconds(i < 2 ? 5 : 40));
             if (!m_options.versions)
                 return;
             endpoint->setVersion(version, &m_witness);
@@ -482,7 +523,7 @@
                 ++version;
                 if (withSecondKey)
                     m_checks.recordKeyRestored();
-                auto body = makeConfiguration(version, withSecondKey);
+                auto body = m_options.pauses ? withOtherTimes(makeConfiguration(version, withSecondKey), random) : makeConfiguration(version, withSecondKey);
                 // Sends the same change to random control processes until one acknowledges it.
                 for (int tries = 0; tries < 40 && !m_stopClients; ++tries) {
                     auto address = m_fleet.controlAddress(static_cast<int>(random() % controls) + 1);
@@ -502,6 +543,17 @@
             }
         }
 
+        /// Changes the callers' idle time and the timeouts of all routes.
+        static std::string withOtherTimes(const std::string& configuration, std::mt19937_64& random)
+        {
+            constexpr std::array timeouts { 3500, 6000, 9000 };
+            auto body = boost::json::parse(configuration);
+            body.at("limits").as_object()["idleTimeoutMs"] = idleTimes[random() % idleTimes.size()];
+            for (auto& route : body.at("routes").as_array())
+                route.as_object()["timeoutMs"] = timeouts[random() % timeouts.size()];
+            return boost::json::serialize(body);
+        }
+
         static std::uint64_t parseVersion(const std::string& body)
         {
             return static_cast<std::uint64_t>(boost::json::parse(body).at("version").as_int64());
@@ -519,6 +571,8 @@
                 if (m_options.crashingParts && random() % 12 == 0)
                     sendCrashingCall(fmt::format("{}-{}-{}-crash", m_seed, number, i), *connections[random() % connections.size()]);
                 auto entry = random() % connections.size();
+                if (m_options.pauses)
+                    connections[entry]->closeIfIdle(maxReuseTime);
                 sendRandomCall(fmt::format("{}-{}-{}-e{}", m_seed, number, i, entry + 1), *connections[entry], random);
                 std::this_thread::sleep_for(clientInterval);
             }
@@ -605,6 +659,12 @@
                 if (response.status == 200 && !response.broken)
                     m_checks.checkResponse(id, response.body);
             }
+            // A call that was ended close to its deadline may have had no time left.
+            constexpr milliseconds timeToAnswer { 2100 };
+            if (m_options.pauses && response.broken && steady::now() - sentAt < timeToAnswer)
+                m_checks.addFailure(fmt::format("{} ended without a whole answer after {} ms, status {}", id, std::chrono::duration_cast<milliseconds>(steady::now() - sentAt).count(), response.status));
+            if (m_options.pauses)
+                m_checks.count(response.broken ? "cut" : fmt::format("answered {}", response.status));
             if (secondKey && response.status == 200)
                 m_checks.checkKeyAccepted(sentAt);
         }
@@ -748,6 +808,7 @@
     auto* crowdedFlag = app.add_flag("--crowded", options.crowded, "send most new connections to one entry after the other, over narrow links");
     app.add_flag("--even", options.even, "with --crowded, let the same callers choose among all entries evenly, to compare with")->needs(crowdedFlag);
     app.add_flag("--resting", options.resting, "let endpoints ask for rest");
+    app.add_flag("--pauses", options.pauses, "let endpoints stand still for about a second beside changes of the configuration, with no other faults of endpoints and entries");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     int failedSeeds = 0;
