Forwarding: Prefill a stalled stream's prompt anew for the endpoint it moves to

Callers could see a stalled stream stay at its silent endpoint though another one had room: the other was sent the prefill handle that the stream's own endpoint had taken, which is refused as not executed, up to nine times, each of them an arrival of the retry budget.

Cause: an attempt dropped its handle when it ended, and a retry came after that. An attempt takes the handle with it now, and gives it back only if the endpoint was not reached or did not run the call.

SilentEndpointTest, "A stalled stream that moves takes no prefill handle along that its engine has used", failed before (two uses of one handle) and passes.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -92,6 +92,8 @@
         std::string softwareVersion;
         /// Address of the entry that relays the connection; empty if it is direct.
         std::string relayedBy;
+        /// When the prefill was completed whose handle the attempt uses, if any.
+        std::optional<time_point> prefilledAt;
         /// Events of the attempt, and when its first one arrived.
         std::uint64_t events = 0;
         time_point generationStartedAt {};
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -418,6 +418,7 @@
     m_attempt.endpointId = placement.decode.id;
     m_attempt.events = 0;
     m_attempt.generationStartedAt = {};
+    m_attempt.prefilledAt.reset();
     // The endpoint before may have stopped in the middle of an event, which the next one sends from its beginning.
     if (!m_source)
         m_eventSplitter.discardRemainder();
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -196,17 +196,18 @@
     if (isAborted())
         co_return attempt_outcome::NotSent;
     auto options = makeAttemptOptions(placement.decode);
-    if (m_prefill) {
-        options.prefillAddress = m_prefill->endpoint.address;
-        options.prefillHandle = m_prefill->handle;
+    // A handle can be used once: a move of the stream while it runs needs another one.
+    auto sentPrefill = std::exchange(m_prefill, std::nullopt);
+    if (sentPrefill) {
+        options.prefillAddress = sentPrefill->endpoint.address;
+        options.prefillHandle = sentPrefill->handle;
+        m_attempt.prefilledAt = sentPrefill->completedAt;
     }
-    auto sentHandle = options.prefillHandle;
     auto outcome = co_await sendAttempt(placement.decode, std::move(options));
-    // A handle can be used once. It is still valid only if the decode endpoint was not reached or did not run the call. A move that
-    // failed may have left another one.
+    // It is still valid only if the decode endpoint was not reached or did not run the call.
     bool isUsed = outcome != attempt_outcome::NotSent && outcome != attempt_outcome::RefusedNotRun;
-    if (isUsed && m_prefill && m_prefill->handle == sentHandle)
-        m_prefill.reset();
+    if (!isUsed && sentPrefill)
+        m_prefill = std::move(sentPrefill);
     co_return outcome;
 }
 
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -17,8 +17,8 @@
         return;
     if (m_attempt.generationStartedAt == time_point {}) {
         m_attempt.generationStartedAt = m_shared.clock.now();
-        if (m_prefill)
-            m_attempt.measurements.firstEventDelay = std::chrono::duration_cast<milliseconds>(m_attempt.generationStartedAt - m_prefill->completedAt);
+        if (m_attempt.prefilledAt)
+            m_attempt.measurements.firstEventDelay = std::chrono::duration_cast<milliseconds>(m_attempt.generationStartedAt - *m_attempt.prefilledAt);
     }
     m_attempt.events += count;
     m_eventsForwarded += count;
--- a/Tests/Platform/SilentEndpointTest.cpp
+++ b/Tests/Platform/SilentEndpointTest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <regex>
 #include <thread>
 
 using namespace pistachiolatch;
@@ -19,10 +20,10 @@
 public:
     platform_fleet platform;
 
-    explicit pausing_fleet(const std::vector<endpoint_process::options>& endpoints)
+    explicit pausing_fleet(const std::vector<endpoint_process::options>& endpoints, const std::string& configuration = exampleConfiguration(7))
     {
         platform.start();
-        REQUIRE(platform.submitConfiguration(exampleConfiguration(m_version)) == 200);
+        REQUIRE(platform.submitConfiguration(configuration) == 200);
         std::vector<fake_endpoint*> reporters;
         for (const auto& options : endpoints) {
             m_endpoints.push_back(std::make_unique<endpoint_process>(platform, static_cast<int>(m_endpoints.size()) + 1, options));
@@ -78,13 +79,18 @@
         return std::all_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& endpoint) { return log.find("event=endpoint_known endpoint=" + endpoint->reporter().id() + " ") != std::string::npos; });
     }
 
-    std::uint64_t m_version = 7;
     std::vector<std::unique_ptr<endpoint_process>> m_endpoints;
     std::unique_ptr<endpoint_reporter> m_reporter;
     std::deque<simple_response> m_answers;
     std::deque<std::thread> m_callers;
 };
 
+/// The example configuration with another value of a field.
+std::string configurationWith(const std::string& field, const std::string& value)
+{
+    return std::regex_replace(exampleConfiguration(7), std::regex("\"" + field + "\":[^,}]*"), "\"" + field + "\":" + value);
+}
+
 bool isWholeStream(const simple_response& answer)
 {
     auto at = std::string::npos;
@@ -154,3 +160,32 @@
         CHECK(isWholeStream(answer));
     }
 }
+
+TEST_CASE("A stalled stream that moves takes no prefill handle along that its engine has used", "[promise]")
+{
+    platform_fleet fleet;
+    fleet.start();
+    REQUIRE(fleet.submitConfiguration(configurationWith("handleTtlS", "10")) == 200);
+    fake_endpoint prefill("prefill-1", fleet.endpointAddress(3), "llm", "prefill");
+    fake_endpoint decode1("decode-1", fleet.endpointAddress(4), "llm", "decode");
+    fake_endpoint decode2("decode-2", fleet.endpointAddress(5), "llm", "decode");
+    decode1.setMode(fake_endpoint_mode::StallMidStream);
+    decode2.setMode(fake_endpoint_mode::StallMidStream);
+    for (auto* endpoint : { &prefill, &decode1, &decode2 })
+        REQUIRE(fleet.sendReport(*endpoint).status == 200);
+    REQUIRE(eventually([&] { return fleet.isEntryReady(1); }));
+    http_headers headers { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, "one" }, { platform_names::tokenUsage, "500,432" } };
+    auto answer = fleet.call(fleet.entryAddress(1), "POST", "/report/x", headers, "the prompt");
+    INFO(readFile(fleet.folder() + "/entry-1.out"));
+    CHECK(isWholeStream(answer));
+    auto prefills = prefill.arrivalRecords();
+    auto handles = std::count_if(prefills.begin(), prefills.end(), [](const auto& arrival) { return arrival.isAcceptedPrefill; });
+    int used = 0;
+    for (auto* engine : { &decode1, &decode2 }) {
+        for (const auto& line : engine->takeRequestLog())
+            used += line.find(platform_names::kvSource) != std::string::npos ? 1 : 0;
+    }
+    CHECK(handles >= 1);
+    CHECK(used <= handles);
+    CHECK(decode1.runCounts().size() + decode2.runCounts().size() == 2);
+}
