Forwarding: Record the origin of a stream that stays at its endpoint

Callers that took a stream up again could get its rest from another software version: a stream without an event yet stalled, an endpoint of another version was asked to take it over, and the silent endpoint went on first.

Cause: the placement at the endpoint that is asked is recorded as the stream's origin before the request is sent there. It stayed recorded when the stream did not move. The stream's own endpoint is recorded again now, with a higher placement number and before its next event is passed on.

StreamVersionTest, "A stream that stays at its engine is taken up at its version", failed before (events 0 and 1 of v1, 2 to 5 of v2) and passes.

--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -62,6 +62,7 @@
 {
     stalled_source source { endpoint, std::exchange(m_attempt, {}) };
     auto connection = source.attempt.connection;
+    auto placementsBefore = m_placements;
     m_source = &source;
     connection->watchReadable([this, &source] {
         source.resumed = true;
@@ -88,6 +89,9 @@
     m_source = nullptr;
     m_attemptExpired = false;
     cancelAttemptTimer();
+    // The endpoint that was asked was recorded as the stream's origin, and may have another version.
+    if (!m_origin && m_placements != placementsBefore)
+        recordPlacement();
     if (outcome == attempt_outcome::RefusedNotRun)
         ++m_refusals;
     if (next)
--- a/Tests/Platform/StreamVersionTest.cpp
+++ b/Tests/Platform/StreamVersionTest.cpp
@@ -322,6 +322,30 @@
     CHECK(fleet.witness.continuations() > 0);
 }
 
+TEST_CASE("A stream that stays at its engine is taken up at its version", "[promise]")
+{
+    versioned_fleet fleet;
+    fleet.startEngine(2, "v1");
+    fleet.engine(2).setMode(fake_endpoint_mode::StallBeforeFirstEvent);
+    fleet.awaitEngines();
+    caller_stream stream;
+    std::thread caller([&] { stream = fleet.beginStream(1, 2); });
+    REQUIRE(eventually([&] { return !fleet.engine(2).runCounts().empty(); }));
+    fleet.startEngine(3, "v2");
+    fleet.engine(3).setDelay(milliseconds(1500));
+    // The entry asks the other engine, which has the request and no answer yet, when the stream goes on.
+    bool asked = eventually([&] { return !fleet.engine(3).runCounts().empty(); }, std::chrono::seconds(3));
+    fleet.engine(2).setMode(fake_endpoint_mode::Normal);
+    caller.join();
+    INFO(fleet.entryLogLines(stream) << stream.events);
+    REQUIRE(asked);
+    REQUIRE(stream.versions() == std::set<std::string> { "v1" });
+    fleet.takeUp(stream, 2);
+    INFO(stream.events);
+    CHECK(stream.versions() == std::set<std::string> { "v1" });
+    CHECK(stream.isWhole());
+}
+
 TEST_CASE("A stalled stream moves only to an engine of its version", "[promise]")
 {
     versioned_fleet fleet;
--- a/Tests/Platform/fake_endpoint.cpp
+++ b/Tests/Platform/fake_endpoint.cpp
@@ -227,6 +227,10 @@
         }
         crash();
     }
+    while (mode == fake_endpoint_mode::StallBeforeFirstEvent && m_mode == fake_endpoint_mode::StallBeforeFirstEvent) {
+        pause.expires_after(milliseconds(10));
+        co_await pause.async_wait(boost::asio::use_awaitable);
+    }
     for (auto i = first; i < eventsPerStream; ++i) {
         if (m_crashed) {
             exchange.abortStream();
--- a/Tests/Platform/fake_endpoint.h
+++ b/Tests/Platform/fake_endpoint.h
@@ -21,6 +21,8 @@
     AbortMidStream,
     /// Stalls in the middle of a stream until the mode changes, unless the request resumes a stream.
     StallMidStream,
+    /// Stalls between the response head and the first event until the mode changes.
+    StallBeforeFirstEvent,
     /// Responds without the seal header.
     OmitSeal,
     ServerError,
