Forwarding: Take only what an endpoint sent well after a stall for a sign of life

Where all engines fell silent at once, streams were sent to engines that were silent too, over idle connections: a retry, a prompt and one of the endpoints that the route allows were spent on them.

Cause: whatever the other endpoint had sent after the stalled stream's last event counted, also if it came some milliseconds later, just before both fell silent. It has to come later than a gap between events now, as it does where the stream's own endpoint is judged; else the endpoint is asked for its status.

SilentEndpointTest, "A stream that falls silent together with all engines isn't sent to another one", failed before and passes.

--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -137,7 +137,8 @@
 template <call_codec Codec>
 task_of<bool> call_forwarder<Codec>::isResponding(const selected_endpoint& endpoint)
 {
-    if (m_shared.endpoints.lastActivityAt(endpoint.id) > m_waitingSince)
+    // What it sent just after the stream's last event may be from before both fell silent.
+    if (isEndpointAlive(measureIdleTime(endpoint.id)))
         co_return true;
     auto connection = co_await openConnection(endpoint, true);
     if (!connection)
--- a/Tests/Platform/SilentEndpointTest.cpp
+++ b/Tests/Platform/SilentEndpointTest.cpp
@@ -161,6 +161,26 @@
     }
 }
 
+TEST_CASE("A stream that falls silent together with all engines isn't sent to another one", "[promise]")
+{
+    pausing_fleet fleet({ decode, decode, decode });
+    for (int i = 0; i < 9; ++i)
+        fleet.send("POST", "/report/x", milliseconds(6000));
+    fleet.answers();
+    for (int i = 0; i < 6; ++i)
+        fleet.send("POST", "/report/x", milliseconds(6000));
+    std::this_thread::sleep_for(3 * eventInterval);
+    fleet.pauseAll();
+    std::this_thread::sleep_for(pauseTime);
+    fleet.resumeAll();
+    for (const auto& answer : fleet.answers())
+        CHECK(isWholeStream(answer));
+    auto log = fleet.entryLog();
+    INFO(log);
+    CHECK(log.find(" sends=1 ") != std::string::npos);
+    CHECK(log.find(" sends=2 ") == std::string::npos);
+}
+
 TEST_CASE("A stalled stream that moves takes no prefill handle along that its engine has used", "[promise]")
 {
     platform_fleet fleet;
