--- a/Tests/Platform/StreamVersionTest.cpp
+++ b/Tests/Platform/StreamVersionTest.cpp
@@ -70,10 +70,10 @@
     platform_fleet platform { 3, entryCount };
     stream_witness witness;
 
-    versioned_fleet()
+    explicit versioned_fleet(std::uint64_t tokensPerSecond = 100'000'000)
     {
         platform.start();
-        REQUIRE(platform.submitConfiguration(exampleConfiguration(7, 100'000'000)) == 200);
+        REQUIRE(platform.submitConfiguration(exampleConfiguration(7, tokensPerSecond)) == 200);
         m_reporter = std::thread([this] { sendReports(); });
         startEngine(1, "v1", "prefill");
     }
@@ -85,12 +85,12 @@
     }
 
     /// Starts an engine, or starts it again under the same id with another start time.
-    void startEngine(int n, const std::string& version, const std::string& stage = "decode")
+    void startEngine(int n, const std::string& version, const std::string& stage = "decode", const std::string& service = "llm")
     {
         std::lock_guard lock(m_mutex);
         m_engines.erase(n);
         auto& engine = m_engines[n];
-        engine = std::make_unique<fake_endpoint>(fmt::format("engine-{}", n), platform.endpointAddress(n), "llm", stage);
+        engine = std::make_unique<fake_endpoint>(fmt::format("engine-{}", n), platform.endpointAddress(n), service, stage);
         engine->setVersion(version, &witness);
         engine->setStartTime(fake_endpoint::firstStartTime + 1000 * ++m_starts);
         engine->setDelay(m_delay);
@@ -188,6 +188,26 @@
         return answer;
     }
 
+    /// Kills all entries at once and starts them again.
+    void restartEntries()
+    {
+        for (int entry = 1; entry <= entryCount; ++entry)
+            platform.entry(entry).kill();
+        for (int entry = 1; entry <= entryCount; ++entry)
+            platform.startEntry(entry);
+    }
+
+    void awaitReadyEntries()
+    {
+        REQUIRE(eventually([&] {
+            for (int entry = 1; entry <= entryCount; ++entry) {
+                if (!platform.isEntryReady(entry))
+                    return false;
+            }
+            return true;
+        }));
+    }
+
     int otherEntry(int entry) const { return entry % entryCount + 1; }
 
     /// What the entry that served a stream logged of it.
@@ -572,3 +592,74 @@
     CHECK(stream.events == before);
     CHECK(fleet.witness.continuations() == 0);
 }
+
+TEST_CASE("Streams that their callers take up after all entries were killed at once go on at their version", "[promise]")
+{
+    enum class control_loss { None,
+        Leader,
+        All };
+    auto lost = GENERATE(control_loss::None, control_loss::Leader, control_loss::All);
+    bool olderLeft = GENERATE(false, true);
+    INFO("control lost " << static_cast<int>(lost) << ", older version left " << olderLeft);
+    versioned_fleet fleet;
+    startBothVersions(fleet);
+    auto streams = beginStreams(fleet, 18);
+    int leader = fleet.platform.findLeader();
+    REQUIRE(leader != 0);
+    for (int n = 1; n <= fleet.platform.controls(); ++n) {
+        if (lost == control_loss::All || (lost == control_loss::Leader && n == leader))
+            fleet.platform.control(n).kill();
+    }
+    if (olderLeft) {
+        fleet.stopEngine(2);
+        fleet.stopEngine(3);
+    }
+    fleet.restartEntries();
+    for (int n = 1; lost == control_loss::All && n <= fleet.platform.controls(); ++n)
+        fleet.platform.startControl(n, false);
+    // Callers come back while the entries start, every third one without a name for its stream.
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        callers.emplace_back([&, i] {
+            auto until = std::chrono::steady_clock::now() + callerDeadline;
+            while (!streams[i].isWhole() && std::chrono::steady_clock::now() < until) {
+                fleet.takeUp(streams[i], fleet.otherEntry(streams[i].entry), i % 3 == 0 ? http_headers { { "X-Client", "older" } } : http_headers {});
+                std::this_thread::sleep_for(milliseconds(100));
+            }
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    checkNotMixed(fleet, streams);
+    auto whole = std::count_if(streams.begin(), streams.end(), [](const auto& stream) { return stream.isWhole(); });
+    INFO(whole << " of " << streams.size() << " ended");
+    if (lost != control_loss::All && !olderLeft)
+        CHECK(whole >= 10);
+}
+
+// Guards against a guess from the services that a route has now, while another service began the stream.
+TEST_CASE("A take-up that names no stream isn't joined from two services after its route moved", "[promise]")
+{
+    versioned_fleet fleet;
+    auto moved = std::regex_replace(exampleConfiguration(8, 100'000'000), std::regex("\"llm\""), "\"llm-next\"");
+    fleet.startEngine(2, "v1");
+    fleet.startEngine(3, "v1");
+    fleet.startEngine(4, "v2", "decode", "llm-next");
+    fleet.startEngine(5, "v2", "decode", "llm-next");
+    fleet.awaitEngines();
+    std::this_thread::sleep_for(std::chrono::seconds(7));
+    auto streams = beginStreams(fleet, 6);
+    REQUIRE(fleet.platform.submitConfiguration(moved) == 200);
+    fleet.restartEntries();
+    fleet.awaitReadyEntries();
+    const http_headers withoutOrigin { { "X-Client", "older" } };
+    for (auto& stream : streams) {
+        CHECK(fleet.takeUp(stream, fleet.otherEntry(stream.entry), withoutOrigin).status == 503);
+        CHECK(stream.versions().size() == 1);
+    }
+    // No stream of the service before lasts longer, also at an entry that applied the change late.
+    std::this_thread::sleep_for(std::chrono::seconds(12));
+    auto later = fleet.beginStream(1, 2);
+    CHECK(fleet.takeUp(later, 2, withoutOrigin).status == 200);
+    CHECK(later.versions() == std::set<std::string> { "v2" });
+}
