Streams: Don't let an outdated record of the leader decide alone

A caller could get the rest of a stream from another version: the leader placed the call, the entry then placed it once more by itself, at another version, and its notice reached all control processes but the leader, such as behind a cut link between the two. When the entry is killed, the leader's record is the older one.

Cause: the poll of the control processes ended with the leader's first answer, before those that know the later placement.

Evidence: "A leader that missed the last placement doesn't decide where a stream began" fails without the change.

The leader's record now decides with the answers of a majority, any of which knows a placement that an entry told. It costs the second fastest answer of three. The case that expected the first answer to suffice asks for the fewest answers that are safe now: not decided after one or two of five, decided after three.

--- a/Source/coordination/origin_poll.cpp
+++ b/Source/coordination/origin_poll.cpp
@@ -43,7 +43,9 @@
 
 bool origin_poll::isDecided() const
 {
-    return m_finished >= m_processes || m_leaderKnows || isMajority(m_agreeing);
+    // A placement that the leader missed was told to all others.
+    bool leaderConfirmed = m_leaderKnows && isMajority(m_replies);
+    return m_finished >= m_processes || leaderConfirmed || isMajority(m_agreeing);
 }
 
 origin_resolution origin_poll::result() const
--- a/Tests/Coordination/StreamOriginTest.cpp
+++ b/Tests/Coordination/StreamOriginTest.cpp
@@ -160,11 +160,15 @@
     CHECK(poll.result().origin.softwareVersion == "v2");
 }
 
-TEST_CASE("The leader's record, or that of a majority, needs no further answers")
+TEST_CASE("The leader's record with the answers of a majority, or the record of a majority, needs no further answers")
 {
     auto known = knows("v1");
+    wire::stream_origin_reply unknown;
     origin_poll byLeader(5);
     byLeader.addReply(&known, true);
+    byLeader.addReply(&unknown, false);
+    CHECK_FALSE(byLeader.isDecided());
+    byLeader.addReply(&unknown, false);
     CHECK(byLeader.isDecided());
     origin_poll byMajority(5);
     for (int i = 0; i < 3; ++i) {
@@ -277,3 +281,15 @@
         CHECK(isSettledAfter(moved, maxAge * 2));
     }
 }
+
+// Guards against a leader that didn't get an entry's own placement and is believed before those that did have answered.
+TEST_CASE("A leader that missed the last placement doesn't decide where a stream began")
+{
+    auto stale = knows("v1", 1);
+    auto current = knows("v2", 2);
+    origin_poll poll(3);
+    poll.addReply(&stale, true);
+    CHECK_FALSE(poll.isDecided());
+    poll.addReply(&current, false);
+    CHECK(poll.result().origin.softwareVersion == "v2");
+}
