Limits: Return the tokens of calls that no endpoint ran

Callers were refused with 429 although their organisation was within its rate. Take-ups of streams whose version was gone were refused at once, but each was charged for its whole prompt and output, and so was each call that found no engine free.

Cause: tokens are taken when a call is admitted, and the entries of the platform never returned them.

An entry returns the tokens when a call ends that no endpoint can have run; a prompt that was sent to be processed counts as run. Only the owner that granted them takes them back, which the epoch of its reply tells: a new owner's bucket never held them. The level after a late return is never above that of a bucket that never gave the tokens, so every window stays within rate and burst; a test with random late returns checks that.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -295,6 +295,7 @@
     m_leaderSince = m_clock.now();
     m_planningStartsAt = m_leaderSince + planningDelay;
     m_limits.emplace(m_clock.now());
+    m_limitEpoch = generateIncarnation();
     m_retries.reset(m_replica.document().version() > 0, m_clock.now());
     applyConfiguration();
 }
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -158,6 +158,8 @@
     void announceEndpoints();
     void balanceStages();
     void onLimitRequest(const wire::envelope& message, const peer_network::peer& from);
+    /// Takes back tokens that an entry was granted and no endpoint got.
+    void returnTokens(const wire::limit_request& request);
     void onRetryRequest(const wire::envelope& message, const peer_network::peer& from);
     void fillUpdate(wire::entry_update& update, entry_session& session);
     void pushChanges();
@@ -208,6 +210,8 @@
     one_shot_timer m_slotTimer;
     one_shot_timer m_announcementTimer;
     std::optional<rate_limiter> m_limits;
+    /// Identifies m_limits: tokens that another owner granted are not returned to it.
+    std::uint64_t m_limitEpoch = 0;
     retry_ledger m_retries;
     /// Organisations that m_limits holds.
     std::set<std::string> m_limitedOrganisations;
--- a/Source/coordination/entry_coordinator_limits.cpp
+++ b/Source/coordination/entry_coordinator_limits.cpp
@@ -51,6 +51,10 @@
 void entry_coordinator::onLimitRequest(const wire::envelope& message, const peer_network::peer& from)
 {
     const auto& request = message.limit();
+    if (request.returned() > 0) {
+        returnTokens(request);
+        return;
+    }
     if (!m_limits || !m_replica.isLeader()) {
         wire::envelope reply;
         reply.mutable_limit_reply()->set_wrong_owner(true);
@@ -63,6 +67,15 @@
     processLimitRequests();
 }
 
+void entry_coordinator::returnTokens(const wire::limit_request& request)
+{
+    if (!m_limits || request.epoch() != m_limitEpoch)
+        return;
+    m_limits->refund(request.organisation(), request.returned(), m_clock.now());
+    m_metrics.count("limit_tokens_returned", static_cast<double>(request.returned()));
+    processLimitRequests();
+}
+
 void entry_coordinator::onRetryRequest(const wire::envelope& message, const peer_network::peer& from)
 {
     // The lease makes sure that no other leader grants at the same time.
@@ -87,6 +100,7 @@
         auto& answer = *reply.mutable_limit_reply();
         answer.set_organisation(decision.organisation);
         answer.set_granted(decision.granted);
+        answer.set_epoch(m_limitEpoch);
         answer.set_retry_after_ms(saturatingCast<std::uint32_t>(decision.retryAfter.count()));
         peer_network::reply(found->second.peer, found->second.message, std::move(reply));
         m_pendingLimits.erase(found);
--- a/Source/coordination/token_limiter.cpp
+++ b/Source/coordination/token_limiter.cpp
@@ -28,13 +28,25 @@
 void token_limiter::acquire(const organisation_config& organisation, std::uint64_t tokens, milliseconds timeout, handler done)
 {
     if (organisation.rate == 0) {
-        done({ true, false, milliseconds(0) });
+        done({ true, false, milliseconds(0), 0 });
         return;
     }
     auto request = std::make_shared<token_request>(token_request { organisation.name, organisation.rate, tokens, m_clock.now() + timeout, std::move(done) });
     requestTokens(std::move(request));
 }
 
+void token_limiter::giveBack(const organisation_config& organisation, std::uint64_t tokens, const token_decision& decision)
+{
+    if (decision.owner == 0 || m_link.leader().empty())
+        return;
+    wire::envelope message;
+    auto& limitRequest = *message.mutable_limit();
+    limitRequest.set_organisation(organisation.name);
+    limitRequest.set_returned(tokens);
+    limitRequest.set_epoch(decision.owner);
+    m_network.send(m_link.leader(), std::move(message));
+}
+
 void token_limiter::requestTokens(std::shared_ptr<token_request> request)
 {
     if (m_link.leader().empty() || m_clock.now() < m_skipOwnerUntil) {
@@ -58,7 +70,7 @@
         }
         m_backoff.recordReply();
         const auto& answer = reply->limit_reply();
-        request->done({ answer.granted() >= request->tokens, true, milliseconds(answer.retry_after_ms()) });
+        request->done({ answer.granted() >= request->tokens, true, milliseconds(answer.retry_after_ms()), answer.epoch() });
     });
 }
 
@@ -66,11 +78,11 @@
 {
     m_backoff.recordSilence(m_clock.now());
     if (takeFallbackTokens(*request)) {
-        request->done({ true, false, milliseconds(0) });
+        request->done({ true, false, milliseconds(0), 0 });
         return;
     }
     if (m_clock.now() + ownerRetryInterval >= request->deadline) {
-        request->done({ false, false, m_backoff.retryAfter(m_clock.now()) });
+        request->done({ false, false, m_backoff.retryAfter(m_clock.now()), 0 });
         return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, ownerRetryInterval);
--- a/Source/coordination/token_limiter.h
+++ b/Source/coordination/token_limiter.h
@@ -14,6 +14,8 @@
     /// Whether the owner of the limits decided; if not, no owner could be reached.
     bool overRate = false;
     milliseconds retryAfter { 0 };
+    /// Identifies the owner that granted the tokens; 0 if they came from the fallback budget or no limit applies.
+    std::uint64_t owner = 0;
 };
 
 /// Enforces the organisations' token limits at an entry: requests tokens from the leader, and falls back to a small local
@@ -27,6 +29,8 @@
 
     /// Takes tokens from an organisation's limit, waiting for them no longer than the timeout.
     void acquire(const organisation_config& organisation, std::uint64_t tokens, milliseconds timeout, handler done);
+    /// Returns granted tokens of a request that no endpoint ran and none will run. The owner that granted them takes them back.
+    void giveBack(const organisation_config& organisation, std::uint64_t tokens, const token_decision& decision);
 
 private:
     struct token_request {
--- a/Source/forwarding/call_arrivals.h
+++ b/Source/forwarding/call_arrivals.h
@@ -33,15 +33,18 @@
     /// Records that a prefill request was sent to an endpoint. Precondition: the call held grantsToPrefill().
     void recordPrefill(bool accepted)
     {
+        m_prefillSent = true;
         bool isPartOfCall = accepted && !std::exchange(m_prefilled, m_prefilled || accepted);
         if (!isPartOfCall)
             recordSent();
     }
     unsigned count() const { return m_count; }
+    bool isPrefillSent() const { return m_prefillSent; }
 
 private:
     unsigned m_count = 0;
     bool m_prefilled = false;
+    bool m_prefillSent = false;
     /// When each grant was received.
     std::vector<time_point> m_grants;
 };
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -190,6 +190,8 @@
     /// Encodes the request with these options and starts to send it on the current connection.
     void startSend(const attempt_options& options);
     task_of<token_decision> acquireTokens();
+    /// Returns the tokens of a call that no endpoint ran. Precondition: the call has ended.
+    void returnUnusedTokens(const token_decision& decision);
     task_of<void> runServiceCall();
     /// Whether all endpoints of the service are evacuated, so that the call ends with that cause.
     bool stopIfEvacuated(reason& cause);
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -114,6 +114,7 @@
         co_await finishUnanswered(reason::DeadlinePassed);
     }
     releasePrefill();
+    returnUnusedTokens(decision);
     logCallEnded();
     // A stream that started before the shutdown announced keep-alive, but the process might stop before it could respond
     // to another request.
@@ -283,6 +284,14 @@
     co_return decision.value_or(token_decision {});
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::returnUnusedTokens(const token_decision& decision)
+{
+    bool mayHaveRun = m_possibleRuns > 0 || m_arrivals.isPrefillSent();
+    if (decision.granted && !mayHaveRun && m_organisation)
+        m_shared.tokenLimiter.giveBack(*m_organisation, forwarding_detail::tokenCost(*m_organisation, m_metadata), decision);
+}
+
 template <call_codec Codec>
 void call_forwarder<Codec>::startDeadlineTimer()
 {
--- a/Tests/Limits/RateLimiterTest.cpp
+++ b/Tests/Limits/RateLimiterTest.cpp
@@ -178,3 +178,31 @@
     REQUIRE(granted.size() == 1);
     CHECK(granted[0].granted == 1000);
 }
+
+TEST_CASE("Usage stays within rate and burst in every window although unused tokens are returned late", "[promise]")
+{
+    auto seed = GENERATE(1U, 2U, 3U, 4U);
+    std::mt19937 random(seed);
+    manual_clock_source clock;
+    rate_limiter limiter(clock.now());
+    limiter.configure("alpha", rate, burst, clock.now());
+    std::vector<consumption> consumed;
+    std::vector<consumption> unused;
+    for (std::uint64_t ticket = 1; ticket <= 2000; ++ticket) {
+        limiter.submit({ "alpha", 20 + random() % 300, 0, milliseconds(random() % 300), ticket }, clock.now());
+        clock.advance(milliseconds(10));
+        for (const auto& decision : limiter.collectDecisions(clock.now())) {
+            if (random() % 2 == 0)
+                consumed.push_back({ clock.now(), decision.granted });
+            else
+                unused.push_back({ clock.now() + milliseconds(random() % 5000), decision.granted });
+        }
+        std::erase_if(unused, [&](const consumption& one) {
+            bool isDue = one.at <= clock.now();
+            if (isDue)
+                limiter.refund("alpha", one.tokens, clock.now());
+            return isDue;
+        });
+    }
+    CHECK(maxExcess(consumed) <= 0);
+}
--- a/Tests/Platform/StreamVersionTest.cpp
+++ b/Tests/Platform/StreamVersionTest.cpp
@@ -663,3 +663,22 @@
     CHECK(fleet.takeUp(later, 2, withoutOrigin).status == 200);
     CHECK(later.versions() == std::set<std::string> { "v2" });
 }
+
+// Guards against take-ups of a version that is gone that use up the rate of the streams that can go on.
+TEST_CASE("A take-up that no engine got costs its organisation nothing", "[promise]")
+{
+    constexpr std::uint64_t tokensPerSecond = 2000;
+    versioned_fleet fleet(tokensPerSecond);
+    fleet.startEngine(2, "v1");
+    fleet.awaitEngines();
+    auto streams = beginStreams(fleet, 2);
+    fleet.stopEngine(2);
+    fleet.startEngine(2, "v2");
+    fleet.awaitEngines();
+    for (int i = 0; i < 60; ++i) {
+        auto answer = fleet.takeUp(streams[i % 2], i % entryCount + 1);
+        INFO(answer.status << " " << answer.body);
+        CHECK(answer.status == 503);
+    }
+    CHECK(fleet.readStream(1).status == 200);
+}
