Limits: Decide on streams that are taken up again before new calls

After all entries were killed, callers that took their streams up again were refused with 429, while new calls of the same organisation began.

Cause: a take-up waited behind all calls that had come before it, and was refused at once if that wait was too long. In a burst the bucket is empty and its queue full all the time.

Evidence: 12 of 12 take-ups beside a crowd of new calls got 429 in "Streams go on after all entries were killed while new calls exceed their organisation's rate". In the limiter alone, with ten times the rate in new calls, 0 of 8 take-ups were granted, and 8 of 8 with the change.

A take-up whose origin is known is queued before new calls of its organisation, and its wait counts only other take-ups. It is still charged: it is one more request that runs, so that every window keeps its bound. Older leaders ignore the mark and queue as before.

--- a/Source/coordination/entry_coordinator_limits.cpp
+++ b/Source/coordination/entry_coordinator_limits.cpp
@@ -63,7 +63,7 @@
     }
     auto ticket = ++m_lastTicket;
     m_pendingLimits[ticket] = { from, message };
-    m_limits->submit({ request.organisation(), request.need(), request.ahead(), milliseconds(request.patience_ms()), ticket }, m_clock.now());
+    m_limits->submit({ request.organisation(), request.need(), request.ahead(), milliseconds(request.patience_ms()), ticket, request.begun() }, m_clock.now());
     processLimitRequests();
 }
 
--- a/Source/coordination/token_limiter.cpp
+++ b/Source/coordination/token_limiter.cpp
@@ -25,13 +25,13 @@
 {
 }
 
-void token_limiter::acquire(const organisation_config& organisation, std::uint64_t tokens, milliseconds timeout, handler done)
+void token_limiter::acquire(const organisation_config& organisation, token_need need, milliseconds timeout, handler done)
 {
     if (organisation.rate == 0) {
         done({ true, false, milliseconds(0), 0 });
         return;
     }
-    auto request = std::make_shared<token_request>(token_request { organisation.name, organisation.rate, tokens, m_clock.now() + timeout, std::move(done) });
+    auto request = std::make_shared<token_request>(token_request { organisation.name, organisation.rate, need, m_clock.now() + timeout, std::move(done) });
     requestTokens(std::move(request));
 }
 
@@ -57,7 +57,8 @@
     wire::envelope message;
     auto& limitRequest = *message.mutable_limit();
     limitRequest.set_organisation(request->organisation);
-    limitRequest.set_need(request->tokens);
+    limitRequest.set_need(request->need.tokens);
+    limitRequest.set_begun(request->need.begun);
     limitRequest.set_patience_ms(saturatingCast<std::uint32_t>(left.count()));
     m_network.call(m_link.leader(), std::move(message), left + ownerReplyTimeout, [this, request](const wire::envelope* reply) {
         if (!reply) {
@@ -70,7 +71,7 @@
         }
         m_backoff.recordReply();
         const auto& answer = reply->limit_reply();
-        request->done({ answer.granted() >= request->tokens, true, milliseconds(answer.retry_after_ms()), answer.epoch() });
+        request->done({ answer.granted() >= request->need.tokens, true, milliseconds(answer.retry_after_ms()), answer.epoch() });
     });
 }
 
@@ -95,7 +96,7 @@
     auto entries = static_cast<double>(std::max(1U, m_link.entryCount()));
     auto rate = static_cast<double>(request.rate) / entries;
     auto burst = static_cast<double>(m_settings.fallbackTokens) / entries + rate / 4;
-    return m_fallback.tryTake(request.organisation, rate, burst, request.tokens, m_clock.now());
+    return m_fallback.tryTake(request.organisation, rate, burst, request.need.tokens, m_clock.now());
 }
 
 } // namespace pistachiolatch
--- a/Source/coordination/token_limiter.h
+++ b/Source/coordination/token_limiter.h
@@ -9,6 +9,13 @@
     std::uint64_t fallbackTokens = 0;
 };
 
+/// What a request takes from its organisation's limit.
+struct token_need {
+    std::uint64_t tokens = 0;
+    /// Whether the caller has part of the answer; the owner then decides on it before others.
+    bool begun = false;
+};
+
 struct token_decision {
     bool granted = false;
     /// Whether the owner of the limits decided; if not, no owner could be reached.
@@ -28,7 +35,7 @@
     token_limiter(boost::asio::io_context& context, peer_network& network, const clock_source& clock, control_link& link, token_limiter_settings settings);
 
     /// Takes tokens from an organisation's limit, waiting for them no longer than the timeout.
-    void acquire(const organisation_config& organisation, std::uint64_t tokens, milliseconds timeout, handler done);
+    void acquire(const organisation_config& organisation, token_need need, milliseconds timeout, handler done);
     /// Returns granted tokens of a request that no endpoint ran and none will run. The owner that granted them takes them back.
     void giveBack(const organisation_config& organisation, std::uint64_t tokens, const token_decision& decision);
 
@@ -36,7 +43,7 @@
     struct token_request {
         std::string organisation;
         std::uint64_t rate;
-        std::uint64_t tokens;
+        token_need need;
         time_point deadline;
         handler done;
     };
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -279,7 +279,7 @@
         co_return token_decision { true, false, milliseconds(0) };
     auto timeout = std::min(m_route->latencyTarget / forwarding_detail::tokenTimeoutDivisor, timeLeft());
     pending_reply<token_decision> reply(m_shared.context.get_executor());
-    m_shared.tokenLimiter.acquire(*m_organisation, forwarding_detail::tokenCost(*m_organisation, m_metadata), timeout, reply.completer());
+    m_shared.tokenLimiter.acquire(*m_organisation, { forwarding_detail::tokenCost(*m_organisation, m_metadata), m_origin.has_value() }, timeout, reply.completer());
     auto decision = co_await reply.wait(timeLeft());
     co_return decision.value_or(token_decision {});
 }
--- a/Source/limits/rate_limiter.cpp
+++ b/Source/limits/rate_limiter.cpp
@@ -30,7 +30,7 @@
         found->second.bucket.configure(rate, burst, now);
         return;
     }
-    auto added = m_accounts.emplace(organisation, account_state { token_bucket(rate, burst, std::max(m_fillStart, now)), {}, 0 }).first;
+    auto added = m_accounts.emplace(organisation, account_state { token_bucket(rate, burst, std::max(m_fillStart, now)) }).first;
     added->second.bucket.refund(startTokens, now);
 }
 
@@ -60,7 +60,8 @@
         m_decisions.push_back({ request.ticket, request.organisation, request.tokens, milliseconds(0) });
         return;
     }
-    auto wait = account.bucket.timeUntilAvailable(account.queuedTokens + request.tokens + reserveForSmall(account, request.tokens, now), now);
+    auto tokensAhead = request.begun ? account.begunTokens : account.queuedTokens;
+    auto wait = account.bucket.timeUntilAvailable(tokensAhead + request.tokens + reserveForSmall(account, request.tokens, now), now);
     // Refuse immediately if the wait would be too long: the request isn't queued in vain, and the caller learns the
     // actual wait.
     if (wait > request.maxWait || request.tokens > account.bucket.capacity()) {
@@ -71,14 +72,35 @@
         account.queuedSince = now;
         account.overtakeTokens = 0;
     }
-    account.queuedTokens += request.tokens;
-    auto deadline = now + request.maxWait;
-    account.queue.push_back({ std::move(request), deadline });
+    enqueue(account, std::move(request), now);
     processQueue(account, now);
     if (!account.queue.empty())
         m_queuedOrganisations.insert(found->first);
 }
 
+void rate_limiter::enqueue(account_state& account, grant_request request, time_point now)
+{
+    account.queuedTokens += request.tokens;
+    auto position = account.queue.end();
+    if (request.begun) {
+        position = account.queue.begin() + static_cast<std::ptrdiff_t>(account.begunCount++);
+        account.begunTokens += request.tokens;
+    }
+    auto deadline = now + request.maxWait;
+    account.queue.insert(position, { std::move(request), deadline });
+}
+
+void rate_limiter::removeFirst(account_state& account)
+{
+    const auto& request = account.queue.front().request;
+    account.queuedTokens -= request.tokens;
+    if (request.begun) {
+        --account.begunCount;
+        account.begunTokens -= request.tokens;
+    }
+    account.queue.pop_front();
+}
+
 std::uint64_t rate_limiter::reserveForSmall(const account_state& account, std::uint64_t tokens, time_point now)
 {
     const auto& bucket = account.bucket;
@@ -124,8 +146,7 @@
             auto prefetch = consumePrefetch(account, first.request, now);
             m_decisions.push_back({ first.request.ticket, first.request.organisation, first.request.tokens + prefetch, milliseconds(0) });
         }
-        account.queuedTokens -= first.request.tokens;
-        account.queue.pop_front();
+        removeFirst(account);
     }
 }
 
--- a/Source/limits/rate_limiter.h
+++ b/Source/limits/rate_limiter.h
@@ -18,6 +18,8 @@
     milliseconds maxWait { 0 };
     /// Identifies the request in its decision.
     std::uint64_t ticket = 0;
+    /// Whether the caller has part of the answer, such as of a stream that it takes up again.
+    bool begun = false;
 };
 
 struct grant_decision {
@@ -33,6 +35,7 @@
 /// from another. Small requests may overtake the queue within half of the rate, and large ones leave part of the bucket
 /// to them. Otherwise an organisation's large calls would drain its bucket and its small calls, such as lookups and
 /// bookings at a thirtieth of the cost, would be refused.
+/// Requests that were begun are queued before all others: their callers paid for what they got already, and lose it otherwise.
 /// Not thread-safe.
 class rate_limiter {
 public:
@@ -63,8 +66,11 @@
     };
     struct account_state {
         token_bucket bucket;
-        std::deque<queued_request> queue;
+        std::deque<queued_request> queue {};
         std::uint64_t queuedTokens = 0;
+        /// Requests at the front of the queue that were begun, and the tokens that they need.
+        std::size_t begunCount = 0;
+        std::uint64_t begunTokens = 0;
         /// Tokens granted to small requests ahead of the queue since `queuedSince`.
         std::uint64_t overtakeTokens = 0;
         /// When the queue last became non-empty.
@@ -73,6 +79,8 @@
         time_point lastSmallRequest {};
     };
     static std::uint64_t reserveForSmall(const account_state& account, std::uint64_t tokens, time_point now);
+    static void enqueue(account_state& account, grant_request request, time_point now);
+    static void removeFirst(account_state& account);
     bool tryOvertake(account_state& account, const grant_request& request, time_point now);
     void processQueue(account_state& account, time_point now);
     static std::uint64_t consumePrefetch(account_state& account, const grant_request& request, time_point now);
--- a/Tests/Limits/RateLimiterTest.cpp
+++ b/Tests/Limits/RateLimiterTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
+#include <set>
 
 using namespace pistachiolatch;
 
@@ -206,3 +207,35 @@
     }
     CHECK(maxExcess(consumed) <= 0);
 }
+
+// Guards against a crowd of new calls that uses up the rate before the streams that broke, so that these end unfinished.
+TEST_CASE("Streams that are taken up again aren't refused behind the new calls of their organisation", "[promise]")
+{
+    manual_clock_source clock;
+    rate_limiter limiter(clock.now());
+    limiter.configure("alpha", rate, burst, clock.now());
+    clock.advance(std::chrono::seconds(5));
+    std::uint64_t ticket = 0;
+    std::set<std::uint64_t> begun;
+    std::vector<consumption> consumed;
+    int begunGranted = 0;
+    int newRefused = 0;
+    for (int step = 0; step < 400; ++step) {
+        // Ten times the rate in new calls, half of the rate in streams.
+        limiter.submit({ "alpha", 100, 0, milliseconds(300), ++ticket }, clock.now());
+        if (step >= 100 && step % 40 == 20) {
+            begun.insert(++ticket);
+            limiter.submit({ "alpha", 200, 0, milliseconds(300), ticket, true }, clock.now());
+        }
+        clock.advance(milliseconds(10));
+        for (const auto& decision : limiter.collectDecisions(clock.now())) {
+            consumed.push_back({ clock.now(), decision.granted });
+            begunGranted += begun.count(decision.ticket) && decision.granted > 0 ? 1 : 0;
+            newRefused += !begun.count(decision.ticket) && decision.granted == 0 ? 1 : 0;
+        }
+    }
+    CHECK(newRefused > 100);
+    CHECK(begun.size() == 8);
+    CHECK(begunGranted == 8);
+    CHECK(maxExcess(consumed) <= 0);
+}
--- a/Tests/Platform/StreamVersionTest.cpp
+++ b/Tests/Platform/StreamVersionTest.cpp
@@ -682,3 +682,43 @@
     }
     CHECK(fleet.readStream(1).status == 200);
 }
+
+// Guards against a crowd of new calls that uses up the rate before the streams that broke, so that these end unfinished.
+TEST_CASE("Streams go on after all entries were killed while new calls exceed their organisation's rate", "[promise]")
+{
+    constexpr std::uint64_t tokensPerSecond = 12000;
+    versioned_fleet fleet(tokensPerSecond);
+    for (int n = 2; n <= 5; ++n)
+        fleet.startEngine(n, "v1");
+    fleet.awaitEngines();
+    std::vector<caller_stream> streams;
+    for (int i = 0; i < 12; ++i) {
+        streams.push_back(fleet.beginStream(i % entryCount + 1, 2));
+        REQUIRE(streams.back().status == 200);
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    fleet.restartEntries();
+    fleet.awaitReadyEntries();
+    std::atomic<bool> stopped { false };
+    std::atomic<int> overRate { 0 };
+    std::vector<std::thread> crowd;
+    for (int i = 0; i < 24; ++i) {
+        crowd.emplace_back([&, i] {
+            while (!stopped) {
+                overRate += fleet.readStream(i % entryCount + 1).status == 429 ? 1 : 0;
+                std::this_thread::sleep_for(milliseconds(20));
+            }
+        });
+    }
+    // The crowd has used up the burst.
+    bool isOver = eventually([&] { return overRate > 20; });
+    for (auto& stream : streams) {
+        auto answer = fleet.takeUp(stream, fleet.otherEntry(stream.entry));
+        CHECK(answer.status != 429);
+    }
+    stopped = true;
+    for (auto& caller : crowd)
+        caller.join();
+    CHECK(isOver);
+    checkNotMixed(fleet, streams);
+}
