Forwarding: Judge callers by what they do and by the limits they know

Callers lost connections that they used as the configuration allowed. The entry kept one clock and one set of limits for a connection that waits for a request and for one that receives it:

- The time for a head ran from when the connection became idle.
A caller whose connection had been idle for longer, and whose head came in two parts, was cut off in its middle.
- A configuration with a shorter idle time applied at once to connections that were idle already.
Callers reuse them within the time that they know.
- The size limits of a request were those of when its connection had become idle.
After a change that allows larger bodies, idle connections refused them with 413.

The gateway now waits for the first byte, takes the limits of that moment, and starts the time for the head. Each phase is allowed the longest time that was in force while it lasted, and a connection on which data has arrived doesn't count as idle.

--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -32,8 +32,12 @@
 private:
     struct caller_state {
         std::shared_ptr<caller_connection> connection;
-        /// When the connection started to wait for a request, or to receive one.
+        /// When the connection started to wait for a request, or to receive a head or a body.
         time_point phaseStartedAt;
+        /// The longest times that were in force since then. Callers rely on the configuration that they know.
+        milliseconds headerTimeout { 0 };
+        milliseconds idleTimeout { 0 };
+        /// Whether a request has begun to arrive that is not complete.
         bool receiving = false;
         bool inCall = false;
         /// The request that is being read, and the copy that will be sent to an endpoint.
@@ -54,6 +58,8 @@
     void measureLoopDelay();
     void reportTurnedAway();
     task_of<void> serveConnection(caller_ptr caller);
+    /// Starts to measure how long the connection waits for a request, or takes to receive a part of it.
+    void startPhase(caller_state& caller, bool receiving) const;
     task_of<std::optional<caller_request>> readRequest(caller_ptr caller);
     /// Reads the body, accounted to the caller, and no more of it while the buffer budget has no room.
     task_of<boost::system::error_code> readBody(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser);
@@ -65,6 +71,10 @@
     /// Whether the shutdown is so advanced that a new call might not complete before the process ends.
     bool rejectsNewCalls() const { return m_shared.draining && m_shared.clock.now() - m_drainStartedAt > m_settings.acceptWhileDraining; }
     void closeExpired();
+    /// Whether a caller that sends nothing, or too slowly, should be cut off.
+    static bool hasReadTimedOut(const caller_state& caller, time_point now);
+    /// Whether nothing of another request has arrived.
+    static bool isIdle(const caller_state& caller);
     void scheduleExpiryCheck();
     caller_limits limits() const;
 
@@ -232,23 +242,38 @@
     m_callers.erase(caller);
 }
 
+template <call_codec Codec>
+void call_gateway<Codec>::startPhase(caller_state& caller, bool receiving) const
+{
+    auto bounds = limits();
+    caller.phaseStartedAt = m_shared.clock.now();
+    caller.headerTimeout = bounds.headerTimeout;
+    caller.idleTimeout = bounds.idleTimeout;
+    caller.receiving = receiving;
+}
+
 template <call_codec Codec>
 task_of<std::optional<caller_request>> call_gateway<Codec>::readRequest(caller_ptr caller)
 {
     namespace http = boost::beast::http;
-    auto bounds = limits();
     auto& connection = *caller->connection;
+    startPhase(*caller, false);
+    if (connection.buffer().size() == 0) {
+        auto [waitError] = co_await connection.socket().async_wait(boost::asio::socket_base::wait_read, gateway_detail::asTuple);
+        if (waitError)
+            co_return std::nullopt;
+    }
+    startPhase(*caller, true);
+    // The configuration may have changed while the connection was idle.
+    auto bounds = limits();
     http::request_parser<http::string_body> parser;
     parser.header_limit(bounds.headerBytes);
     parser.body_limit(bounds.bodyBytes);
-    caller->phaseStartedAt = m_shared.clock.now();
-    caller->receiving = false;
     auto [headError, headBytes] = co_await http::async_read_header(connection.socket(), connection.buffer(), parser, gateway_detail::asTuple);
     auto error = headError;
     if (!error && hasUnknownTransferCoding(parser.get()))
         error = http::error::bad_transfer_encoding;
-    caller->receiving = true;
-    caller->phaseStartedAt = m_shared.clock.now();
+    startPhase(*caller, true);
     if (!error && !m_shared.bufferBudget.takesNewCalls()) {
         auto metadata = Codec::parseRequest(parser.get());
         m_shared.counters.countRefusal(reason::BuffersFull);
@@ -322,7 +347,7 @@
     boost::system::error_code ignored;
     caller->connection->socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     std::array<char, 4096> discarded {};
-    caller->phaseStartedAt = m_shared.clock.now();
+    startPhase(*caller, true);
     while (true) {
         auto [readError, bytes] = co_await caller->connection->socket().async_read_some(boost::asio::buffer(discarded), gateway_detail::asTuple);
         if (readError)
@@ -357,10 +382,10 @@
         if (!caller->receiving && now - caller->phaseStartedAt > gateway_detail::maxExpectationTime)
             caller->expectedBytes = {};
         bool writeTimedOut = connection.writeStartedAt() != time_point {} && now - connection.writeStartedAt() > gateway_detail::maxWriteTime;
-        bool requestStarted = caller->receiving || connection.buffer().size() > 0;
-        auto timeout = requestStarted ? bounds.headerTimeout * 2 : bounds.idleTimeout;
-        bool readTimedOut = !caller->inCall && now - caller->phaseStartedAt > timeout;
-        bool idleInShutdown = stopAccepting && !caller->inCall && !requestStarted;
+        caller->headerTimeout = std::max(caller->headerTimeout, bounds.headerTimeout);
+        caller->idleTimeout = std::max(caller->idleTimeout, bounds.idleTimeout);
+        bool readTimedOut = hasReadTimedOut(*caller, now);
+        bool idleInShutdown = stopAccepting && isIdle(*caller);
         if (writeTimedOut)
             logEvent("caller_write_timeout", { { "request", caller->call ? caller->call->requestId() : std::string() }, { "writing_ms", std::chrono::duration_cast<milliseconds>(now - connection.writeStartedAt()).count() } });
         if (writeTimedOut || readTimedOut || idleInShutdown)
@@ -371,6 +396,22 @@
     reportTurnedAway();
 }
 
+template <call_codec Codec>
+bool call_gateway<Codec>::hasReadTimedOut(const caller_state& caller, time_point now)
+{
+    if (caller.inCall)
+        return false;
+    auto waited = now - caller.phaseStartedAt;
+    return caller.receiving ? waited > caller.headerTimeout * 2 : waited > caller.idleTimeout && isIdle(caller);
+}
+
+template <call_codec Codec>
+bool call_gateway<Codec>::isIdle(const caller_state& caller)
+{
+    boost::system::error_code ignored;
+    return !caller.inCall && !caller.receiving && caller.connection->socket().available(ignored) == 0;
+}
+
 template <call_codec Codec>
 void call_gateway<Codec>::endStalled()
 {
