Forwarding: Bound the time for which two endpoints hold a stream

A stalled stream was asked of another endpoint while its own one kept it, until the other began to answer. An endpoint that accepts a stream and is slow to begin, such as behind a queue, could hold it beside the first one up to the deadline; if the first went on without an event, both worked on it.

Along the same path, from a review of the move: - The end of an endpoint's data on a relayed connection is a frame without bytes. It counted as a sign that the endpoint goes on, so that the other attempt was closed for a stream that then ended. - A check that interrupts a read at the moment at which it completes had no effect, and no other check followed. - What was seen of an endpoint that is asked in vain is reported to the leader. - An endpoint whose status response closes the connection does respond. - Refusals count anew once the stream goes on.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -226,6 +226,8 @@
     task_of<std::optional<model_placement>> selectAlternative(const selected_endpoint& endpoint);
     /// Whether the endpoint has sent anything since the stream stalled, or answers a status request.
     task_of<bool> isResponding(const selected_endpoint& endpoint);
+    /// Leaves the stalled stream's endpoint, if any, once the next one has held the stream for a time without refusing it.
+    void limitOverlap(const selected_endpoint& next);
     /// Ends the attempt at the stalled stream's endpoint, if any, because the next endpoint has begun to answer.
     void leaveSource(const selected_endpoint& next);
     std::optional<model_placement> placementFromPlan(const wire::engine_plan_reply& plan, std::uint64_t callId) const;
@@ -307,6 +309,7 @@
     attempt_state m_attempt;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_attemptTimer;
+    boost::asio::steady_timer m_overlapTimer;
     std::uint64_t m_attemptNumber = 0;
     bool m_attemptExpired = false;
     /// When the last request was sent to an endpoint.
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -58,6 +58,7 @@
     , m_table(shared.link.routeTable())
     , m_deadlineTimer(shared.context)
     , m_attemptTimer(shared.context)
+    , m_overlapTimer(shared.context)
 {
     m_keepAlive = m_request.keep_alive();
 }
@@ -69,6 +70,7 @@
     m_caller->stopWatching();
     m_deadlineTimer.cancel();
     m_attemptTimer.cancel();
+    m_overlapTimer.cancel();
 }
 
 template <call_codec Codec>
@@ -579,6 +581,7 @@
     options.timeLeft = timeLeft();
     m_sentAt = m_shared.clock.now();
     startSend(options);
+    limitOverlap(endpoint);
     bool canRetryElsewhere = isIdempotent() && m_possibleRuns < m_route->maxEndpoints;
     if (canRetryElsewhere)
         startAttemptTimer(std::max(m_route->latencyTarget * forwarding_detail::attemptTimeoutTargets, milliseconds(300)));
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -8,6 +8,8 @@
 namespace forwarding_detail {
     /// Interval between attempts to move a stalled stream. Calls complete, and free capacity, more often than this.
     constexpr milliseconds moveRetryInterval { 150 };
+    /// How long two endpoints may hold a stream. One that refuses does so within a round trip; one that takes longer has accepted.
+    constexpr milliseconds maxOverlap { 300 };
 }
 
 template <call_codec Codec>
@@ -52,8 +54,11 @@
         auto allowed = stallTimeout(stream);
         if (stream.idleTime < allowed)
             scheduleStallCheck(endpoint, allowed - stream.idleTime);
-        else if (!m_attempt.connection->interruptRead())
+        else {
+            m_attempt.connection->interruptRead();
+            // A read that had just completed is not interrupted.
             scheduleStallCheck(endpoint, forwarding_detail::moveRetryInterval);
+        }
     });
 }
 
@@ -78,15 +83,17 @@
         if (mayStart && !isAborted())
             outcome = co_await runAttempt(*next);
         else if (next->callId != 0)
-            m_shared.link.reportFinished({ next->callId, {}, {}, {}, {} });
+            m_shared.link.reportFinished({ next->callId, {}, std::move(m_attempt.outcomes), {}, {} });
     }
     connection->stopWatching();
+    // The first endpoint may have run the stream, whatever the other one did.
     if (source.left)
-        co_return outcome;
+        co_return outcome == attempt_outcome::Completed ? outcome : attempt_outcome::MayHaveRun;
     if (m_attempt.connection)
         m_attempt.connection->close();
     m_attempt = std::move(source.attempt);
     m_source = nullptr;
+    m_overlapTimer.cancel();
     m_attemptExpired = false;
     cancelAttemptTimer();
     // The endpoint that was asked was recorded as the stream's origin, and may have another version.
@@ -144,20 +151,32 @@
     if (!connection)
         co_return false;
     auto check = co_await checkRun(endpoint);
-    bool responds = (check == run_check::Expected || check == run_check::Untold) && connection->isReadyForRequest();
-    if (responds) {
+    bool responds = check == run_check::Expected || check == run_check::Untold;
+    if (responds && connection->isReadyForRequest()) {
         if (check == run_check::Expected)
             connection->incarnation = endpoint.incarnation;
         releaseUnusedConnection(endpoint.id);
     } else {
         connection->close();
         m_attempt.connection.reset();
-        if (!isAborted())
-            recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
     }
+    if (!responds && !isAborted())
+        recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
     co_return responds;
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::limitOverlap(const selected_endpoint& next)
+{
+    if (!m_source)
+        return;
+    m_overlapTimer.expires_after(forwarding_detail::maxOverlap);
+    m_overlapTimer.async_wait([this, source = m_source, alive = m_alive, next](boost::system::error_code error) {
+        if (!error && *alive && source == m_source && !isAborted())
+            leaveSource(next);
+    });
+}
+
 template <call_codec Codec>
 void call_forwarder<Codec>::leaveSource(const selected_endpoint& next)
 {
@@ -168,6 +187,7 @@
     bool isAlive = isEndpointAlive(stream);
     logEvent("stream_moves", { { "request", m_metadata.id }, { "from", source.endpoint.id }, { "to", next.id }, { "quiet_ms", stream.idleTime.count() }, { "endpoint_quiet_ms", stream.endpointIdleTime.count() }, { "events", m_eventsForwarded } });
     source.left = true;
+    m_overlapTimer.cancel();
     source.attempt.connection->close();
     std::swap(m_attempt, source.attempt);
     // A move away from a live endpoint is not counted as its failure.
@@ -211,6 +231,7 @@
         auto end = co_await connection->readBodyChunk(chunk);
         bool isInterrupted = chunk.empty() && end == body_end::Open;
         if (isInterrupted) {
+            cancelAttemptTimer();
             // Data may have arrived at the moment of the interruption.
             std::optional<attempt_outcome> moved;
             auto stream = measureIdleTime(endpoint.id);
@@ -245,6 +266,8 @@
         if (isLast)
             out += encodeChunk({});
         countEvents(events.count);
+        if (events.count > 0)
+            m_refusals = 0;
         if (isResumable() && !m_origin && events.count > 0)
             m_origin = stream_origin { m_service->name, m_attempt.softwareVersion };
         if (!chunk.empty() && m_firstEventLatency < milliseconds(0)) {
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -61,6 +61,7 @@
     m_sendBuffer = std::move(bytes);
     m_bytesSent = 0;
     m_sendComplete = false;
+    m_interrupted = false;
     sendNextPart(window, clock);
 }
 
@@ -139,9 +140,10 @@
     m_stream.socket().async_wait(asio::socket_base::wait_read, [self = shared_from_this(), watchId, onReadable = std::move(onReadable)](beast::error_code error) {
         if (error || self->m_closed || watchId != self->m_watchId)
             return;
-        char byte = 0;
-        auto received = ::recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (received > 0)
+        std::array<unsigned char, frameLengthBytes> bytes {};
+        auto received = ::recv(self->m_stream.socket().native_handle(), bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+        bool isEmptyFrame = self->m_stream.isBetweenFrames() && received == static_cast<ssize_t>(bytes.size()) && decodeFrameLength(bytes) == 0;
+        if (received > 0 && !isEmptyFrame)
             onReadable();
     });
 }
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -40,7 +40,7 @@
     /// Has the readBodyChunk() that waits for data, or else the next one, return Open without any. The rest of the body can still be
     /// read. Returns false if that is not possible because a part of the request is being sent.
     bool interruptRead();
-    /// Calls a handler once data has arrived, unless stopWatching() is called before. Precondition: nothing is read meanwhile.
+    /// Calls a handler once data has arrived, not the end of it, unless stopWatching() is called before. Precondition: nothing is read meanwhile.
     void watchReadable(std::function<void()> onReadable);
     void stopWatching() { ++m_watchId; }
     /// Reads the rest of the body; never returns Open. A body of more than maxBytes is given up, which is a Reset.
--- a/Source/forwarding/endpoint_stream.h
+++ b/Source/forwarding/endpoint_stream.h
@@ -39,6 +39,9 @@
     /// Takes what is received from now on as frames.
     void startFrames() { m_framed = true; }
 
+    /// Whether a frame's length comes next.
+    bool isBetweenFrames() const { return m_framed && m_frameBytesLeft == 0 && m_lengthBytesRead == 0; }
+
     template <typename Buffers, typename Token>
     auto async_read_some(const Buffers& buffers, Token&& token)
     {
