Membership: Refuse addresses that hide text or spell a port differently

A report with the address "127.0.0.1\u0000\r\nX: y:8080" was answered with 200, as were the ports 0 and 08080. Callers have not seen it; what follows the NUL would have become headers of requests to other endpoints.

The parser of addresses reads up to the first NUL, so that isAddress() held for the whole text, which then goes into Kv-Source and Host. A port with a leading zero is another spelling of the same address, which the directory compares as text; port 0 can't be connected to.

An address with a NUL is none now, and reports need a port from 1 to 65535 without leading zeros; the answer names the field and the value.

--- a/Source/kernel/settings_reader.cpp
+++ b/Source/kernel/settings_reader.cpp
@@ -211,7 +211,8 @@
 bool isAddress(const std::string& text)
 {
     auto colon = text.rfind(':');
-    if (colon == std::string::npos)
+    // The parser of addresses reads up to the first NUL, and what follows would become part of headers.
+    if (colon == std::string::npos || text.find('\0') != std::string::npos)
         return false;
     boost::system::error_code error;
     boost::asio::ip::make_address_v4(text.substr(0, colon), error);
--- a/Source/membership/endpoint_report_check.cpp
+++ b/Source/membership/endpoint_report_check.cpp
@@ -21,6 +21,12 @@
     return !id.empty() && isReportText(id) && id.front() != ' ' && id.back() != ' ';
 }
 
+bool isEndpointAddress(const std::string& text)
+{
+    // No port begins with 0: it is none to connect to, or spells another one differently.
+    return isAddress(text) && text[text.rfind(':') + 1] != '0';
+}
+
 result<void> checkReport(const wire::endpoint_report& report)
 {
     if (!isEndpointId(report.id()))
@@ -33,7 +39,7 @@
         return makeFailure("software version", report.software_version());
     // The report of an endpoint that is gone may name no address.
     bool mayLackAddress = report.state() == wire::ENDPOINT_GONE && report.address().empty();
-    if (!mayLackAddress && !isAddress(report.address()))
+    if (!mayLackAddress && !isEndpointAddress(report.address()))
         return makeFailure("address", report.address());
     return ok();
 }
--- a/Source/membership/endpoint_report_check.h
+++ b/Source/membership/endpoint_report_check.h
@@ -15,6 +15,10 @@
 /// a space. Thread safety: any thread.
 bool isEndpointId(std::string_view id);
 
+/// Whether a text is an IPv4 address with a port to which one can connect, in the one spelling of which reports of the same address
+/// are recognised. Thread safety: any thread.
+bool isEndpointAddress(const std::string& text);
+
 /// Checks a report that another process passed on, which may be of a version that accepted more. Errors name the first field that is
 /// invalid and its value. Thread safety: any thread.
 result<void> checkReport(const wire::endpoint_report& report);
--- a/Tests/Membership/EndpointReportCheckTest.cpp
+++ b/Tests/Membership/EndpointReportCheckTest.cpp
@@ -62,6 +62,24 @@
     CHECK_FALSE(checkReport(report));
 }
 
+// Guards against addresses that become headers of requests to endpoints, that hide whose they are, or that end who connects to them.
+TEST_CASE("Reports with an address other than four numbers and a port from 1 to 65535 are invalid")
+{
+    using namespace std::string_literals;
+    auto report = makeReport();
+    auto address = GENERATE("127.0.0.1\0\r\nX: y:8080"s, "127.0.0.1\0:8080"s, "127.0.0.1:0"s, "127.0.0.1:08080"s, "127.0.0.1:65536"s, "127.0.0.1:73616"s,
+        "127.0.0.1:99999999999999999999"s, "127.0.0.1:"s, "127.0.0.1:-1"s, "127.0.0.1:+80"s, "127.0.0.1: 80"s, "127.0.0.1:80\0"s, "127.0.0.1:80 "s, " 127.0.0.1:80"s,
+        "127.0.0.01:80"s, "127.1:80"s, "0x7f000001:80"s, "256.0.0.1:80"s, ":80"s, "[::1]:80"s, "1.2.3.4:5:80"s);
+    report.set_address(address);
+    INFO(toPlainText(address));
+    REQUIRE_FALSE(checkReport(report));
+    CHECK(isPlainText(checkReport(report).error().message));
+    report.set_address("127.0.0.1:65535");
+    CHECK(checkReport(report));
+    report.set_address("127.0.0.1:1");
+    CHECK(checkReport(report));
+}
+
 TEST_CASE("Reports with any other text are valid")
 {
     auto report = makeReport();
--- a/Tests/Platform/PlatformNumbersTest.cpp
+++ b/Tests/Platform/PlatformNumbersTest.cpp
@@ -1,3 +1,4 @@
+#include "membership/membership.h"
 #include "platform_call_codec.h"
 #include "platform_documents.h"
 #include "platform_names.h"
@@ -73,6 +74,75 @@
     CHECK(decodeConfiguration(replace(document, "ratePerS", "-1")).value().organisations[0].rate == 0);
 }
 
+namespace {
+std::string nested(int levels)
+{
+    return std::string(static_cast<std::size_t>(levels), '[') + std::string(static_cast<std::size_t>(levels), ']');
+}
+
+std::string withField(const std::string& object, const std::string& name, const std::string& value)
+{
+    return fmt::format("{},\"{}\":{}}}", object.substr(0, object.size() - 1), name, value);
+}
+}
+
+// Guards against processes that end over a deeply nested document of another writer.
+TEST_CASE("Documents that are nested too deeply are refused")
+{
+    auto levels = GENERATE(33, 1000, 100000);
+    auto value = nested(levels);
+    CHECK_FALSE(decodeReport("i", value));
+    CHECK_FALSE(decodeReport("i", withField(reportWith("slots", "4"), "other", value)));
+    CHECK_FALSE(decodeReport("i", withField(reportWith("slots", "4"), "slots", value)));
+    CHECK_FALSE(decodeReport("i", std::string(static_cast<std::size_t>(levels), '{')));
+    CHECK_FALSE(decodeDeregistration("i", value));
+    CHECK_FALSE(decodeSubmission(withField(document, "other", value)));
+    CHECK_FALSE(decodeConfiguration(withField(document, "other", value)));
+    CHECK_FALSE(platform_call_codec::parsePrefillHandle(withField(R"({"kvHandle":"h"})", "tokens", value)));
+    CHECK_FALSE(platform_call_codec::parseStatusIncarnation(withField(R"({"born":5})", "other", value)));
+}
+
+// Guards against processes that end over a number that no type holds, in fields that are read and in others.
+TEST_CASE("Numbers of any size are read or refused")
+{
+    auto number = GENERATE(std::string("1e400"), std::string("-1e400"), std::string("-0"), std::string("-0.0"), std::string("1e99999999999999999999"), std::string("1e-99999999999"),
+        std::string(20, '9'), std::string(400, '9'), "-" + std::string(400, '9'), "0." + std::string(400, '9'));
+    INFO(number);
+    for (const auto* field : { "sequence", "born", "slots", "coldRemainingMs", "other" }) {
+        auto body = field == std::string("other") ? withField(reportWith("slots", "4"), field, number) : reportWith(field, number);
+        auto report = decodeReport("i", body);
+        if (!report)
+            CHECK((report.error().message.starts_with(std::string(field) + ": ") || report.error().message.starts_with("the body is not valid JSON: ")));
+        else
+            CHECK(checkReport(report.value()));
+    }
+    auto cold = decodeReport("i", reportWith("coldRemainingMs", number));
+    CHECK((!cold || cold.value().cold_ms() <= milliseconds(std::chrono::hours(24 * 7)).count()));
+    for (const auto* field : { "sequence", "born", "slots" }) {
+        auto report = decodeReport("i", reportWith(field, number));
+        CHECK((!report || (report.value().sequence() <= 1 && report.value().born_ms() <= 5 && report.value().slots() <= 4)));
+    }
+    (void)decodeSubmission(replace(document, "version", number));
+    (void)decodeConfiguration(replace(document, "ratePerS", number));
+    (void)platform_call_codec::parseStatusIncarnation(fmt::format(R"({{"born":{}}})", number));
+    (void)platform_call_codec::parsePrefillHandle(fmt::format(R"({{"kvHandle":"h","tokens":{}}})", number));
+}
+
+// Guards against an address in a report that becomes headers of the requests to other endpoints.
+TEST_CASE("A report's address with more than an address and a port is refused with its value")
+{
+    for (const auto* address : { R"(127.0.0.1\u0000\r\nX: y:9)", "127.0.0.1:0", "127.0.0.1:73616", "127.0.0.1:99999999999999999999", "127.0.0.1:09" }) {
+        INFO(address);
+        auto body = std::regex_replace(reportWith("slots", "4"), std::regex("127.0.0.1:9"), address);
+        auto report = decodeReport("i", body);
+        CHECK_FALSE(report);
+        if (report)
+            continue;
+        CHECK(report.error().message.starts_with("address: must be an IPv4 address with a port from 1 to 65535, not 127.0.0.1"));
+        CHECK(isPlainText(report.error().message));
+    }
+}
+
 // Guards against valid numbers that become others where they are narrowed: a timeout that is over at once, a weight or a limit of 0.
 TEST_CASE("Large numbers keep their meaning")
 {
