Membership: Let an endpoint that goes on reporting replace a claimed later run

One report of another writer under an endpoint's id, with the sequence 2^64-1, a start in the far future or the deregistration of such a run, or one of another id at its address, kept the endpoint out: it was silent, leaving, gone, of another service or at another address for 62 s although it reported every second. A report that named another service for a running endpoint moved it there.

Reports are ordered by start time and sequence, so that late ones can't revive what has ended. What a single report claimed outranked all that the endpoint reported afterwards.

A run whose reports are ignored now replaces the one that counts as later if it goes on for 8 s, with rising sequences and no gap of 4 s, while the other one reports nothing; the same holds for an address. Late reports come together or for some seconds, and a run that lives reports every second. A run that reported its own end stays ended. A report that names another service for a run is treated in the same way: a run has one. Bounding the start time by the clock was ruled out, since a control process whose clock is behind would refuse all new endpoints.

Each replacement is logged and counted (endpoint_reasserted).

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -364,7 +364,12 @@
 {
     auto now = m_clock.now();
     auto blocksBefore = m_blocks.version();
+    auto reassertionsBefore = m_directory.reassertions();
     bool changed = m_directory.applyReport(report, now);
+    if (m_directory.reassertions() != reassertionsBefore) {
+        m_metrics.count("endpoint_reasserted");
+        logEvent("endpoint_reasserted", { { "endpoint", report.id() }, { "born", report.born_ms() }, { "sequence", report.sequence() }, { "address", report.address() }, { "service", report.service() } });
+    }
     m_blocks.onReport(report, now);
     m_origins.onReport(report);
     if (changed)
--- a/Source/membership/endpoint_directory.cpp
+++ b/Source/membership/endpoint_directory.cpp
@@ -94,7 +94,53 @@
     updateAddressIndex(endpoint, {});
 }
 
-bool endpoint_directory::resolveAddressConflict(const wire::endpoint_report& report)
+bool endpoint_directory::isReplacedBy(known_endpoint& endpoint, const wire::endpoint_report& report, time_point now) const
+{
+    auto& ignored = endpoint.ignored;
+    bool isSameRun = ignored.id == report.id() && ignored.bornMs == report.born_ms();
+    bool isCurrent = now - ignored.lastReportAt <= m_settings.silentAfter && endpoint.lastReportAt <= ignored.since;
+    if (isCurrent && !isSameRun && report.born_ms() <= ignored.bornMs)
+        return false;
+    if (!isCurrent || !isSameRun) {
+        ignored = { report.id(), report.born_ms(), report.sequence(), now, now };
+        return false;
+    }
+    // Reports that are delayed by the network also come in another order.
+    if (report.sequence() <= ignored.sequence)
+        return false;
+    ignored.sequence = report.sequence();
+    ignored.lastReportAt = now;
+    return now - ignored.since >= m_settings.reassertionPeriod;
+}
+
+bool endpoint_directory::isKeptOutById(known_endpoint& endpoint, const wire::endpoint_report& report, time_point now) const
+{
+    const auto& known = endpoint.row.report();
+    bool isSameRun = report.born_ms() == known.born_ms();
+    if (isSameRun && isGone(known) && endpoint.goneByReport)
+        return true;
+    bool namesOtherService = isSameRun && report.born_ms() != 0 && !isGone(known) && report.service() != known.service();
+    if (!namesOtherService && !isOlder(report, known))
+        return false;
+    return !isReplacedBy(endpoint, report, now);
+}
+
+bool endpoint_directory::isKeptOutByAddress(const wire::endpoint_report& report, time_point now)
+{
+    bool isKeptOut = false;
+    auto [begin, end] = m_byAddress.equal_range(report.address());
+    for (auto it = begin; it != end; ++it) {
+        const auto& known = it->second->row.report();
+        if (known.id() == report.id() || isGone(known))
+            continue;
+        // A delayed report of an earlier incarnation; another endpoint has taken over the address.
+        if (known.born_ms() > report.born_ms() && !isReplacedBy(*it->second, report, now))
+            isKeptOut = true;
+    }
+    return isKeptOut;
+}
+
+void endpoint_directory::takeAddress(const wire::endpoint_report& report)
 {
     auto [begin, end] = m_byAddress.equal_range(report.address());
     for (auto it = begin; it != end; ++it) {
@@ -102,13 +148,12 @@
         auto& known = *other.row.mutable_report();
         if (known.id() == report.id() || isGone(known))
             continue;
-        // A delayed report of an earlier incarnation; another endpoint has taken over the address.
         if (known.born_ms() > report.born_ms())
-            return true;
+            ++m_reassertions;
         known.set_state(wire::ENDPOINT_GONE);
+        other.goneByReport = false;
         markChanged(other);
     }
-    return false;
 }
 
 bool endpoint_directory::applyReport(const wire::endpoint_report& report, time_point now)
@@ -119,6 +164,7 @@
             known_endpoint gone;
             *gone.row.mutable_report() = report;
             gone.lastReportAt = now;
+            gone.goneByReport = true;
             gone.goneWithoutIncarnation = report.born_ms() == 0;
             markChanged(m_endpoints.emplace(report.id(), std::move(gone)).first->second);
             return true;
@@ -131,18 +177,23 @@
         if (report.born_ms() > known.born_ms())
             known.set_born_ms(report.born_ms());
         known.set_state(wire::ENDPOINT_GONE);
+        found->second.goneByReport = true;
         found->second.goneWithoutIncarnation = report.born_ms() == 0;
         found->second.lastReportAt = now;
         markChanged(found->second);
         return true;
     }
-    if (found != m_endpoints.end() && isOlder(report, found->second.row.report()))
-        return false;
-    if (found != m_endpoints.end() && mayPredateGone(found->second, report, now))
+    bool countsAsEarlier = found != m_endpoints.end() && isOlder(report, found->second.row.report());
+    bool isKeptOut = found != m_endpoints.end() && isKeptOutById(found->second, report, now);
+    if (!isKeptOut && !countsAsEarlier && found != m_endpoints.end())
+        isKeptOut = mayPredateGone(found->second, report, now);
+    // Asked in any case, so that the time for which the run has been reporting counts under both.
+    if (isKeptOutByAddress(report, now) || isKeptOut)
         return false;
     auto before = m_version;
-    if (resolveAddressConflict(report))
-        return m_version != before;
+    takeAddress(report);
+    if (countsAsEarlier)
+        ++m_reassertions;
     auto& endpoint = found == m_endpoints.end() ? m_endpoints[report.id()] : found->second;
     bool isNewRun = found == m_endpoints.end() || endpoint.row.report().born_ms() != report.born_ms();
     auto current = report;
@@ -161,6 +212,8 @@
     if (isNewRun || !isLeaving || endpoint.leavingSince == time_point {})
         endpoint.leavingSince = isLeaving ? now : time_point {};
     updateAddressIndex(endpoint, report.address());
+    endpoint.ignored = {};
+    endpoint.goneByReport = false;
     endpoint.goneWithoutIncarnation = false;
     endpoint.row.set_silent(false);
     endpoint.lastReportAt = now;
@@ -240,6 +293,7 @@
         }
         if (silence > m_settings.goneAfter) {
             endpoint.row.mutable_report()->set_state(wire::ENDPOINT_GONE);
+            endpoint.goneByReport = false;
             markChanged(endpoint);
         } else if (silence > m_settings.silentAfter && !endpoint.row.silent()) {
             endpoint.row.set_silent(true);
--- a/Tests/Membership/EndpointDirectoryTest.cpp
+++ b/Tests/Membership/EndpointDirectoryTest.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <ctime>
 #include <functional>
+#include <limits>
 
 using namespace pistachiolatch;
 
@@ -321,3 +322,177 @@
     directory.applyReport(reportOf("a", 300, 1), clock.now());
     CHECK_FALSE(directory.find("a")->limited());
 }
+
+namespace {
+constexpr auto largestNumber = std::numeric_limits<std::uint64_t>::max();
+/// An endpoint that goes on reporting is back after this time. It is silent for others after 4 s.
+constexpr std::chrono::seconds returnBound { 12 };
+
+/// An endpoint that reports once a second.
+class reporting_endpoint {
+public:
+    reporting_endpoint(endpoint_directory& directory, manual_clock_source& clock, wire::endpoint_report first)
+        : m_directory(directory)
+        , m_clock(clock)
+        , m_report(std::move(first))
+    {
+    }
+
+    void report()
+    {
+        m_clock.advance(std::chrono::seconds(1));
+        m_directory.applyReport(m_report, m_clock.now());
+        m_report.set_sequence(m_report.sequence() + 1);
+        m_directory.expire(m_clock.now());
+    }
+
+    /// Whether the directory has the endpoint as it reports itself.
+    bool isServing() const
+    {
+        const auto* row = m_directory.find(m_report.id());
+        return row && !row->silent() && row->report().state() == wire::ENDPOINT_SERVING && row->report().born_ms() == m_report.born_ms()
+            && row->report().service() == m_report.service() && row->report().address() == m_report.address();
+    }
+
+    /// The time until the directory has the endpoint as it reports itself, at most a minute and a half.
+    std::chrono::seconds timeUntilServing()
+    {
+        std::chrono::seconds waited { 0 };
+        while (!isServing() && waited < std::chrono::seconds(90)) {
+            report();
+            ++waited;
+        }
+        return waited;
+    }
+
+private:
+    endpoint_directory& m_directory;
+    manual_clock_source& m_clock;
+    wire::endpoint_report m_report;
+};
+}
+
+// Guards against endpoints that are lost for a minute, or for good, after one report of another writer under their id.
+TEST_CASE("An endpoint that keeps reporting returns after a report under its id that claims to be later")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    reporting_endpoint endpoint(directory, clock, reportOf("a", GENERATE(0, 100), 1));
+    endpoint.report();
+    endpoint.report();
+    REQUIRE(endpoint.isServing());
+    auto odd = directory.find("a")->report();
+    SECTION("a sequence that no later one exceeds")
+    {
+        odd.set_sequence(largestNumber);
+        odd.set_address("10.0.0.9:80");
+    }
+    SECTION("a sequence that no later one exceeds, and it leaves")
+    {
+        odd.set_sequence(largestNumber);
+        odd.set_state(wire::ENDPOINT_LEAVING);
+    }
+    SECTION("a start in the far future")
+    {
+        odd.set_born_ms(largestNumber);
+        odd.set_service("other");
+    }
+    SECTION("a shutdown of a run in the far future")
+    {
+        odd.set_born_ms(largestNumber);
+        odd.set_state(wire::ENDPOINT_GONE);
+    }
+    directory.applyReport(odd, clock.now());
+    REQUIRE_FALSE(endpoint.isServing());
+    CHECK(endpoint.timeUntilServing() <= returnBound);
+}
+
+// Guards against endpoints that are lost because another writer claimed their address once.
+TEST_CASE("An endpoint that keeps reporting has its address again after one report of another that claims it")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    reporting_endpoint endpoint(directory, clock, reportOf("a", 100, 1));
+    bool isKnownBefore = GENERATE(true, false);
+    if (isKnownBefore)
+        endpoint.report();
+    directory.applyReport(reportOf("odd", GENERATE(std::uint64_t(101), largestNumber), largestNumber), clock.now());
+    CHECK(endpoint.timeUntilServing() <= returnBound);
+    REQUIRE(directory.find("odd"));
+    CHECK(directory.find("odd")->report().state() == wire::ENDPOINT_GONE);
+}
+
+// Guards against calls to an endpoint of another service than the endpoint's: its run has only one.
+TEST_CASE("A report that names another service than those of its run before changes nothing")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    reporting_endpoint endpoint(directory, clock, reportOf("a", 100, 1));
+    endpoint.report();
+    auto odd = directory.find("a")->report();
+    odd.set_service("other");
+    odd.set_sequence(GENERATE(std::uint64_t(2), largestNumber));
+    CHECK_FALSE(directory.applyReport(odd, clock.now()));
+    CHECK(endpoint.isServing());
+    for (int i = 0; i < 20; ++i) {
+        endpoint.report();
+        CHECK(endpoint.isServing());
+        odd.set_sequence(odd.sequence() + 1);
+        directory.applyReport(odd, clock.now());
+    }
+    CHECK(endpoint.isServing());
+}
+
+// Guards against calls to an endpoint that has ended, after reports that arrive late.
+TEST_CASE("Late reports of an earlier run do not replace a later one")
+{
+    manual_clock_source clock;
+    endpoint_directory directory(1, {});
+    reporting_endpoint earlier(directory, clock, reportOf("a", 100, 1));
+    earlier.report();
+    SECTION("for as long as the later one reports")
+    {
+        reporting_endpoint later(directory, clock, reportOf("a", 200, 1, "10.0.0.2:80"));
+        for (int i = 0; i < 60; ++i) {
+            later.report();
+            CHECK(later.isServing());
+            earlier.report();
+            CHECK(later.isServing());
+        }
+    }
+    SECTION("for as long as another endpoint reports under the address")
+    {
+        reporting_endpoint later(directory, clock, reportOf("b", 200, 1));
+        for (int i = 0; i < 60; ++i) {
+            later.report();
+            earlier.report();
+            CHECK_FALSE(earlier.isServing());
+            CHECK(later.isServing());
+        }
+    }
+    SECTION("within the time by which reports are late")
+    {
+        directory.applyReport(reportOf("a", 200, 1, "10.0.0.2:80"), clock.now());
+        for (int i = 0; i < 5; ++i) {
+            earlier.report();
+            CHECK_FALSE(earlier.isServing());
+        }
+    }
+    SECTION("in any order of their sequences")
+    {
+        directory.applyReport(reportOf("a", 200, 1, "10.0.0.2:80"), clock.now());
+        for (std::uint64_t i = 0; i < 20; ++i) {
+            clock.advance(std::chrono::seconds(1));
+            directory.applyReport(reportOf("a", 100, 40 - i), clock.now());
+            CHECK_FALSE(earlier.isServing());
+        }
+    }
+    SECTION("whose own shutdown was reported")
+    {
+        directory.applyReport(withState(reportOf("a", 100, 0), wire::ENDPOINT_GONE), clock.now());
+        for (int i = 0; i < 50; ++i) {
+            earlier.report();
+            CHECK_FALSE(earlier.isServing());
+        }
+    }
+}
