Forwarding: Follow a leader that holds an earlier row of an endpoint

An entry kept what one report had claimed after control had let go of it, since rows of an earlier run or sequence count as late. Under a new leader it also removed an endpoint whose row there had an earlier sequence: the row was dropped, the endpoint counted as unconfirmed and was removed after 6 s, and a leader sends no row again that didn't change.

Rows of one directory come in the order of its changes, so that an earlier run from the same one is meant; only rows of another directory can be late. Those are kept, and applied once that leader has held them for 6 s: an endpoint that it doesn't hear from is silent there by then.

The end of an earlier run is ignored as before.

--- a/Source/forwarding/endpoint_registry.cpp
+++ b/Source/forwarding/endpoint_registry.cpp
@@ -54,13 +54,16 @@
 {
     auto now = m_clock.now();
     if (complete) {
+        ++m_directory;
         for (auto& [id, endpoint] : m_endpoints) {
+            endpoint.earlierSince = {};
             if (endpoint.unconfirmedSince == time_point {})
                 endpoint.unconfirmedSince = now;
         }
     }
     for (const auto& row : rows)
         applyRow(row);
+    applyEarlierRows();
     std::erase_if(m_endpoints, [&](const auto& item) {
         return item.second.unconfirmedSince != time_point {} && now - item.second.unconfirmedSince > unconfirmedTimeout;
     });
@@ -73,13 +76,9 @@
         logEvent("endpoint_invalid", { { "error", valid.error().message } });
         return;
     }
+    if (isStale(row))
+        return;
     auto found = m_endpoints.find(report.id());
-    if (found != m_endpoints.end()) {
-        const auto& known = found->second.report;
-        bool isStale = report.born_ms() < known.born_ms() || (report.born_ms() == known.born_ms() && report.sequence() < known.sequence() && report.state() != wire::ENDPOINT_GONE);
-        if (isStale)
-            return;
-    }
     if (report.state() == wire::ENDPOINT_GONE) {
         if (found != m_endpoints.end()) {
             logEvent("endpoint_gone", { { "endpoint", report.id() } });
@@ -109,10 +108,48 @@
     endpoint.report = report;
     endpoint.silent = row.silent();
     endpoint.unconfirmedSince = {};
+    endpoint.directory = m_directory;
+    endpoint.earlierSince = {};
+}
+
+bool endpoint_registry::isStale(const wire::endpoint_row& row)
+{
+    const auto& report = row.report();
+    auto found = m_endpoints.find(report.id());
+    if (found == m_endpoints.end())
+        return false;
+    auto& endpoint = found->second;
+    const auto& known = endpoint.report;
+    bool isGone = report.state() == wire::ENDPOINT_GONE;
+    bool countsAsEarlier = report.born_ms() < known.born_ms() || (report.born_ms() == known.born_ms() && report.sequence() < known.sequence() && !isGone);
+    if (!countsAsEarlier || isGone)
+        return countsAsEarlier;
+    // A directory sends its rows in the order of its changes: it replaces a run that another writer reported.
+    if (endpoint.directory == m_directory)
+        return false;
+    if (endpoint.earlierSince == time_point {})
+        endpoint.earlierSince = m_clock.now();
+    endpoint.earlierRow = row;
+    return true;
+}
+
+void endpoint_registry::applyEarlierRows()
+{
+    auto now = m_clock.now();
+    std::vector<wire::endpoint_row> rows;
+    for (auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.earlierSince == time_point {} || now - endpoint.earlierSince <= unconfirmedTimeout)
+            continue;
+        endpoint.directory = m_directory;
+        rows.push_back(endpoint.earlierRow);
+    }
+    for (const auto& row : rows)
+        applyRow(row);
 }
 
 void endpoint_registry::onLoad(const google::protobuf::RepeatedPtrField<wire::endpoint_load>& others)
 {
+    applyEarlierRows();
     for (auto& [id, endpoint] : m_endpoints) {
         endpoint.otherRequests = 0;
         endpoint.otherTokens = 0;
--- a/Source/forwarding/endpoint_registry.h
+++ b/Source/forwarding/endpoint_registry.h
@@ -150,6 +150,11 @@
         slowdown_estimate slowdown;
         /// Since when the endpoint has not been confirmed by the current leader; zero if it has been.
         time_point unconfirmedSince {};
+        /// The directory whose row this is, as a count of those that have been read.
+        std::uint64_t directory = 0;
+        /// The newest row of another directory that counts as earlier, and since when that directory has had such rows; zero if it has none.
+        wire::endpoint_row earlierRow;
+        time_point earlierSince {};
     };
     bool isEligible(const endpoint_record& endpoint, const endpoint_query& query, time_point now) const;
     /// Whether the endpoint serves, or began to leave less than a time ago.
@@ -161,6 +166,10 @@
     const endpoint_record* selectBest(const endpoint_query& query);
     const endpoint_record* selectFromSample(const std::vector<const endpoint_record*>& candidates, const endpoint_query& query);
     void applyRow(const wire::endpoint_row& row);
+    /// Whether a row counts as earlier than what is known. Keeps the row for applyEarlierRows() if so.
+    bool isStale(const wire::endpoint_row& row);
+    /// Applies the rows that the current leader has kept for a while although they count as earlier.
+    void applyEarlierRows();
     static selected_endpoint makeSelected(const wire::endpoint_report& report);
 
     const clock_source& m_clock;
@@ -168,6 +177,7 @@
     std::mt19937_64 m_random;
     endpoint_statements m_statements;
     std::map<std::string, endpoint_record> m_endpoints;
+    std::uint64_t m_directory = 0;
     std::set<std::string> m_evacuated;
     std::uint64_t m_lastCallId = 0;
     std::map<std::uint64_t, wire::running_call> m_runningCalls;
--- a/Tests/Forwarding/ForwardingDecisionsTest.cpp
+++ b/Tests/Forwarding/ForwardingDecisionsTest.cpp
@@ -5,6 +5,7 @@
 #include "forwarding/stall_policy.h"
 #include "routing/call_priority.h"
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace pistachiolatch;
 
@@ -250,6 +251,66 @@
     CHECK(registry.find("one"));
 }
 
+namespace {
+wire::endpoint_row withSequence(wire::endpoint_row row, std::uint64_t sequence)
+{
+    row.mutable_report()->set_sequence(sequence);
+    return row;
+}
+
+wire::endpoint_row asLeaving(wire::endpoint_row row)
+{
+    row.mutable_report()->set_state(wire::ENDPOINT_LEAVING);
+    return row;
+}
+}
+
+// Guards against entries that hold on to a report of another writer after control has dropped it: its run or sequence is later.
+TEST_CASE("An entry follows a directory that returns to an earlier run of an endpoint")
+{
+    manual_clock_source clock;
+    endpoint_registry registry(clock, "a", 7);
+    constexpr auto largest = std::numeric_limits<std::uint64_t>::max();
+    registry.onEndpoints(makeRows({ makeRow("one", "a", 5), makeRow("two", "a", 5) }), true);
+    registry.onEndpoints(makeRows({ makeRow("one", "b", largest), asLeaving(withSequence(makeRow("two", "a", 5), largest)) }), false);
+    REQUIRE(registry.find("one")->incarnation == largest);
+    REQUIRE_FALSE(registry.find("two"));
+    registry.onEndpoints(makeRows({ withSequence(makeRow("one", "a", 5), 9), withSequence(makeRow("two", "a", 5), 9) }), false);
+    CHECK(registry.find("one")->incarnation == 5);
+    CHECK(registry.find("two"));
+}
+
+// Guards against entries that lose an endpoint, or hold on to a report of another writer, because a new leader knows an earlier report
+// of it and has no reason to send another one.
+TEST_CASE("A new leader's earlier row replaces a later one once the leader has kept it for a while")
+{
+    manual_clock_source clock;
+    endpoint_registry registry(clock, "a", 7);
+    registry.onEndpoints(makeRows({ withSequence(makeRow("one", "a", 5), 8), asLeaving(withSequence(makeRow("two", "a", 5), 8)), makeRow("three", "a", 6) }), true);
+    registry.onEndpoints(makeRows({ withSequence(makeRow("one", "a", 5), 7), withSequence(makeRow("two", "a", 5), 7), makeRow("three", "a", 5) }), true);
+    CHECK(registry.find("one"));
+    // It has said that it leaves, and the new leader can't know it yet.
+    CHECK_FALSE(registry.find("two"));
+    CHECK(registry.find("three")->incarnation == 6);
+    clock.advance(milliseconds(5900));
+    registry.onLoad({});
+    CHECK_FALSE(registry.find("two"));
+    CHECK(registry.find("three")->incarnation == 6);
+    clock.advance(milliseconds(200));
+    SECTION("with the next update of the load")
+    {
+        registry.onLoad({});
+    }
+    SECTION("with the next change of another endpoint")
+    {
+        registry.onEndpoints(makeRows({ makeRow("four", "a", 5) }), false);
+    }
+    CHECK(registry.find("one"));
+    CHECK(registry.find("two"));
+    REQUIRE(registry.find("three"));
+    CHECK(registry.find("three")->incarnation == 5);
+}
+
 // Guards against unnecessary migrations: an engine out of memory preempts one stream and continues the others, but the
 // stream is migrated as if the engine were unresponsive. The timeout at a live engine is longer, but always shorter than
 // the pause that callers tolerate.
