Peering: Fail to connect to what is no address

A process that was told to connect to a text that is no address ended by an exception. Callers have not seen it: such addresses come from other processes of the system, as those of a leader, a sender or a relay, and nothing checked them.

parseAddress() throws unless isAddress() holds. Before, a call to another control process threw for 3 of 6 texts ("Invalid argument", "stoul"), and a connection to an endpoint or relay for 3 of 3. Both check the address now and fail like a connection that is refused, which all callers handle.

--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -27,6 +27,8 @@
 task_of<bool> endpoint_connection::connect(const std::string& address)
 {
     auto self = shared_from_this();
+    if (!isAddress(address))
+        co_return false;
     auto [error] = co_await m_stream.socket().async_connect(parseAddress(address), asTuple);
     if (error || m_closed)
         co_return false;
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -20,7 +20,7 @@
 public:
     explicit endpoint_connection(const boost::asio::any_io_executor& executor);
 
-    /// Connects. Returns false if this fails or close() is called meanwhile.
+    /// Connects. Returns false if this fails, the text is no address, or close() is called meanwhile.
     task_of<bool> connect(const std::string& address);
     /// Connects to another entry and has it connect to an endpoint. Once opened, the connection is used like a direct one;
     /// it can't be reused.
--- a/Source/peering/peer_connection.cpp
+++ b/Source/peering/peer_connection.cpp
@@ -41,6 +41,10 @@
 {
     m_peerAddress = address;
     auto self = shared_from_this();
+    if (!isAddress(address)) {
+        close("cannot connect: not an address");
+        return;
+    }
     m_connectTimer.expires_after(connectTimeout);
     m_connectTimer.async_wait([self](boost::system::error_code error) {
         if (!error && !self->m_connected)
--- a/Tests/Coordination/UnreadableTextTest.cpp
+++ b/Tests/Coordination/UnreadableTextTest.cpp
@@ -109,3 +109,17 @@
     CHECK(runUntil(
         fleet.context, [&] { return socket.available() > 0; }, changeBound));
 }
+
+// Guards against processes that end as they follow an address that another one named: of a leader, a sender or a relay.
+TEST_CASE("A process that is to connect to what is no address goes on")
+{
+    mixed_fleet fleet(3);
+    auto address = GENERATE(std::string("nowhere"), std::string(), std::string("127.0.0.1:65536"), std::string("127.0.0.1:99999999999999999999"), std::string("127.0.0.1:-1"), std::string("127.0.0.1\0:9", 12));
+    bool answered = false;
+    REQUIRE_NOTHROW(fleet.entry.network().call(address, wire::envelope(), changeBound, [&](const wire::envelope* reply) { answered = reply == nullptr; }));
+    CHECK(runUntil(
+        fleet.context, [&] { return answered; }, 2 * changeBound));
+    fleet.leader.submit(2, "second");
+    CHECK(runUntil(
+        fleet.context, [&] { return fleet.entry.serves(2); }, changeBound));
+}
--- a/Tests/Forwarding/ForwardingDecisionsTest.cpp
+++ b/Tests/Forwarding/ForwardingDecisionsTest.cpp
@@ -1,9 +1,11 @@
 #include "forwarding/call_arrivals.h"
+#include "forwarding/endpoint_connection.h"
 #include "forwarding/endpoint_registry.h"
 #include "forwarding/event_splitter.h"
 #include "forwarding/retry_policy.h"
 #include "forwarding/stall_policy.h"
 #include "routing/call_priority.h"
+#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <limits>
 
@@ -265,6 +267,21 @@
 }
 }
 
+// Guards against entries that end as they connect to a relay or an endpoint whose address they got from another process.
+TEST_CASE("A connection to what is no address fails")
+{
+    boost::asio::io_context context;
+    auto address = GENERATE(std::string("nowhere"), std::string("127.0.0.1:99999999999999999999"), std::string());
+    auto connection = std::make_shared<endpoint_connection>(context.get_executor());
+    std::optional<bool> connected;
+    boost::asio::co_spawn(context, connection->connect(address), [&](std::exception_ptr error, bool result) {
+        CHECK_FALSE(error);
+        connected = result;
+    });
+    context.run();
+    CHECK(connected == false);
+}
+
 // Guards against entries that hold on to a report of another writer after control has dropped it: its run or sequence is later.
 TEST_CASE("An entry follows a directory that returns to an earlier run of an endpoint")
 {
