--- a/Tests/Fuzz/FuzzTest.cpp
+++ b/Tests/Fuzz/FuzzTest.cpp
@@ -1,6 +1,9 @@
 #include "consensus/consensus.h"
 #include "endpoints/endpoints.h"
 #include "entry/completion_format.h"
+#include "http/http_server.h"
+#include "membership/membership.h"
+#include "platform_documents.h"
 #include "records/records.h"
 
 #include <catch2/catch.hpp>
@@ -38,6 +41,27 @@
 }
 
 constexpr int iterations = 20000;
+
+constexpr const char* validReport = R"({"service":"s","address":"127.0.0.1:8080","zone":"a","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"sequence":5,"born":1700000000000})";
+
+/// A report of which one field, or one not read, has another value; half of them are mutated besides.
+std::string mutateReport(std::mt19937_64& random)
+{
+    static const std::vector<std::string> fields { "service", "address", "zone", "version", "slots", "state", "coldRemainingMs", "sequence", "born" };
+    static const std::vector<std::string> values { "1e400", "-1e400", "-0", "-0.0", "-1", "0", "7.5", "null", "{}", "18446744073709551615", "18446744073709551616", "9223372036854775808", std::string(400, '9'),
+        std::string(40, '[') + std::string(40, ']'), std::string(100000, '['), "\"\"", "\"draining\"", "\"other\"", "\"127.0.0.1:65536\"", "\"127.0.0.1:73616\"", "\"127.0.0.1:99999999999999999999\"", "\"127.0.0.1:0\"",
+        "\"127.0.0.1:08080\"", "\"127.0.0.1:-1\"", "\"127.0.0.1:\"", "\"127.0.0.1\\u0000\\r\\nX: y:80\"", "\"127.0.0.2:80\"", "\"127.0.0.1:65535\"" };
+    std::string text = validReport;
+    const auto& value = values[random() % values.size()];
+    auto name = "\"" + fields[random() % fields.size()] + "\":";
+    auto begin = text.find(name) + name.size();
+    auto end = text.find_first_of(",}", begin);
+    if (random() % 8 == 0)
+        text.insert(1, "\"other\":" + value + ",");
+    else
+        text.replace(begin, end - begin, value);
+    return random() % 2 == 0 || value.size() > 1000 ? text : mutate(text, random);
+}
 }
 
 TEST_CASE("Mutated request bodies are parsed or rejected with a message")
@@ -71,6 +95,64 @@
     }
 }
 
+// Guards against reports of other writers that hide a header in an address, or that end the process that connects to it.
+TEST_CASE("Mutated reports of endpoints are refused with a message or usable")
+{
+    std::mt19937_64 random(6);
+    int accepted = 0;
+    for (int i = 0; i < iterations; ++i) {
+        auto report = decodeReport("a", mutateReport(random));
+        if (!report) {
+            CHECK(isPlainText(report.error().message));
+            CHECK(!report.error().message.empty());
+            continue;
+        }
+        ++accepted;
+        REQUIRE(checkReport(report.value()));
+        REQUIRE(isPlainText(report.value().address()));
+        CHECK(parseAddress(report.value().address()).port() > 0);
+        CHECK(fmt::format("{}:{}", parseAddress(report.value().address()).address().to_string(), parseAddress(report.value().address()).port()) == report.value().address());
+    }
+    CHECK(accepted > iterations / 100);
+    CHECK(accepted < iterations);
+}
+
+// Guards against endpoints that are lost because of one report of another writer, whatever it claims.
+TEST_CASE("An endpoint that goes on reporting is back soon after any mutated report under its id or another one")
+{
+    std::mt19937_64 random(7);
+    // The longest time is that of a run that claims to be later.
+    constexpr int maxReports = 10;
+    for (int i = 0; i < iterations / 10; ++i) {
+        manual_clock_source clock;
+        endpoint_directory directory(1, {});
+        auto own = decodeReport("a", validReport).value();
+        auto report = [&] {
+            clock.advance(std::chrono::seconds(1));
+            directory.applyReport(own, clock.now());
+            directory.expire(clock.now());
+            own.set_sequence(own.sequence() + 1);
+        };
+        report();
+        report();
+        auto body = mutateReport(random);
+        auto odd = decodeReport(i % 2 ? "a" : "odd", body);
+        if (!odd)
+            continue;
+        directory.applyReport(odd.value(), clock.now());
+        for (int n = 0; n < maxReports; ++n)
+            report();
+        const auto* row = directory.find("a");
+        INFO(body);
+        REQUIRE(row);
+        CHECK_FALSE(row->silent());
+        CHECK(row->report().state() == wire::ENDPOINT_SERVING);
+        CHECK(row->report().service() == own.service());
+        CHECK(row->report().address() == own.address());
+        CHECK(row->report().born_ms() == own.born_ms());
+    }
+}
+
 TEST_CASE("Mutated records are accepted only if they are valid")
 {
     std::mt19937_64 random(3);
