Forwarding: Give endpoints that stand still more time while buffers are full

While the buffers are three quarters full, a call whose endpoint took or sent nothing for 1 s could be given up, and its caller's connection closed. The limit was meant for callers that don't read, and didn't tell them from endpoints that stand still for a moment and would go on.

Bytes are now accounted to the caller or to the endpoint that has to move, and endpoints get 2.5 s: more than twice the pauses of a second that sound ones make, and still a bound for those that never read.

BufferBudgetTest has a case for both times; it can't be written for the budget of before, which doesn't tell the two apart.

--- a/Source/forwarding/buffer_budget.cpp
+++ b/Source/forwarding/buffer_budget.cpp
@@ -18,7 +18,7 @@
     if (m_limit == 0)
         return true;
     auto found = m_holders.find(holder);
-    bool isSmall = found == m_holders.end() || found->second.peerBytes + found->second.turnBytes <= smallHolderBytes;
+    bool isSmall = found == m_holders.end() || found->second.allBytes() <= smallHolderBytes;
     return m_held < (isSmall ? m_limit : largeHolderLimit());
 }
 
@@ -30,12 +30,12 @@
     std::size_t freed = 0;
     for (const auto& [id, usage] : m_holders) {
         if (usage.ended) {
-            freed += usage.peerBytes + usage.turnBytes;
+            freed += usage.allBytes();
             continue;
         }
         auto idleTime = now - usage.progressAt;
-        if (usage.peerBytes > 0 && idleTime >= maxIdleTime && (!largest || usage.peerBytes > largest->bytes))
-            largest = stalled_holder { id, usage.peerBytes, idleTime };
+        if (usage.peerBytes() > 0 && idleTime >= usage.allowedIdleTime() && (!largest || usage.peerBytes() > largest->bytes))
+            largest = stalled_holder { id, usage.peerBytes(), idleTime };
     }
     if (!largest || m_held - freed < largeHolderLimit())
         return std::nullopt;
@@ -48,9 +48,9 @@
     if (bytes == 0)
         return;
     auto& usage = m_holders[holder];
-    if (wait == wait_for::Peer && usage.peerBytes == 0)
+    if (wait != wait_for::Turn && usage.peerBytes() == 0)
         usage.progressAt = now;
-    (wait == wait_for::Peer ? usage.peerBytes : usage.turnBytes) += bytes;
+    usage.bytes(wait) += bytes;
     m_held += bytes;
 }
 
@@ -60,9 +60,9 @@
     if (found == m_holders.end())
         return;
     auto& usage = found->second;
-    (wait == wait_for::Peer ? usage.peerBytes : usage.turnBytes) -= bytes;
+    usage.bytes(wait) -= bytes;
     m_held -= bytes;
-    if (usage.peerBytes == 0 && usage.turnBytes == 0)
+    if (usage.allBytes() == 0)
         m_holders.erase(found);
 }
 
--- a/Source/forwarding/buffer_budget.h
+++ b/Source/forwarding/buffer_budget.h
@@ -8,7 +8,8 @@
 /// Decides how much an entry buffers for all its callers and endpoints together. Load pattern: many callers, or endpoints, read
 /// slowly at the same time. Each connection is bounded, but a few dozen of them hold more than the VM has, and the process is
 /// killed with all its calls. While the limit is near, large buffers grow no further; at the limit nothing new is taken in, and
-/// the largest holder whose peer takes nothing is ended.
+/// the largest holder whose peer takes nothing is ended. Endpoints get more time than callers: their silence is no reason to end an
+/// answer that they may still complete.
 /// Pure; not thread-safe.
 class buffer_budget {
 public:
@@ -17,8 +18,10 @@
 
     /// Why bytes are held.
     enum class wait_for {
-        /// A peer has to read or send; a holder is ended for such bytes.
-        Peer,
+        /// The caller has to read or send; a holder is ended for such bytes.
+        Caller,
+        /// An endpoint has to; a holder is ended for them too, but later.
+        Endpoint,
         /// A call that waits for its turn. They count for the limit, but are no reason to end the holder.
         Turn,
     };
@@ -34,9 +37,11 @@
     static constexpr std::size_t smallHolderBytes = 64UL * 1024;
     /// The share of the limit at which larger holders have to wait.
     static constexpr double largeHolderShare = 0.75;
-    /// How long a holder may make no progress while there is no room. Endpoints cut off responses that stay unread for some
-    /// seconds.
+    /// How long a holder may make no progress because of its caller while there is no room. Endpoints cut off responses that stay
+    /// unread for some seconds.
     static constexpr milliseconds maxIdleTime { 1000 };
+    /// The same because of an endpoint. Sound endpoints stand still for more than a second.
+    static constexpr milliseconds maxEndpointIdleTime { 2500 };
     /// The share of a VM's memory that buffers may take; the rest is for the program, connections and copies in between.
     static constexpr double memoryShare = 0.5;
 
@@ -52,11 +57,11 @@
     bool hasRoom(holder_id holder) const;
     /// Whether new connections and requests may be taken in.
     bool takesNewCalls() const { return m_limit == 0 || m_held < m_limit; }
-    /// Returns the largest holder that made no progress for maxIdleTime, while large holders have to wait. It is returned once:
+    /// Returns the largest holder that made no progress for as long as it may, while large holders have to wait. It is returned once:
     /// the next call finds another one only if the holders that are not ended still hold too much.
     std::optional<stalled_holder> endStalled(time_point now);
 
-    /// Accounts bytes to a holder. The first ones that wait for a peer count as progress.
+    /// Accounts bytes to a holder. The first ones that wait for a caller or an endpoint count as progress.
     void hold(holder_id holder, std::size_t bytes, wait_for wait, time_point now);
     /// Takes bytes off again. Precondition: as many were held.
     void release(holder_id holder, std::size_t bytes, wait_for wait);
@@ -65,10 +70,17 @@
 
 private:
     struct usage {
-        std::size_t peerBytes = 0;
+        std::size_t callerBytes = 0;
+        std::size_t endpointBytes = 0;
         std::size_t turnBytes = 0;
         time_point progressAt {};
         bool ended = false;
+
+        std::size_t& bytes(wait_for wait) { return wait == wait_for::Caller ? callerBytes : wait == wait_for::Endpoint ? endpointBytes
+                                                                                                                       : turnBytes; }
+        std::size_t peerBytes() const { return callerBytes + endpointBytes; }
+        std::size_t allBytes() const { return peerBytes() + turnBytes; }
+        duration allowedIdleTime() const { return endpointBytes > 0 ? maxEndpointIdleTime : maxIdleTime; }
     };
 
     std::size_t largeHolderLimit() const { return static_cast<std::size_t>(static_cast<double>(m_limit) * largeHolderShare); }
@@ -84,7 +96,7 @@
 class buffer_charge {
 public:
     buffer_charge() = default;
-    buffer_charge(buffer_budget& budget, buffer_budget::holder_id holder, buffer_budget::wait_for wait = buffer_budget::wait_for::Peer)
+    buffer_charge(buffer_budget& budget, buffer_budget::holder_id holder, buffer_budget::wait_for wait = buffer_budget::wait_for::Endpoint)
         : m_budget(&budget)
         , m_holder(holder)
         , m_wait(wait)
@@ -105,7 +117,7 @@
 private:
     buffer_budget* m_budget = nullptr;
     buffer_budget::holder_id m_holder = 0;
-    buffer_budget::wait_for m_wait = buffer_budget::wait_for::Peer;
+    buffer_budget::wait_for m_wait = buffer_budget::wait_for::Endpoint;
     std::size_t m_bytes = 0;
 };
 
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -305,7 +305,7 @@
     namespace http = boost::beast::http;
     auto& connection = *caller->connection;
     boost::asio::steady_timer timer(m_shared.context);
-    caller->request = buffer_charge(m_shared.bufferBudget, connection.holder());
+    caller->request = buffer_charge(m_shared.bufferBudget, connection.holder(), buffer_budget::wait_for::Caller);
     parser.eager(true);
     while (!parser.is_done()) {
         while (!m_shared.bufferBudget.hasRoom(connection.holder()) && !connection.isClosed()) {
--- a/Source/forwarding/caller_connection.cpp
+++ b/Source/forwarding/caller_connection.cpp
@@ -27,7 +27,7 @@
 {
     auto self = shared_from_this();
     m_writeStartedAt = m_clock.now();
-    buffer_charge charge(m_budget, m_holder);
+    buffer_charge charge(m_budget, m_holder, buffer_budget::wait_for::Caller);
     charge.resize(bytes.size(), m_clock.now());
     boost::system::error_code error;
     for (std::size_t written = 0; !error && written < bytes.size();) {
--- a/Tests/Forwarding/BufferBudgetTest.cpp
+++ b/Tests/Forwarding/BufferBudgetTest.cpp
@@ -14,7 +14,7 @@
 
     budget_case() { budget.setMemory(80); }
 
-    buffer_charge charge(buffer_budget::holder_id holder, std::size_t bytes, buffer_budget::wait_for wait = buffer_budget::wait_for::Peer)
+    buffer_charge charge(buffer_budget::holder_id holder, std::size_t bytes, buffer_budget::wait_for wait = buffer_budget::wait_for::Caller)
     {
         buffer_charge charge(budget, holder, wait);
         charge.resize(bytes, clock.now());
@@ -76,6 +76,27 @@
     CHECK_FALSE(test.budget.endStalled(test.clock.now()));
 }
 
+// Guards against answers that are given up because an endpoint stands still for a second.
+TEST_CASE("A holder that waits for an endpoint may make no progress for longer than one that waits for its caller")
+{
+    budget_case test;
+    auto waitingHolder = test.budget.addHolder();
+    auto waiting = test.charge(waitingHolder, 25 * megabyte, buffer_budget::wait_for::Endpoint);
+    auto stuckHolder = test.budget.addHolder();
+    auto stuck = test.charge(stuckHolder, 12 * megabyte);
+    test.clock.advance(milliseconds(2000));
+    auto first = test.budget.endStalled(test.clock.now());
+    REQUIRE(first);
+    CHECK(first->id == stuckHolder);
+    auto more = test.charge(test.budget.addHolder(), 12 * megabyte);
+    CHECK_FALSE(test.budget.endStalled(test.clock.now()));
+    test.clock.advance(buffer_budget::maxEndpointIdleTime - milliseconds(2000));
+    more.recordProgress(test.clock.now());
+    auto second = test.budget.endStalled(test.clock.now());
+    REQUIRE(second);
+    CHECK(second->id == waitingHolder);
+}
+
 // Guards against one holder being ended at a time while many fill the memory.
 TEST_CASE("As many holders are ended as are needed")
 {
@@ -102,7 +123,7 @@
     test.clock.advance(std::chrono::seconds(60));
     CHECK_FALSE(test.budget.takesNewCalls());
     CHECK_FALSE(test.budget.endStalled(test.clock.now()));
-    charge.setWait(buffer_budget::wait_for::Peer, test.clock.now());
+    charge.setWait(buffer_budget::wait_for::Caller, test.clock.now());
     CHECK_FALSE(test.budget.endStalled(test.clock.now()));
     test.clock.advance(buffer_budget::maxIdleTime);
     CHECK(test.budget.endStalled(test.clock.now()));
