Forwarding: Refuse requests that wait too long for room instead of cutting them off

While an endpoint stood still and the buffers were full, callers whose requests the entry had begun to read lost their connections without an answer: the entry read no further for lack of room, took the lack of progress for the caller's, and closed the connection after 1 s.

Such a request has not run, so that it is refused like one that finds the buffers full: 503 with Retry-After, and its memory is free at once.

SilenceBesideChangesTest, ten callers with bodies of 3 MB at an entry with 88 MB, and a pause of 1.3 s and of 2 s: with the programs of before 13 of 20 were cut; now none in 5 runs of the case. SlowReaderTest and the rest of SilenceBesideChangesTest pass (one run each).

--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -40,6 +40,9 @@
         /// Whether a request has begun to arrive that is not complete.
         bool receiving = false;
         bool inCall = false;
+        /// Whether the rest of a request stays unread for lack of room, and whether to refuse it.
+        bool awaitsRoom = false;
+        bool isRefused = false;
         /// The request that is being read, and the copy that will be sent to an endpoint.
         buffer_charge request;
         /// Whether a request was read on the connection.
@@ -63,6 +66,8 @@
     task_of<std::optional<caller_request>> readRequest(caller_ptr caller);
     /// Reads the body, accounted to the caller, and no more of it while the buffer budget has no room.
     task_of<boost::system::error_code> readBody(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser);
+    /// Refuses a request because the buffers are full.
+    task_of<void> refuseForBuffers(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser);
     /// Answers a request whose rest is not read, and lets the caller read the answer.
     task_of<void> refuseUnread(const caller_ptr& caller, const error_response& error, const request_metadata& metadata);
     /// Ends callers that hold most of a buffer budget that is used up.
@@ -275,11 +280,7 @@
         error = http::error::bad_transfer_encoding;
     startPhase(*caller, true);
     if (!error && !m_shared.bufferBudget.takesNewCalls()) {
-        auto metadata = Codec::parseRequest(parser.get());
-        m_shared.counters.countRefusal(reason::BuffersFull);
-        logEvent("request_refused_unread", { { "request", metadata.id }, { "why", reasonName(reason::BuffersFull) }, { "held", m_shared.bufferBudget.held() }, { "limit", m_shared.bufferBudget.limit() } });
-        error_response full { reason::BuffersFull, httpStatus(reason::BuffersFull), gateway_detail::buffersRetryAfter };
-        co_await refuseUnread(caller, full, metadata);
+        co_await refuseForBuffers(caller, parser);
         co_return std::nullopt;
     }
     if (!error && parser.get()[http::field::expect] == "100-continue") {
@@ -291,6 +292,10 @@
     if (!error && !parser.is_done()) {
         error = co_await readBody(caller, parser);
     }
+    if (caller->isRefused) {
+        co_await refuseForBuffers(caller, parser);
+        co_return std::nullopt;
+    }
     if (!error) {
         caller->request.setWait(buffer_budget::wait_for::Turn, m_shared.clock.now());
         co_return parser.release();
@@ -308,10 +313,14 @@
     caller->request = buffer_charge(m_shared.bufferBudget, connection.holder(), buffer_budget::wait_for::Caller);
     parser.eager(true);
     while (!parser.is_done()) {
-        while (!m_shared.bufferBudget.hasRoom(connection.holder()) && !connection.isClosed()) {
+        while (!m_shared.bufferBudget.hasRoom(connection.holder()) && !connection.isClosed() && !caller->isRefused) {
+            caller->awaitsRoom = true;
             timer.expires_after(forwarding_detail::bufferRetryInterval);
             co_await timer.async_wait(gateway_detail::asTuple);
         }
+        caller->awaitsRoom = false;
+        if (caller->isRefused)
+            co_return boost::system::error_code();
         auto [error, bytes] = co_await http::async_read_some(connection.socket(), connection.buffer(), parser, gateway_detail::asTuple);
         caller->request.resize(parser.get().body().size() * 2, m_shared.clock.now());
         if (error)
@@ -336,6 +345,18 @@
     co_await refuseUnread(caller, response, unknown);
 }
 
+template <call_codec Codec>
+task_of<void> call_gateway<Codec>::refuseForBuffers(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser)
+{
+    auto metadata = Codec::parseRequest(parser.get());
+    caller->request.clear();
+    std::string().swap(parser.get().body());
+    m_shared.counters.countRefusal(reason::BuffersFull);
+    logEvent("request_refused_unread", { { "request", metadata.id }, { "why", reasonName(reason::BuffersFull) }, { "held", m_shared.bufferBudget.held() }, { "limit", m_shared.bufferBudget.limit() } });
+    error_response full { reason::BuffersFull, httpStatus(reason::BuffersFull), gateway_detail::buffersRetryAfter };
+    co_await refuseUnread(caller, full, metadata);
+}
+
 template <call_codec Codec>
 task_of<void> call_gateway<Codec>::refuseUnread(const caller_ptr& caller, const error_response& error, const request_metadata& metadata)
 {
@@ -425,6 +446,10 @@
         const auto& caller = *found;
         m_shared.counters.count("stalled_holders_ended");
         logEvent("stalled_holder_ended", { { "request", caller->call ? caller->call->requestId() : std::string() }, { "bytes", stalled->bytes }, { "idle_ms", std::chrono::duration_cast<milliseconds>(stalled->idleTime).count() }, { "held", budget.held() }, { "limit", budget.limit() } });
+        if (caller->awaitsRoom) {
+            caller->isRefused = true;
+            continue;
+        }
         caller->connection->close();
         if (caller->call)
             caller->call->end();
--- a/Tests/Platform/SilenceBesideChangesTest.cpp
+++ b/Tests/Platform/SilenceBesideChangesTest.cpp
@@ -335,3 +335,35 @@
                                                                                                : milliseconds(1000);
     }
 }
+
+// Guards against callers that are cut off because the endpoint that should read their requests stands still for a second while
+// the entry's buffers are full.
+TEST_CASE("Long requests get answers while their endpoint stands still and the buffers are full", "[promise]")
+{
+    constexpr int memoryMb = 88;
+    constexpr int senders = 10;
+    configuration_options options;
+    options.maxBodyBytes = 4 * megabyte;
+    auto pause = GENERATE(milliseconds(1300), milliseconds(2000));
+    changing_fleet fleet({ plain }, options, memoryMb);
+    fleet.endpoint(1).pause();
+    std::vector<simple_response> answers(senders);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < senders; ++i) {
+        callers.emplace_back([&, i] {
+            kept_connection connection(fleet.platform.entryAddress(1));
+            connection.send(makeRequest("POST", "/book/1", fmt::format("long-{}", i), std::string(3 * megabyte, 'x')));
+            answers[i] = connection.read(milliseconds(7000));
+        });
+    }
+    std::this_thread::sleep_for(pause);
+    fleet.endpoint(1).resume();
+    for (auto& caller : callers)
+        caller.join();
+    for (const auto& answer : answers) {
+        INFO(pause.count() << " ms: " << answer.status << fleet.log());
+        CHECK_FALSE(answer.broken);
+        // What wasn't read whole may be refused.
+        CHECK((answer.status == 200 || answer.status == 503));
+    }
+}
