--- a/Source/coordination/stream_origin_service.cpp
+++ b/Source/coordination/stream_origin_service.cpp
@@ -75,7 +75,7 @@
         return reply;
     }
     milliseconds maxAge { query.max_age_ms() };
-    reply.set_observed(m_history.covers(maxAge, now) && m_routes.isSettled(maxAge, now));
+    reply.set_observed(m_history.covers(maxAge, now));
     if (auto sole = m_history.soleOrigin(query.services(), maxAge, now)) {
         reply.set_sole_service(sole->service);
         reply.set_sole_version(sole->softwareVersion);
--- a/Source/coordination/stream_origin_service.h
+++ b/Source/coordination/stream_origin_service.h
@@ -1,5 +1,4 @@
 #pragma once
-#include "coordination/route_history.h"
 #include "coordination/software_version_history.h"
 #include "peering/peering.h"
 #include <functional>
@@ -18,7 +17,6 @@
     /// Call this twice a second.
     void onTimer() { m_history.onTick(m_clock.now()); }
     void onReport(const wire::endpoint_report& report) { m_history.onReport(report, m_clock.now()); }
-    void onConfiguration(const std::vector<route_config>& routes) { m_routes.onConfiguration(routes, m_clock.now()); }
     /// Records an origin that a process told, or that this one decided as the leader. A leader passes on what is new.
     void record(const wire::stream_origin& origin);
     /// Handles a message of a peer. Returns false if it is none of this class.
@@ -36,7 +34,6 @@
     bool m_timerArmed = false;
     stream_origin_table m_streams;
     software_version_history m_history;
-    route_history m_routes;
     /// Origins that the followers are not told yet.
     wire::stream_origins m_unsent;
 };
--- a/Tests/Coordination/StreamOriginTest.cpp
+++ b/Tests/Coordination/StreamOriginTest.cpp
@@ -1,6 +1,5 @@
 // Guards against streams that go on at another software version because the knowledge of where they began is wrong or stale.
 #include "coordination/coordination.h"
-#include "coordination/route_history.h"
 #include <catch2/catch.hpp>
 
 using namespace pistachiolatch;
@@ -249,39 +248,6 @@
     CHECK_FALSE(history.soleOrigin(services({ "none" }), std::chrono::seconds(1), start));
 }
 
-// Guards against a guess from the services that a route has now, while another service began the stream.
-TEST_CASE("Streams may have begun at another service until a move of their route is longer ago than a stream lasts")
-{
-    constexpr std::chrono::seconds maxAge { 14 };
-    auto route = [](const std::string& prefix, const std::vector<weighted_service>& services) {
-        route_config config;
-        config.host = "h.example";
-        config.pathPrefix = prefix;
-        config.services = services;
-        return config;
-    };
-    const std::vector<route_config> before { route("/a/", { { "one", 90 }, { "two", 10 } }), route("/b/", { { "two", 1 } }) };
-    route_history history;
-    CHECK_FALSE(history.isSettled(maxAge, start));
-    history.onConfiguration(before, start);
-    CHECK(history.isSettled(maxAge, start));
-    auto later = start + std::chrono::minutes(1);
-    auto isSettledAfter = [&](const std::vector<route_config>& routes, std::chrono::seconds after) {
-        auto changed = history;
-        changed.onConfiguration(routes, later);
-        return changed.isSettled(maxAge, later + after);
-    };
-    // Weights, further services and routes beside the others take no stream away from where it began.
-    CHECK(isSettledAfter({ route("/a/", { { "one", 10 }, { "two", 90 }, { "three", 1 } }), route("/b/", { { "two", 1 } }), route("/c/", { { "three", 1 } }) }, std::chrono::seconds(0)));
-    const std::vector<std::vector<route_config>> moves { { route("/a/", { { "two", 1 } }), route("/b/", { { "two", 1 } }) }, { route("/b/", { { "two", 1 } }) },
-        { route("/a/", { { "one", 90 }, { "two", 10 } }), route("/b/", { { "two", 1 } }), route("/b/x/", { { "one", 1 } }) } };
-    for (const auto& moved : moves) {
-        CHECK_FALSE(isSettledAfter(moved, std::chrono::seconds(0)));
-        CHECK_FALSE(isSettledAfter(moved, maxAge));
-        CHECK(isSettledAfter(moved, maxAge * 2));
-    }
-}
-
 // Guards against a leader that didn't get an entry's own placement and is believed before those that did have answered.
 TEST_CASE("A leader that missed the last placement doesn't decide where a stream began")
 {
