--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -85,14 +85,18 @@
 {
     std::filesystem::create_directories(fmt::format("{}/control-{}", m_folder, n));
     auto path = writeSettings("control", controlIp(n), n, firstStart);
-    m_controls[n] = child_process(PISTACHIOLATCH_BUILD_FOLDER "/pistachiolatch-platform-control", { "--settings", path }, fmt::format("{}/control-{}", m_folder, n));
+    const auto* program = m_controlsPartitionable ? PISTACHIOLATCH_BUILD_FOLDER "/partitioned-control" : PISTACHIOLATCH_BUILD_FOLDER "/pistachiolatch-platform-control";
+    child_process::environment variables;
+    if (m_controlsPartitionable)
+        variables = { { "PARTITION_FILE", partitionFile(fmt::format("control-{}", n)) }, { "CONNECT_FROM", controlIp(n) } };
+    m_controls[n] = child_process(program, { "--settings", path }, fmt::format("{}/control-{}", m_folder, n), variables);
 }
 
 void platform_fleet::startEntry(int n)
 {
     auto path = writeSettings("entry", entryIp(n), n, false);
     const auto* program = m_partitionable ? PISTACHIOLATCH_BUILD_FOLDER "/partitioned-entry" : PISTACHIOLATCH_BUILD_FOLDER "/pistachiolatch-platform-entry";
-    child_process::environment variables { { "PARTITION_FILE", partitionFile(n) }, { "CONNECT_FROM", entryIp(n) } };
+    child_process::environment variables { { "PARTITION_FILE", partitionFile(fmt::format("entry-{}", n)) }, { "CONNECT_FROM", entryIp(n) } };
     if (m_narrowed.count(n))
         variables.emplace_back("CONNECT_VIA", fmt::format("{0}.3.0>{1},{0}.1.0>{2}", m_subnet, linkIp(n, 0), linkIp(n, firstControlHost)));
     m_entries[n] = child_process(program, { "--settings", path }, fmt::format("{}/entry-{}", m_folder, n), variables);
@@ -133,20 +137,41 @@
     return replaced;
 }
 
-std::string platform_fleet::partitionFile(int n) const
+std::string platform_fleet::partitionFile(const std::string& process) const
 {
-    return fmt::format("{}/entry-{}.partition", m_folder, n);
+    return fmt::format("{}/{}.partition", m_folder, process);
 }
 
-void platform_fleet::partitionEntry(int n, const std::string& mode) const
+void platform_fleet::partition(const std::string& process, const std::string& mode, const std::vector<std::string>& addresses) const
 {
     // Renamed into place, so that the process never reads half of it.
-    auto path = partitionFile(n);
+    auto path = partitionFile(process);
     std::lock_guard lock(m_partitionMutex);
-    std::ofstream(path + ".new") << (mode.empty() ? "" : fmt::format("{} {}.3.", mode, m_subnet));
+    {
+        std::ofstream file(path + ".new");
+        for (const auto& address : addresses) {
+            if (!mode.empty())
+                file << mode << " " << address << "\n";
+        }
+    }
     std::filesystem::rename(path + ".new", path);
 }
 
+void platform_fleet::partitionEntry(int n, const std::string& mode) const
+{
+    partitionEntry(n, mode, { m_subnet + ".3." });
+}
+
+void platform_fleet::partitionEntry(int n, const std::string& mode, const std::vector<std::string>& addresses) const
+{
+    partition(fmt::format("entry-{}", n), mode, addresses);
+}
+
+void platform_fleet::partitionControl(int n, const std::string& mode, const std::vector<std::string>& addresses) const
+{
+    partition(fmt::format("control-{}", n), mode, addresses);
+}
+
 void platform_fleet::start()
 {
     for (int n = 1; n <= m_controlCount; ++n)
--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -46,12 +46,20 @@
     void setMemory(int megabytes) { m_memoryMb = megabytes; }
     /// Has entries that are started from now on run with sockets that partitionEntry() can cut.
     void makePartitionable() { m_partitionable = true; }
+    /// Has control processes that are started from now on run with sockets that partitionControl() can cut.
+    void makeControlsPartitionable() { m_controlsPartitionable = true; }
     /// Has an entry that is started from now on share one link of this many bytes a second in each direction among its callers,
     /// the endpoints and control. Callers then use callerAddress(). Precondition: the proxy outlives the fleet's processes.
     void narrowLink(int n, fault_proxy& proxy, std::size_t bytesPerSecond);
     /// Cuts an entry from the endpoints in a mode of partitioned_sockets.cpp, or lifts the cut if the mode is empty.
     /// Precondition: makePartitionable() was called before the entry was started.
     void partitionEntry(int n, const std::string& mode) const;
+    /// The same for the processes at the given IP addresses, or prefixes of such.
+    void partitionEntry(int n, const std::string& mode, const std::vector<std::string>& addresses) const;
+    /// Cuts a control process from the processes at the given IP addresses, or lifts the cut if the mode is empty. Connections that
+    /// were opened there count too, if their processes are partitionable. Precondition: makeControlsPartitionable() was called
+    /// before it was started.
+    void partitionControl(int n, const std::string& mode, const std::vector<std::string>& addresses = {}) const;
     /// Deletes the data of a control process. Precondition: it is not running.
     void eraseControlData(int n) const;
     /// Sends a request and reads the response, which is marked as broken if it is incomplete.
@@ -84,12 +92,14 @@
     static constexpr int callerHost = 250;
     /// An address of the proxy that is an entry's link: the endpoints', those of control processes behind them, and the callers'.
     std::string linkIp(int n, int host) const { return fmt::format("{}.{}.{}", m_subnet, 10 + n, host); }
-    std::string partitionFile(int n) const;
+    std::string partitionFile(const std::string& process) const;
+    void partition(const std::string& process, const std::string& mode, const std::vector<std::string>& addresses) const;
     std::string writeSettings(const std::string& role, const std::string& ip, int n, bool firstStart) const;
 
     int m_controlCount;
     int m_entryCount;
     bool m_partitionable = false;
+    bool m_controlsPartitionable = false;
     int m_memoryMb = 0;
     std::set<int> m_narrowed;
     mutable std::mutex m_partitionMutex;
--- a/Tests/Support/partitioned_sockets.cpp
+++ b/Tests/Support/partitioned_sockets.cpp
@@ -1,5 +1,5 @@
 // Socket calls that take the place of the system's in a program of the tests. They cut it from some addresses, as a
-// partition of the network would: the file that PARTITION_FILE names holds how they are cut and the prefix of the
+// partition of the network would: the file that PARTITION_FILE names holds pairs of how they are cut and the prefix of the
 // addresses; without it, nothing is. They also have it connect through proxies: CONNECT_VIA lists pairs of networks,
 // as in "127.80.3.0>127.80.11.0", and connections to the first go to the same host of the second, whose number is added
 // to that of the second's address.
@@ -34,16 +34,15 @@
     if (!path || address->sa_family != AF_INET)
         return cut::None;
     std::ifstream file(path);
-    std::string mode;
-    std::string prefix;
-    if (!(file >> mode >> prefix))
-        return cut::None;
     std::array<char, INET_ADDRSTRLEN> text {};
     ::inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in*>(address)->sin_addr, text.data(), text.size());
-    if (std::string(text.data()).rfind(prefix, 0) != 0)
-        return cut::None;
-    return mode == "hang" ? cut::Hang : mode == "reset" ? cut::Reset
-                                                        : cut::Refuse;
+    std::string mode;
+    for (std::string prefix; file >> mode >> prefix;) {
+        if (std::string(text.data()).rfind(prefix, 0) == 0)
+            return mode == "hang" ? cut::Hang : mode == "reset" ? cut::Reset
+                                                                : cut::Refuse;
+    }
+    return cut::None;
 }
 
 cut cutOfPeer(int descriptor)
