Coordination: Infer a stream's version from all services that its route has had

Callers that don't name their first attempt got the rest of their stream from another software version, if they came to an entry that had stood still while its route got another service: control inferred the version from the services that the entry named, by its outdated configuration.

Control processes now remember to which services each route of resumable streams has led, for as long as streams begun there may last, and count these too. Prefixes that overlap count as the same route, since a request may have matched either.

--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -166,7 +166,7 @@
     /// Tells the entries of an endpoint whose report changed something: at once if it leaves, else together with others.
     void pushReported(const wire::endpoint_report& report);
     void processLimitRequests();
-    /// Configures what the leader limits by the newest document.
+    /// Applies the newest document to what control knows of routes, and to what the leader limits.
     void applyConfiguration();
     void configureLimits(const configuration& current);
     void onTimer();
--- a/Source/coordination/entry_coordinator_limits.cpp
+++ b/Source/coordination/entry_coordinator_limits.cpp
@@ -10,13 +10,16 @@
 
 void entry_coordinator::applyConfiguration()
 {
-    if (!m_limits || m_replica.document().version() == 0)
+    if (m_replica.document().version() == 0)
         return;
     auto decoded = m_decode(m_replica.document().body());
     if (!decoded) {
         logEvent("document_unreadable", { { "version", m_replica.document().version() }, { "error", decoded.error().message } });
         return;
     }
+    m_origins.onConfiguration(decoded.value());
+    if (!m_limits)
+        return;
     configureLimits(decoded.value());
     std::map<std::string, double> coldRates;
     for (const auto& service : decoded.value().services) {
--- a/Source/coordination/software_version_history.cpp
+++ b/Source/coordination/software_version_history.cpp
@@ -41,7 +41,7 @@
     versions.emplace(report.software_version(), now);
 }
 
-std::optional<stream_origin> software_version_history::soleOrigin(const google::protobuf::RepeatedPtrField<std::string>& services, milliseconds maxAge, time_point now) const
+std::optional<stream_origin> software_version_history::soleOrigin(const std::set<std::string>& services, milliseconds maxAge, time_point now) const
 {
     std::optional<stream_origin> sole;
     for (const auto& service : services) {
--- a/Source/coordination/software_version_history.h
+++ b/Source/coordination/software_version_history.h
@@ -1,6 +1,6 @@
 #pragma once
 #include "coordination/stream_origin_table.h"
-#include <google/protobuf/repeated_field.h>
+#include <set>
 
 namespace pistachiolatch {
 
@@ -22,7 +22,7 @@
     /// Whether every version of the last `maxAge` is known, as far as reports arrived.
     bool covers(milliseconds maxAge, time_point now) const { return !hasPaused(now) && now - m_completeSince >= maxAge; }
     /// The one version that the services had in the last `maxAge`; empty if there were several or none.
-    std::optional<stream_origin> soleOrigin(const google::protobuf::RepeatedPtrField<std::string>& services, milliseconds maxAge, time_point now) const;
+    std::optional<stream_origin> soleOrigin(const std::set<std::string>& services, milliseconds maxAge, time_point now) const;
 
 private:
     /// Whether the timer is overdue, so that the process was suspended.
--- a/Source/coordination/stream_origin_service.cpp
+++ b/Source/coordination/stream_origin_service.cpp
@@ -76,7 +76,9 @@
     }
     milliseconds maxAge { query.max_age_ms() };
     reply.set_observed(m_history.covers(maxAge, now));
-    if (auto sole = m_history.soleOrigin(query.services(), maxAge, now)) {
+    auto services = m_routes.servicesOf(query.route(), maxAge, now);
+    services.insert(query.services().begin(), query.services().end());
+    if (auto sole = m_history.soleOrigin(services, maxAge, now)) {
         reply.set_sole_service(sole->service);
         reply.set_sole_version(sole->softwareVersion);
     }
--- a/Source/coordination/stream_origin_service.h
+++ b/Source/coordination/stream_origin_service.h
@@ -1,4 +1,5 @@
 #pragma once
+#include "coordination/route_service_history.h"
 #include "coordination/software_version_history.h"
 #include "peering/peering.h"
 #include <functional>
@@ -17,6 +18,8 @@
     /// Call this twice a second.
     void onTimer() { m_history.onTick(m_clock.now()); }
     void onReport(const wire::endpoint_report& report) { m_history.onReport(report, m_clock.now()); }
+    /// Handles the newest configuration.
+    void onConfiguration(const configuration& current) { m_routes.setConfiguration(current, m_clock.now()); }
     /// Records an origin that a process told, or that this one decided as the leader. A leader passes on what is new.
     void record(const wire::stream_origin& origin);
     /// Handles a message of a peer. Returns false if it is none of this class.
@@ -34,6 +37,7 @@
     bool m_timerArmed = false;
     stream_origin_table m_streams;
     software_version_history m_history;
+    route_service_history m_routes;
     /// Origins that the followers are not told yet.
     wire::stream_origins m_unsent;
 };
--- a/Source/forwarding/call_forwarder_resumption.h
+++ b/Source/forwarding/call_forwarder_resumption.h
@@ -26,6 +26,7 @@
     query.set_stream(m_metadata.firstAttemptId.empty() ? 0 : m_stream);
     for (const auto& target : m_route->services)
         query.add_services(target.service);
+    query.set_route(route_service_history::keyOf(*m_route));
     query.set_max_age_ms(saturatingCast<std::uint32_t>(m_route->timeout.count()));
     pending_reply<origin_resolution> reply(m_shared.context.get_executor());
     m_shared.link.streamOrigins().resolve(query, reply.completer());
--- a/Tests/Coordination/StreamOriginTest.cpp
+++ b/Tests/Coordination/StreamOriginTest.cpp
@@ -49,9 +49,9 @@
     return report;
 }
 
-google::protobuf::RepeatedPtrField<std::string> services(const std::vector<std::string>& names)
+std::set<std::string> services(const std::set<std::string>& names)
 {
-    return { names.begin(), names.end() };
+    return names;
 }
 
 /// Runs the history's timer until a time.
@@ -259,3 +259,40 @@
     poll.addReply(&current, false);
     CHECK(poll.result().origin.softwareVersion == "v2");
 }
+
+namespace {
+configuration withRoute(const std::string& prefix, const std::string& service)
+{
+    route_config route;
+    route.host = "h.example";
+    route.pathPrefix = prefix;
+    route.kind = call_kind::Stream;
+    route.resumable = true;
+    route.services = { { service, 1 }, { "unused", 0 } };
+    configuration current;
+    current.routes = { route };
+    return current;
+}
+}
+
+// Guards against control processes that take the services of an entry's outdated configuration for all that may have begun a stream.
+TEST_CASE("The services of a route are known for as long as streams that began there may last")
+{
+    constexpr std::chrono::seconds maxAge { 6 };
+    const std::string key = "h.example/report/";
+    using names = std::set<std::string>;
+    route_service_history history;
+    CHECK(history.servicesOf(key, maxAge, start).empty());
+    history.setConfiguration(withRoute("/report/", "old"), start);
+    CHECK(history.servicesOf(key, maxAge, start + std::chrono::hours(1)) == names { "old" });
+    auto replacedAt = start + std::chrono::hours(2);
+    history.setConfiguration(withRoute("/report/", "new"), replacedAt);
+    CHECK(history.servicesOf(key, maxAge, replacedAt + std::chrono::seconds(10)) == names { "old", "new" });
+    CHECK(history.servicesOf(key, maxAge, replacedAt + std::chrono::seconds(20)) == names { "new" });
+    // The request may have matched a route with a longer or shorter prefix.
+    history.setConfiguration(withRoute("/report/daily/", "daily"), replacedAt + std::chrono::seconds(20));
+    CHECK(history.servicesOf(key, maxAge, replacedAt + std::chrono::seconds(20)) == names { "new", "daily" });
+    CHECK(history.servicesOf("h.example/report/daily/", maxAge, replacedAt + std::chrono::seconds(20)) == names { "new", "daily" });
+    CHECK(history.servicesOf("h.example/other/", maxAge, replacedAt + std::chrono::seconds(20)).empty());
+    CHECK(history.servicesOf("", maxAge, replacedAt + std::chrono::seconds(20)).empty());
+}
--- a/Tests/Platform/versioned_fleet.h
+++ b/Tests/Platform/versioned_fleet.h
@@ -67,15 +67,25 @@
     platform_fleet platform { 3, versionedEntries };
     stream_witness witness;
 
-    /// The sockets of all processes can be cut if they are partitionable.
-    explicit versioned_fleet(bool partitionable = false)
+    struct options {
+        std::uint64_t tokensPerSecond = 100'000'000;
+        /// Whether the sockets of all processes can be cut.
+        bool partitionable = false;
+    };
+
+    versioned_fleet()
+        : versioned_fleet(options {})
     {
-        if (partitionable) {
+    }
+
+    explicit versioned_fleet(const options& options)
+    {
+        if (options.partitionable) {
             platform.makePartitionable();
             platform.makeControlsPartitionable();
         }
         platform.start();
-        REQUIRE(platform.submitConfiguration(exampleConfiguration(7, tokensPerSecond)) == 200);
+        REQUIRE(platform.submitConfiguration(exampleConfiguration(7, options.tokensPerSecond)) == 200);
         m_reporter = std::thread([this] { sendReports(); });
         startEngine(1, "v1", "prefill");
     }
