Coordination: Let any control process contradict an inferred version

A process that has restarted or was suspended doesn't claim to know every version. What it did know was dropped, so that the others' inference stood although one process had heard of another version. It says now whether it knows several, and any version that differs stops the inference. Found by reading; the unit test states the cases.

--- a/Source/coordination/origin_poll.cpp
+++ b/Source/coordination/origin_poll.cpp
@@ -32,13 +32,16 @@
             m_agreeing = 1;
         }
     }
-    if (!reply->observed())
-        return;
-    ++m_observers;
+    // What a process knows contradicts the others also if it may not know everything.
     stream_origin sole { reply->sole_service(), reply->sole_version() };
-    if (sole.softwareVersion.empty() || (m_sole && (m_sole->service != sole.service || m_sole->softwareVersion != sole.softwareVersion)))
+    bool namesOne = !sole.softwareVersion.empty();
+    bool differs = namesOne && m_sole && (m_sole->service != sole.service || m_sole->softwareVersion != sole.softwareVersion);
+    if (reply->several() || differs || (reply->observed() && !namesOne && !reply->has_origin()))
         m_soleContradicted = true;
-    m_sole = std::move(sole);
+    if (namesOne)
+        m_sole = std::move(sole);
+    if (reply->observed())
+        ++m_observers;
 }
 
 bool origin_poll::isDecided() const
--- a/Source/coordination/software_version_history.cpp
+++ b/Source/coordination/software_version_history.cpp
@@ -41,22 +41,33 @@
     versions.emplace(report.software_version(), now);
 }
 
-std::optional<stream_origin> software_version_history::soleOrigin(const std::set<std::string>& services, milliseconds maxAge, time_point now) const
+std::vector<stream_origin> software_version_history::originsOf(const std::set<std::string>& services, milliseconds maxAge, time_point now) const
 {
-    std::optional<stream_origin> sole;
+    std::vector<stream_origin> origins;
     for (const auto& service : services) {
         auto found = m_services.find(service);
         if (found == m_services.end())
             continue;
         for (const auto& [version, reportedAt] : found->second) {
-            if (now - reportedAt > maxAge + unreportedServing)
-                continue;
-            if (sole || version.empty())
-                return std::nullopt;
-            sole = stream_origin { service, version };
+            if (now - reportedAt <= maxAge + unreportedServing)
+                origins.push_back({ service, version });
         }
     }
-    return sole;
+    return origins;
+}
+
+bool software_version_history::knowsSeveral(const std::set<std::string>& services, milliseconds maxAge, time_point now) const
+{
+    auto origins = originsOf(services, maxAge, now);
+    return origins.size() > 1 || (origins.size() == 1 && origins.front().softwareVersion.empty());
+}
+
+std::optional<stream_origin> software_version_history::soleOrigin(const std::set<std::string>& services, milliseconds maxAge, time_point now) const
+{
+    auto origins = originsOf(services, maxAge, now);
+    if (origins.size() != 1 || origins.front().softwareVersion.empty())
+        return std::nullopt;
+    return origins.front();
 }
 
 } // namespace pistachiolatch
--- a/Source/coordination/software_version_history.h
+++ b/Source/coordination/software_version_history.h
@@ -1,6 +1,7 @@
 #pragma once
 #include "coordination/stream_origin_table.h"
 #include <set>
+#include <vector>
 
 namespace pistachiolatch {
 
@@ -21,12 +22,16 @@
     void onReport(const wire::endpoint_report& report, time_point now);
     /// Whether every version of the last `maxAge` is known, as far as reports arrived.
     bool covers(milliseconds maxAge, time_point now) const { return !hasPaused(now) && now - m_completeSince >= maxAge; }
+    /// Whether the services are known to have had several versions, or an unknown one, in the last `maxAge`.
+    bool knowsSeveral(const std::set<std::string>& services, milliseconds maxAge, time_point now) const;
     /// The one version that the services had in the last `maxAge`; empty if there were several or none.
     std::optional<stream_origin> soleOrigin(const std::set<std::string>& services, milliseconds maxAge, time_point now) const;
 
 private:
     /// Whether the timer is overdue, so that the process was suspended.
     bool hasPaused(time_point now) const;
+    /// The versions that the services had in the last `maxAge`.
+    std::vector<stream_origin> originsOf(const std::set<std::string>& services, milliseconds maxAge, time_point now) const;
 
     time_point m_completeSince;
     time_point m_lastTick;
--- a/Source/coordination/stream_origin_service.cpp
+++ b/Source/coordination/stream_origin_service.cpp
@@ -78,6 +78,7 @@
     reply.set_observed(m_history.covers(maxAge, now));
     auto services = m_routes.servicesOf(query.route(), maxAge, now);
     services.insert(query.services().begin(), query.services().end());
+    reply.set_several(m_history.knowsSeveral(services, maxAge, now));
     if (auto sole = m_history.soleOrigin(services, maxAge, now)) {
         reply.set_sole_service(sole->service);
         reply.set_sole_version(sole->softwareVersion);
--- a/Tests/Coordination/StreamOriginTest.cpp
+++ b/Tests/Coordination/StreamOriginTest.cpp
@@ -200,6 +200,29 @@
     CHECK(origin_poll(0).isDecided());
 }
 
+// Guards against an inference from processes that missed a version, although one that restarted lately, and has heard of it, answers too.
+TEST_CASE("A control process that doesn't know every version contradicts an inference by those that it knows")
+{
+    auto one = observed("v1");
+    auto other = observed("v2");
+    other.set_observed(false);
+    wire::stream_origin_reply several;
+    several.set_several(true);
+    auto same = observed("v1");
+    same.set_observed(false);
+    auto resultOf = [](const std::vector<const wire::stream_origin_reply*>& replies) {
+        origin_poll poll(3);
+        for (const auto* reply : replies)
+            poll.addReply(reply, false);
+        return poll.result();
+    };
+    CHECK(resultOf({ &one, &one, &other }).knowledge == origin_knowledge::Unknown);
+    CHECK(resultOf({ &other, &one, &one }).knowledge == origin_knowledge::Unknown);
+    CHECK(resultOf({ &one, &one, &several }).knowledge == origin_knowledge::Unknown);
+    CHECK(resultOf({ &one, &same, &one }).knowledge == origin_knowledge::Known);
+    CHECK(resultOf({ &one, &same, &same }).knowledge == origin_knowledge::Unknown);
+}
+
 TEST_CASE("A version that a service had lately counts although its endpoints are gone or have another one now")
 {
     constexpr std::chrono::seconds maxAge { 14 };
@@ -213,8 +236,10 @@
     history.onReport(makeReport("llm", "v1"), now);
     CHECK(history.covers(maxAge, now));
     CHECK(history.soleOrigin(services({ "llm" }), maxAge, now)->softwareVersion == "v1");
+    CHECK_FALSE(history.knowsSeveral(services({ "llm" }), maxAge, now));
     history.onReport(makeReport("llm", "v2"), now);
     CHECK_FALSE(history.soleOrigin(services({ "llm" }), maxAge, now));
+    CHECK(history.knowsSeveral(services({ "llm" }), maxAge, now));
     // An endpoint of v1 that control doesn't hear may serve until it counts as gone.
     history.onReport(makeReport("llm", "v2"), now + std::chrono::seconds(40));
     CHECK_FALSE(history.soleOrigin(services({ "llm" }), maxAge, now + std::chrono::seconds(40)));
