Coordination: Use endpoints of a version once a majority of control has heard of it

Behind a split, streams began at a version that joined on the smaller side, and whose callers took them up on the other side got the rest from the old version: a majority of control had seen only that one. It happened whether or not the caller named its first attempt, since a majority had no record of it either.

A control process now holds the first reports of a version back from its directory until a majority of the voters, asked at once, has confirmed that it has heard of the version. Any majority that answers for a stream then includes one that knows the version. It costs one round trip for each new version of a service, and nothing later.

--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -93,6 +93,9 @@
 {
     auto now = m_clock.now();
     m_origins.onTimer();
+    releaseHeldReports();
+    for (const auto& report : m_versions.heldVersions())
+        confirmVersion(report);
     std::vector<peer_connection*> expired;
     for (const auto& [entry, session] : m_entries) {
         if (now - session.lastSyncAt > m_settings.entryLease)
@@ -319,6 +322,8 @@
 {
     if (applyReport(report))
         pushReported(report);
+    if (m_replica.voters() == 1)
+        releaseHeldReports();
     bool isLeaving = report.state() != wire::ENDPOINT_SERVING;
     auto leader = m_replica.leaderAddress();
     bool isLeader = m_replica.isLeader();
@@ -364,19 +369,56 @@
 {
     auto now = m_clock.now();
     auto blocksBefore = m_blocks.version();
+    m_origins.onReport(report);
+    bool isHeld = report.state() == wire::ENDPOINT_SERVING && !m_versions.isKnown(report);
+    if (isHeld) {
+        m_versions.hold(report);
+        confirmVersion(report);
+    } else {
+        m_versions.drop(report.id());
+    }
     auto reassertionsBefore = m_directory.reassertions();
-    bool changed = m_directory.applyReport(report, now);
+    bool changed = !isHeld && m_directory.applyReport(report, now);
     if (m_directory.reassertions() != reassertionsBefore) {
         m_metrics.count("endpoint_reasserted");
         logEvent("endpoint_reasserted", { { "endpoint", report.id() }, { "born", report.born_ms() }, { "sequence", report.sequence() }, { "address", report.address() }, { "service", report.service() } });
     }
     m_blocks.onReport(report, now);
-    m_origins.onReport(report);
     if (changed)
         updateBlocks();
     return changed || m_blocks.version() != blocksBefore;
 }
 
+void entry_coordinator::confirmVersion(const wire::endpoint_report& report)
+{
+    if (!m_versions.shouldAsk(report, m_clock.now()))
+        return;
+    for (const auto& address : m_replica.otherVoters()) {
+        wire::envelope message;
+        *message.mutable_report_endpoint()->mutable_report() = report;
+        m_network.call(address, std::move(message), confirmTimeout, [this, address, report](const wire::envelope* reply) {
+            if (!reply || !reply->has_report_endpoint_reply())
+                return;
+            m_versions.recordKnownAt(address, report);
+            releaseHeldReports();
+        });
+    }
+}
+
+void entry_coordinator::releaseHeldReports()
+{
+    auto majority = m_replica.voters() / 2 + 1;
+    auto released = m_versions.release(m_replica.otherVoters(), m_replica.isVoter() ? majority - 1 : majority);
+    if (released.empty())
+        return;
+    logEvent("software_versions_known", { { "endpoints", released.size() }, { "service", released.front().service() }, { "software_version", released.front().software_version() } });
+    m_metrics.count("software_versions_known");
+    for (const auto& report : released) {
+        if (applyReport(report))
+            pushReported(report);
+    }
+}
+
 void entry_coordinator::applyLimit(const wire::endpoint_limit& limit)
 {
     if (!m_replica.isLeader() || !m_directory.applyLimit(limit, m_clock.now()))
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -3,6 +3,7 @@
 #include "coordination/entry_loads.h"
 #include "coordination/relay_directory.h"
 #include "coordination/request_blocks.h"
+#include "coordination/software_version_quorum.h"
 #include "coordination/stage_order_client.h"
 #include "coordination/stream_origin_service.h"
 #include "coordination/transfer_pacer.h"
@@ -122,8 +123,13 @@
     bool sendPiece(entry_session& session);
     void fillEndpoints(wire::entry_update& update, entry_session& session);
     void onReport(const wire::envelope& message, const peer_network::peer& from);
-    /// Applies an endpoint's report to the directory and the request blocks. Returns whether either changed.
+    /// Applies an endpoint's report to the directory and the request blocks. Returns whether either changed. The directory gets it
+    /// once a majority of control has heard of the endpoint's software version.
     bool applyReport(const wire::endpoint_report& report);
+    /// Asks the other control processes to confirm that they have heard of a report's software version.
+    void confirmVersion(const wire::endpoint_report& report);
+    /// Applies the reports that were held until a majority of control had heard of their software versions.
+    void releaseHeldReports();
     void onCrash(const wire::envelope& message, const peer_network::peer& from);
     void updateBlocks();
     /// Applies what an endpoint stated about its limit, and tells the entries if it changed.
@@ -184,6 +190,7 @@
     entry_loads m_loads;
     relay_directory m_relays;
     stream_origin_service m_origins;
+    software_version_quorum m_versions;
     document_cache m_documents;
     transfer_pacer<peer_connection*> m_pacer;
     boost::asio::steady_timer m_pieceTimer;
--- a/Source/replication/document_replica.cpp
+++ b/Source/replication/document_replica.cpp
@@ -194,6 +194,18 @@
     return { all.begin(), all.end() };
 }
 
+std::vector<std::string> document_replica::otherVoters() const
+{
+    std::vector<std::string> others;
+    if (!m_storageUsable)
+        return others;
+    for (const auto& voter : core().members().voters()) {
+        if (voter.address() != m_self.address())
+            others.push_back(voter.address());
+    }
+    return others;
+}
+
 bool document_replica::onMessage(const wire::envelope& message, const peer_network::peer& from)
 {
     switch (message.body_case()) {
--- a/Source/replication/document_replica.h
+++ b/Source/replication/document_replica.h
@@ -83,6 +83,8 @@
     std::optional<milliseconds> confirmedAge() const;
     /// Addresses of all other known replicas, voters or not.
     std::vector<std::string> peers() const;
+    /// Addresses of the other replicas that vote; empty while this replica's files are unusable.
+    std::vector<std::string> otherVoters() const;
     /// Whether the files are usable, so that the replica participates in the log.
     bool hasStorage() const { return m_storageUsable; }
     /// The term of the log; 0 if the files could not be read yet.
--- a/Tests/Platform/EntryOutOfStepTest.cpp
+++ b/Tests/Platform/EntryOutOfStepTest.cpp
@@ -79,7 +79,7 @@
 TEST_CASE("An entry that stood still while engines of a new version joined continues their streams nowhere else", "[promise]")
 {
     auto standstill = GENERATE(milliseconds(1000), milliseconds(2500));
-    versioned_fleet fleet(true);
+    versioned_fleet fleet({ .partitionable = true });
     startOldEngines(fleet);
     std::this_thread::sleep_for(historyTime);
     fleet.platform.entry(lateEntry).signal(SIGSTOP);
@@ -107,7 +107,7 @@
     auto mode = GENERATE(std::string("hang"), std::string("reset"), std::string("refuse"));
     bool fromAll = GENERATE(true, false);
     INFO(mode << " from " << (fromAll ? "all" : "the leader and another one"));
-    versioned_fleet fleet(true);
+    versioned_fleet fleet({ .partitionable = true });
     startOldEngines(fleet);
     std::this_thread::sleep_for(historyTime);
     int leader = fleet.platform.findLeader();
@@ -134,7 +134,7 @@
 {
     bool stands = GENERATE(true, false);
     INFO("stands still " << stands);
-    versioned_fleet fleet(true);
+    versioned_fleet fleet({ .partitionable = true });
     startOldEngines(fleet);
     auto streams = beginStreamsAt(fleet, "v1", 12);
     REQUIRE(streams.size() == 12);
@@ -165,7 +165,7 @@
 // The entry takes the services of its own, outdated configuration for all that can have begun the stream.
 TEST_CASE("An entry that stood still while a service of a new version was added to a route continues no stream at another service", "[promise]")
 {
-    versioned_fleet fleet(true);
+    versioned_fleet fleet({ .partitionable = true });
     startOldEngines(fleet);
     std::this_thread::sleep_for(historyTime);
     fleet.platform.entry(lateEntry).signal(SIGSTOP);
@@ -183,7 +183,7 @@
 // Only the smaller side of the split has heard of the new version.
 TEST_CASE("An entry on one side of a split continues no stream of a version that only the other side knows at another one", "[promise]")
 {
-    versioned_fleet fleet(true);
+    versioned_fleet fleet({ .partitionable = true });
     startOldEngines(fleet);
     std::this_thread::sleep_for(historyTime);
     int leader = fleet.platform.findLeader();
--- a/Tests/Platform/StreamVersionTest.cpp
+++ b/Tests/Platform/StreamVersionTest.cpp
@@ -390,7 +390,7 @@
 TEST_CASE("A take-up that no engine got costs its organisation nothing", "[promise]")
 {
     constexpr std::uint64_t tokensPerSecond = 2000;
-    versioned_fleet fleet(tokensPerSecond);
+    versioned_fleet fleet({ .tokensPerSecond = tokensPerSecond });
     fleet.startEngine(2, "v1");
     fleet.awaitEngines();
     auto streams = beginStreams(fleet, 2);
@@ -409,7 +409,7 @@
 TEST_CASE("Streams go on after all entries were killed while new calls exceed their organisation's rate", "[promise]")
 {
     constexpr std::uint64_t tokensPerSecond = 12000;
-    versioned_fleet fleet(tokensPerSecond);
+    versioned_fleet fleet({ .tokensPerSecond = tokensPerSecond });
     for (int n = 2; n <= 5; ++n)
         fleet.startEngine(n, "v1");
     fleet.awaitEngines();
