--- a/Tests/Platform/SilenceBesideChangesTest.cpp
+++ b/Tests/Platform/SilenceBesideChangesTest.cpp
@@ -114,7 +114,7 @@
         }
         m_reporter = std::make_unique<endpoint_reporter>(platform, reporters);
         REQUIRE(eventually([&] { return platform.isEntryReady(1) && knowsEndpoints(); }));
-        // Until the leader has answered the entry, calls are refused.
+        // A ready entry may still refuse the first calls.
         REQUIRE(eventually([&] { return platform.call(platform.entryAddress(1), "GET", "/read/x", { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::deadlineMs, "2000" } }, {}, milliseconds(2000)).status == 200; }));
     }
 
