Tests: Let the slow engine finish the stream that it takes over

EarlyGiveUpTest, "A stream isn't at two engines…", was written when the stream stayed at its first engine. It moves after 300 ms now, to an engine that takes 1.5 s for each of four events, so that the stream was cut at its deadline of 6 s. The engine is as fast as others once the overlap has been checked. The checks are the same: the stream has left or stayed within 400 ms, and it is answered whole.

--- a/Tests/Platform/EarlyGiveUpTest.cpp
+++ b/Tests/Platform/EarlyGiveUpTest.cpp
@@ -75,6 +75,7 @@
     auto log = entryLog(fleet);
     CHECK((log.find("event=stream_moves ") != std::string::npos || log.find("event=stream_stays ") != std::string::npos));
     stalling.setMode(fake_endpoint_mode::Normal);
+    slow.setDelay(milliseconds(5));
     caller.join();
     CHECK(answer.status == 200);
     CHECK_FALSE(answer.broken);
