Tests: Wait as long as a replaced configuration may be in use

StreamVersionTest, "A take-up that names no stream isn't joined from two services…", failed in a whole run (1 of 776 assertions: 503 where the take-up of a later stream should be served). It waited 12 s, the time of the mechanism that took back. The history of a route's services counts the service before for the streams' 6 s and for 10 s in which an entry that is out of touch may go on with the replaced configuration, so that a refusal within 16 s is allowed. The test waits 17 s. What it checks is the same.

--- a/Tests/Platform/StreamVersionTest.cpp
+++ b/Tests/Platform/StreamVersionTest.cpp
@@ -379,8 +379,8 @@
         CHECK(fleet.takeUp(stream, fleet.otherEntry(stream.entry), withoutOrigin).status == 503);
         CHECK(stream.versions().size() == 1);
     }
-    // No stream of the service before lasts longer, also at an entry that applied the change late.
-    std::this_thread::sleep_for(std::chrono::seconds(12));
+    // No stream of the service before lasts longer, also at an entry that used the replaced configuration as long as it may.
+    std::this_thread::sleep_for(std::chrono::seconds(17));
     auto later = fleet.beginStream(1, 2);
     CHECK(fleet.takeUp(later, 2, withoutOrigin).status == 200);
     CHECK(later.versions() == std::set<std::string> { "v2" });
