Forwarding: Share what moves of stalled streams repeated

The move of stalled streams wrote again what the calls already had: the wait for a leader's plan, the close of an attempt's connection (in five places), the test that an attempt has certainly not run (in four), and the note of an endpoint's run after its status (in two). Each is one function now. interruptRead() returned a value that nobody read any more. Behaviour is the same.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -166,6 +166,7 @@
     /// Opens a connection on which the attempt may be sent. A resumable stream needs one to the run that the endpoint reported:
     /// another run under the same id may have another software version. Returns whether the attempt has such a connection now.
     task_of<bool> openVerifiedConnection(const selected_endpoint& endpoint);
+    /// Asks for the run of the endpoint at the current connection, and notes it there if it is the expected one.
     task_of<run_check> checkRun(const selected_endpoint& endpoint);
     /// Returns an error if the request is blocked because endpoints crash while running it.
     std::optional<error_response> checkPoisonBlock();
@@ -206,6 +207,8 @@
     task_of<std::optional<model_placement>> awaitPlacement();
     task_of<void> pauseBeforePoll();
     task_of<std::optional<wire::engine_plan_reply>> requestPlan();
+    /// Sends a request to the leader. Returns nothing if it gives no plan in time.
+    task_of<std::optional<wire::engine_plan_reply>> awaitPlan(wire::engine_plan_request request);
     /// A query for endpoints that this entry selects itself.
     endpoint_query makeQuery() const;
     /// The same for the next attempt: not tried yet, with room for the call, and able to continue its stream.
@@ -263,7 +266,9 @@
     void startDeadlineTimer();
     void startAttemptTimer(milliseconds timeout);
     void cancelAttemptTimer();
-    void closeCurrentConnection();
+    void closeAttemptConnection();
+    /// Closes the connection of the current attempt, and of a stalled stream that another endpoint is asked to continue.
+    void closeConnections();
     /// Returns a connection to the pool on which nothing was sent.
     void releaseUnusedConnection(const std::string& endpointId);
     void releaseConnection(const std::string& endpointId, const response_metadata& response);
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -88,7 +88,7 @@
         if (!*alive)
             return;
         m_callerGone = true;
-        closeCurrentConnection();
+        closeConnections();
     });
     if (m_route->kind == call_kind::Stream && m_metadata.continuesStream)
         refused = co_await resolveOrigin();
@@ -302,7 +302,7 @@
         if (error || !*alive)
             return;
         m_deadlinePassed = true;
-        closeCurrentConnection();
+        closeConnections();
     });
 }
 
@@ -316,8 +316,7 @@
         if (error || !*alive || attempt != m_attemptNumber)
             return;
         m_attemptExpired = true;
-        if (m_attempt.connection)
-            m_attempt.connection->close();
+        closeAttemptConnection();
     });
 }
 
@@ -329,11 +328,17 @@
 }
 
 template <call_codec Codec>
-void call_forwarder<Codec>::closeCurrentConnection()
+void call_forwarder<Codec>::closeAttemptConnection()
 {
     // Closing the connection cancels the request at the endpoint.
     if (m_attempt.connection)
         m_attempt.connection->close();
+}
+
+template <call_codec Codec>
+void call_forwarder<Codec>::closeConnections()
+{
+    closeAttemptConnection();
     if (m_source)
         m_source->attempt.connection->close();
 }
@@ -357,8 +362,7 @@
     std::function<bool()> aborted = [this] { return isAborted(); };
     bool opened = co_await m_shared.connector.open(endpoint, idempotent, m_attempt.connection, aborted);
     if (!opened) {
-        if (m_attempt.connection)
-            m_attempt.connection->close();
+        closeAttemptConnection();
         m_attempt.connection.reset();
         if (!isAborted())
             recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
@@ -524,8 +528,7 @@
 task_of<bool> call_forwarder<Codec>::prepareRetry(attempt_outcome outcome, const std::string& endpointId)
 {
     // Few endpoints may have the version that began a stream; one that was full or silent may take it while the stream waits.
-    bool hasNotRun = outcome == attempt_outcome::RefusedNotRun || outcome == attempt_outcome::NotSent;
-    bool mayAskAgain = m_origin && hasNotRun && ++m_refusals <= forwarding_detail::maxRefusalsToContinue;
+    bool mayAskAgain = m_origin && hasCertainlyNotRun(outcome) && ++m_refusals <= forwarding_detail::maxRefusalsToContinue;
     if (!mayAskAgain)
         m_triedEndpoints.insert(endpointId);
     m_noRetryReason = determineNoRetryReason({ outcome, m_route->kind, m_route->resumable, m_possibleRuns, m_route->maxEndpoints, timeLeft() });
@@ -693,7 +696,7 @@
 void call_forwarder<Codec>::end()
 {
     m_callerGone = true;
-    closeCurrentConnection();
+    closeConnections();
 }
 
 template <call_codec Codec>
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -58,7 +58,7 @@
         bool mayRetry = co_await prepareRetry(outcome, m_attempt.endpointId);
         if (!mayRetry)
             break;
-        if (m_origin && (outcome == attempt_outcome::RefusedNotRun || outcome == attempt_outcome::NotSent))
+        if (m_origin && hasCertainlyNotRun(outcome))
             co_await pauseBeforePoll();
     }
     co_await finishUnanswered(cause);
@@ -130,10 +130,17 @@
 template <call_codec Codec>
 task_of<std::optional<wire::engine_plan_reply>> call_forwarder<Codec>::requestPlan()
 {
-    pending_reply<std::optional<wire::engine_plan_reply>> reply(m_shared.context.get_executor());
     auto planRequest = makePlanRequest(m_attempt.callId, placementTimeout());
     describeStream(planRequest);
-    m_shared.link.requestPlan(std::move(planRequest), reply.completer());
+    auto plan = co_await awaitPlan(std::move(planRequest));
+    co_return plan;
+}
+
+template <call_codec Codec>
+task_of<std::optional<wire::engine_plan_reply>> call_forwarder<Codec>::awaitPlan(wire::engine_plan_request request)
+{
+    pending_reply<std::optional<wire::engine_plan_reply>> reply(m_shared.context.get_executor());
+    m_shared.link.requestPlan(std::move(request), reply.completer());
     auto plan = co_await reply.wait(timeLeft());
     if (!plan)
         co_return std::nullopt;
@@ -205,8 +212,7 @@
     }
     auto outcome = co_await sendAttempt(placement.decode, std::move(options));
     // It is still valid only if the decode endpoint was not reached or did not run the call.
-    bool isUsed = outcome != attempt_outcome::NotSent && outcome != attempt_outcome::RefusedNotRun;
-    if (!isUsed && sentPrefill)
+    if (hasCertainlyNotRun(outcome) && sentPrefill)
         m_prefill = std::move(sentPrefill);
     co_return outcome;
 }
--- a/Source/forwarding/call_forwarder_resumption.h
+++ b/Source/forwarding/call_forwarder_resumption.h
@@ -130,8 +130,6 @@
         auto check = co_await checkRun(endpoint);
         // A stream that nobody has a part of may begin at an endpoint that doesn't tell its run; it can't be continued then.
         bool mayBegin = check == run_check::Untold && !m_origin;
-        if (check == run_check::Expected)
-            connection->incarnation = endpoint.incarnation;
         if ((check == run_check::Expected || mayBegin) && connection->isReadyForRequest()) {
             m_attempt.softwareVersion = check == run_check::Expected ? endpoint.softwareVersion : std::string();
             co_return true;
@@ -180,7 +178,9 @@
                                                                                          : run_check::Other;
     }
     m_shared.counters.count("endpoint_run_checked");
-    if (result != run_check::Expected)
+    if (result == run_check::Expected)
+        connection->incarnation = endpoint.incarnation;
+    else
         logEvent("endpoint_run_unverified", { { "request", m_metadata.id }, { "endpoint", endpoint.id }, { "born", endpoint.incarnation }, { "answered", isCompleteBody(end) ? 1 : 0 }, { "other_run", result == run_check::Other ? 1 : 0 } });
     co_return result;
 }
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -52,13 +52,13 @@
             return;
         auto stream = measureIdleTime(endpoint.id);
         auto allowed = stallTimeout(stream);
-        if (stream.idleTime < allowed)
+        if (stream.idleTime < allowed) {
             scheduleStallCheck(endpoint, allowed - stream.idleTime);
-        else {
-            m_attempt.connection->interruptRead();
-            // A read that had just completed is not interrupted.
-            scheduleStallCheck(endpoint, forwarding_detail::moveRetryInterval);
+            return;
         }
+        m_attempt.connection->interruptRead();
+        // A read that had just completed is not interrupted.
+        scheduleStallCheck(endpoint, forwarding_detail::moveRetryInterval);
     });
 }
 
@@ -71,8 +71,7 @@
     m_source = &source;
     connection->watchReadable([this, &source] {
         source.resumed = true;
-        if (m_attempt.connection)
-            m_attempt.connection->close();
+        closeAttemptConnection();
     });
     auto outcome = attempt_outcome::NotSent;
     auto next = co_await selectAlternative(endpoint);
@@ -89,8 +88,7 @@
     // The first endpoint may have run the stream, whatever the other one did.
     if (source.left)
         co_return outcome == attempt_outcome::Completed ? outcome : attempt_outcome::MayHaveRun;
-    if (m_attempt.connection)
-        m_attempt.connection->close();
+    closeAttemptConnection();
     m_attempt = std::move(source.attempt);
     m_source = nullptr;
     m_overlapTimer.cancel();
@@ -121,10 +119,7 @@
         callId = m_shared.endpoints.nextCallId();
         auto planRequest = makePlanRequest(callId, milliseconds(0));
         planRequest.add_exclude(endpoint.id);
-        pending_reply<std::optional<wire::engine_plan_reply>> reply(m_shared.context.get_executor());
-        m_shared.link.requestPlan(std::move(planRequest), reply.completer());
-        auto answer = co_await reply.wait(timeLeft());
-        plan = answer.value_or(std::nullopt);
+        plan = co_await awaitPlan(std::move(planRequest));
     }
     if (plan && plan->full())
         co_return std::nullopt;
@@ -153,8 +148,6 @@
     auto check = co_await checkRun(endpoint);
     bool responds = check == run_check::Expected || check == run_check::Untold;
     if (responds && connection->isReadyForRequest()) {
-        if (check == run_check::Expected)
-            connection->incarnation = endpoint.incarnation;
         releaseUnusedConnection(endpoint.id);
     } else {
         connection->close();
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -125,15 +125,14 @@
     co_return bodyEnd();
 }
 
-bool endpoint_connection::interruptRead()
+void endpoint_connection::interruptRead()
 {
     // Cancelling also ends a write that is in progress.
     if (m_sending || m_closed)
-        return false;
+        return;
     m_interrupted = true;
     beast::error_code ignored;
     m_stream.socket().cancel(ignored);
-    return true;
 }
 
 void endpoint_connection::watchReadable(std::function<void()> onReadable)
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -38,8 +38,8 @@
     /// Precondition: readResponseHead() returned None.
     task_of<body_end> readBodyChunk(std::string& chunk);
     /// Has the readBodyChunk() that waits for data, or else the next one, return Open without any. The rest of the body can still be
-    /// read. Returns false if that is not possible because a part of the request is being sent.
-    bool interruptRead();
+    /// read. Does nothing while a part of the request is being sent.
+    void interruptRead();
     /// Calls a handler once data has arrived, not the end of it, unless stopWatching() is called before. Precondition: nothing is read meanwhile.
     void watchReadable(std::function<void()> onReadable);
     void stopWatching() { ++m_watchId; }
--- a/Source/forwarding/retry_policy.cpp
+++ b/Source/forwarding/retry_policy.cpp
@@ -30,15 +30,19 @@
     return "none";
 }
 
+bool hasCertainlyNotRun(attempt_outcome outcome)
+{
+    return outcome == attempt_outcome::NotSent || outcome == attempt_outcome::RefusedNotRun;
+}
+
 no_retry_reason determineNoRetryReason(const failed_attempt& attempt)
 {
     if (attempt.timeLeft < minTimeForAttempt)
         return no_retry_reason::TooLittleTimeLeft;
-    bool certainlyNotRun = attempt.outcome == attempt_outcome::NotSent || attempt.outcome == attempt_outcome::RefusedNotRun;
     bool idempotent = attempt.kind == call_kind::Idempotent || (attempt.kind == call_kind::Stream && attempt.resumable);
     if (idempotent)
         return attempt.possibleRuns < attempt.maxEndpoints ? no_retry_reason::None : no_retry_reason::EndpointLimitReached;
-    return certainlyNotRun && attempt.possibleRuns == 0 ? no_retry_reason::None : no_retry_reason::NotIdempotent;
+    return hasCertainlyNotRun(attempt.outcome) && attempt.possibleRuns == 0 ? no_retry_reason::None : no_retry_reason::NotIdempotent;
 }
 
 retry_decision decideRetry(const failed_attempt& attempt)
--- a/Source/forwarding/retry_policy.h
+++ b/Source/forwarding/retry_policy.h
@@ -17,6 +17,10 @@
     Stalled,
 };
 
+/// Whether no endpoint has run or will run the call because of an attempt with this outcome.
+/// Pure. Thread safety: any thread.
+bool hasCertainlyNotRun(attempt_outcome outcome);
+
 /// A failed attempt and the state of its call, as input to the retry decision.
 struct failed_attempt {
     attempt_outcome outcome = attempt_outcome::MayHaveRun;
