Tests: Share endpoint processes, calls to all control processes and faults of control

Two fleets started endpoint processes and looked for them in the entry's log by the same code: endpoint_processes does now. Two tests sent the same call to each control process: platform_fleet::callControls(). The soak had the suspension and the restart of a control process twice; the numbers that a seed draws come in the same order. SilenceBesideChangesTest had a second type named kept_connection, which is raw_connection. No check has changed.

--- a/Tests/Platform/OddReportTest.cpp
+++ b/Tests/Platform/OddReportTest.cpp
@@ -39,8 +39,7 @@
     std::set<unsigned> sendToAll(const std::string& method, const std::string& id, const std::string& body)
     {
         std::set<unsigned> statuses;
-        for (int n = 1; n <= platform.controls(); ++n) {
-            auto answer = platform.call(platform.controlAddress(n), method, platform_names::endpointsPath + id, { { "Content-Type", "application/json" } }, body);
+        for (const auto& answer : platform.callControls(method, id, body)) {
             statuses.insert(answer.status);
             lastBody = answer.body;
         }
--- a/Tests/Platform/SilenceBesideChangesTest.cpp
+++ b/Tests/Platform/SilenceBesideChangesTest.cpp
@@ -52,9 +52,9 @@
 }
 
 /// A connection that a caller keeps for several requests, and whose bytes it sends as it likes.
-class kept_connection {
+class raw_connection {
 public:
-    explicit kept_connection(const std::string& address)
+    explicit raw_connection(const std::string& address)
         : m_socket(m_context)
     {
         m_socket.connect(parseAddress(address));
@@ -107,13 +107,8 @@
         platform.setMemory(memoryMb);
         platform.start();
         REQUIRE(change(options));
-        std::vector<fake_endpoint*> reporters;
-        for (const auto& endpoint : endpoints) {
-            m_endpoints.push_back(std::make_unique<endpoint_process>(platform, static_cast<int>(m_endpoints.size()) + 1, endpoint));
-            reporters.push_back(&m_endpoints.back()->reporter());
-        }
-        m_reporter = std::make_unique<endpoint_reporter>(platform, reporters);
-        REQUIRE(eventually([&] { return platform.isEntryReady(1) && knowsEndpoints(); }));
+        m_endpoints.emplace(platform, endpoints);
+        REQUIRE(eventually([&] { return platform.isEntryReady(1) && m_endpoints->areKnownTo(log()); }));
         // A ready entry may still refuse the first calls.
         REQUIRE(eventually([&] { return platform.call(platform.entryAddress(1), "GET", "/read/x", { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::deadlineMs, "2000" } }, {}, milliseconds(2000)).status == 200; }));
     }
@@ -126,20 +121,13 @@
         auto event = fmt::format("event=configuration_applied version={} ", m_version + 1);
         return change(options) && eventually([&] { return log().find(event) != std::string::npos; });
     }
-    endpoint_process& endpoint(std::size_t n) { return *m_endpoints.at(n - 1); }
-    std::size_t endpoints() const { return m_endpoints.size(); }
+    endpoint_process& endpoint(std::size_t n) { return m_endpoints->at(n); }
+    std::size_t endpoints() const { return m_endpoints->size(); }
     std::string log() const { return readFile(platform.folder() + "/entry-1.out"); }
 
 private:
-    bool knowsEndpoints() const
-    {
-        auto text = log();
-        return std::all_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& endpoint) { return text.find("event=endpoint_known endpoint=" + endpoint->reporter().id() + " ") != std::string::npos; });
-    }
-
     std::uint64_t m_version = 7;
-    std::vector<std::unique_ptr<endpoint_process>> m_endpoints;
-    std::unique_ptr<endpoint_reporter> m_reporter;
+    std::optional<endpoint_processes> m_endpoints;
 };
 
 const endpoint_process::options plain { "app", "", milliseconds(5), false };
@@ -151,7 +139,7 @@
     configuration_options options;
     options.headerTimeout = milliseconds(500);
     changing_fleet fleet({ plain }, options);
-    kept_connection connection(fleet.platform.entryAddress(1));
+    raw_connection connection(fleet.platform.entryAddress(1));
     connection.send(makeRequest("GET", "/read/1", "first"));
     REQUIRE(connection.read(milliseconds(3000)).status == 200);
     std::this_thread::sleep_for(milliseconds(1700));
@@ -171,7 +159,7 @@
     configuration_options options;
     options.idleTimeout = milliseconds(10000);
     changing_fleet fleet({ plain }, options);
-    std::deque<kept_connection> connections;
+    std::deque<raw_connection> connections;
     for (int i = 0; i < 4; ++i) {
         connections.emplace_back(fleet.platform.entryAddress(1));
         connections.back().send(makeRequest("GET", "/read/1", fmt::format("first-{}", i)));
@@ -195,7 +183,7 @@
     changing_fleet fleet({ plain }, options);
     options.idleTimeout = milliseconds(1000);
     REQUIRE(fleet.change(options));
-    kept_connection connection(fleet.platform.entryAddress(1));
+    raw_connection connection(fleet.platform.entryAddress(1));
     for (int i = 0; i < 8; ++i) {
         connection.send(makeRequest("GET", "/read/1", fmt::format("request-{}", i)));
         REQUIRE(connection.read(milliseconds(3000)).status == 200);
@@ -212,7 +200,7 @@
 {
     configuration_options options;
     changing_fleet fleet({ plain }, options);
-    kept_connection connection(fleet.platform.entryAddress(1));
+    raw_connection connection(fleet.platform.entryAddress(1));
     connection.send(makeRequest("GET", "/read/1", "first"));
     REQUIRE(connection.read(milliseconds(3000)).status == 200);
     options.maxBodyBytes = megabyte;
@@ -249,7 +237,7 @@
     mixed_callers(const std::string& address, int count)
     {
         for (int i = 0; i < count; ++i)
-            m_connections.emplace_back(std::make_unique<kept_connection>(address));
+            m_connections.emplace_back(std::make_unique<raw_connection>(address));
     }
 
     /// Has each caller send a request, one after the other, and waits for the answers. Returns those that are neither whole nor
@@ -263,7 +251,7 @@
                 std::this_thread::sleep_for(spacing * i);
                 wrong[i] = send(i, fmt::format("{}-{}", name, i));
                 if (!wrong[i].empty())
-                    m_connections[i] = std::make_unique<kept_connection>(address);
+                    m_connections[i] = std::make_unique<raw_connection>(address);
             });
         }
         for (auto& thread : threads)
@@ -287,7 +275,7 @@
         return fmt::format("{} {}: {}{} {}\n", target, id, answer.status, answer.broken ? " cut" : "", answer.body.size());
     }
 
-    std::vector<std::unique_ptr<kept_connection>> m_connections;
+    std::vector<std::unique_ptr<raw_connection>> m_connections;
 };
 
 using option_change = std::pair<std::string, std::function<void(configuration_options&)>>;
@@ -351,7 +339,7 @@
     std::vector<std::thread> callers;
     for (int i = 0; i < senders; ++i) {
         callers.emplace_back([&, i] {
-            kept_connection connection(fleet.platform.entryAddress(1));
+            raw_connection connection(fleet.platform.entryAddress(1));
             connection.send(makeRequest("POST", "/book/1", fmt::format("long-{}", i), std::string(3 * megabyte, 'x')));
             answers[i] = connection.read(milliseconds(7000));
         });
--- a/Tests/Platform/SilentEndpointTest.cpp
+++ b/Tests/Platform/SilentEndpointTest.cpp
@@ -2,9 +2,9 @@
 // finished them.
 #include "Platform/endpoint_process.h"
 #include "platform_names.h"
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <optional>
 #include <regex>
 #include <thread>
 
@@ -24,29 +24,13 @@
     {
         platform.start();
         REQUIRE(platform.submitConfiguration(configuration) == 200);
-        std::vector<fake_endpoint*> reporters;
-        for (const auto& options : endpoints) {
-            m_endpoints.push_back(std::make_unique<endpoint_process>(platform, static_cast<int>(m_endpoints.size()) + 1, options));
-            reporters.push_back(&m_endpoints.back()->reporter());
-        }
-        m_reporter = std::make_unique<endpoint_reporter>(platform, reporters);
-        REQUIRE(eventually([&] { return platform.isEntryReady(1) && knowsEndpoints(); }));
-    }
-
-    endpoint_process& endpoint(std::size_t n) { return *m_endpoints.at(n - 1); }
-
-    /// Stops all endpoints.
-    void pauseAll()
-    {
-        for (const auto& endpoint : m_endpoints)
-            endpoint->pause();
+        m_endpoints.emplace(platform, endpoints);
+        REQUIRE(eventually([&] { return platform.isEntryReady(1) && m_endpoints->areKnownTo(entryLog()); }));
     }
 
-    void resumeAll()
-    {
-        for (const auto& endpoint : m_endpoints)
-            endpoint->resume();
-    }
+    endpoint_process& endpoint(std::size_t n) { return m_endpoints->at(n); }
+    void pauseAll() const { m_endpoints->pauseAll(); }
+    void resumeAll() const { m_endpoints->resumeAll(); }
 
     /// Sends a request on its own thread. Precondition: the fleet outlives the thread.
     void send(const std::string& method, const std::string& target, milliseconds deadline)
@@ -73,14 +57,7 @@
     std::string entryLog() const { return readFile(platform.folder() + "/entry-1.out"); }
 
 private:
-    bool knowsEndpoints() const
-    {
-        auto log = entryLog();
-        return std::all_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& endpoint) { return log.find("event=endpoint_known endpoint=" + endpoint->reporter().id() + " ") != std::string::npos; });
-    }
-
-    std::vector<std::unique_ptr<endpoint_process>> m_endpoints;
-    std::unique_ptr<endpoint_reporter> m_reporter;
+    std::optional<endpoint_processes> m_endpoints;
     std::deque<simple_response> m_answers;
     std::deque<std::thread> m_callers;
 };
--- a/Tests/Platform/endpoint_process.cpp
+++ b/Tests/Platform/endpoint_process.cpp
@@ -1,5 +1,7 @@
 #include "Platform/endpoint_process.h"
 
+#include <algorithm>
+
 namespace pistachiolatch::test {
 
 namespace {
@@ -24,4 +26,43 @@
     m_reporter->setReportedAddress(fleet.endpointAddress(n));
 }
 
+endpoint_processes::endpoint_processes(platform_fleet& fleet, const std::vector<endpoint_process::options>& endpoints)
+    : m_endpoints(start(fleet, endpoints))
+    , m_reporter(fleet, reporters())
+{
+}
+
+std::vector<std::unique_ptr<endpoint_process>> endpoint_processes::start(platform_fleet& fleet, const std::vector<endpoint_process::options>& endpoints)
+{
+    std::vector<std::unique_ptr<endpoint_process>> started;
+    for (const auto& options : endpoints)
+        started.push_back(std::make_unique<endpoint_process>(fleet, static_cast<int>(started.size()) + 1, options));
+    return started;
+}
+
+std::vector<fake_endpoint*> endpoint_processes::reporters() const
+{
+    std::vector<fake_endpoint*> all;
+    for (const auto& endpoint : m_endpoints)
+        all.push_back(&endpoint->reporter());
+    return all;
+}
+
+void endpoint_processes::pauseAll() const
+{
+    for (const auto& endpoint : m_endpoints)
+        endpoint->pause();
+}
+
+void endpoint_processes::resumeAll() const
+{
+    for (const auto& endpoint : m_endpoints)
+        endpoint->resume();
+}
+
+bool endpoint_processes::areKnownTo(const std::string& entryLog) const
+{
+    return std::all_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& endpoint) { return entryLog.find("event=endpoint_known endpoint=" + endpoint->reporter().id() + " ") != std::string::npos; });
+}
+
 } // namespace pistachiolatch::test
--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -211,6 +211,14 @@
     return call(controlAddress(control), "PUT", platform_names::endpointsPath + endpoint.id(), { { "Content-Type", "application/json" } }, endpoint.makeReport(state), milliseconds(2000));
 }
 
+std::vector<simple_response> platform_fleet::callControls(const std::string& method, const std::string& id, const std::string& body) const
+{
+    std::vector<simple_response> answers;
+    for (int n = 1; n <= controls(); ++n)
+        answers.push_back(call(controlAddress(n), method, platform_names::endpointsPath + id, { { "Content-Type", "application/json" } }, body));
+    return answers;
+}
+
 unsigned platform_fleet::submitConfiguration(const std::string& body) const
 {
     simple_response answer;
--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -67,6 +67,8 @@
         const std::string& body = {}, milliseconds timeout = milliseconds(20000)) const;
     /// Sends an endpoint's status report to a control process.
     simple_response sendReport(fake_endpoint& endpoint, const std::string& state = "ready", int control = 1) const;
+    /// Sends a call of an endpoint, with this end of its path, to each control process in turn.
+    std::vector<simple_response> callControls(const std::string& method, const std::string& id, const std::string& body) const;
     /// Submits a configuration, with retries until it is acknowledged or rejected. Returns the last status.
     unsigned submitConfiguration(const std::string& body) const;
     bool isEntryReady(int n) const;
--- a/Tests/Soak/soak_main.cpp
+++ b/Tests/Soak/soak_main.cpp
@@ -178,13 +178,23 @@
         void injectControlFault(random_engine& random)
         {
             int n = randomUpTo(random, controls);
+            if (randomUpTo(random, 2) == 1)
+                suspendControl(n, random);
+            else
+                restartControl(n, random);
+        }
+
+        void suspendControl(int n, random_engine& random)
+        {
+            std::lock_guard lock(m_controlFaults[n]);
+            m_fleet.control(n).signal(SIGSTOP);
+            sleepRandomly(random, 100, 3000);
+            m_fleet.control(n).signal(SIGCONT);
+        }
+
+        void restartControl(int n, random_engine& random)
+        {
             std::lock_guard lock(m_controlFaults[n]);
-            if (randomUpTo(random, 2) == 1) {
-                m_fleet.control(n).signal(SIGSTOP);
-                sleepRandomly(random, 100, 3000);
-                m_fleet.control(n).signal(SIGCONT);
-                return;
-            }
             m_fleet.control(n).kill();
             sleepRandomly(random, 0, 1000);
             m_fleet.startControl(n, false);
@@ -383,23 +393,12 @@
                 recordFault(n, 0, from);
                 break;
             }
-            case 2: {
-                int n = randomUpTo(random, controls);
-                std::lock_guard lock(m_controlFaults[n]);
-                auto& process = m_fleet.control(n);
-                process.signal(SIGSTOP);
-                sleepRandomly(random, 100, 3000);
-                process.signal(SIGCONT);
+            case 2:
+                suspendControl(randomUpTo(random, controls), random);
                 break;
-            }
-            case 3: {
-                int n = randomUpTo(random, controls);
-                std::lock_guard lock(m_controlFaults[n]);
-                m_fleet.control(n).kill();
-                sleepRandomly(random, 0, 1000);
-                m_fleet.startControl(n, false);
+            case 3:
+                restartControl(randomUpTo(random, controls), random);
                 break;
-            }
             case 4: {
                 int n = randomUpTo(random, m_entryCount);
                 std::lock_guard lock(m_entryFaults[n]);
