--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -370,8 +370,10 @@
 
 } // namespace pistachiolatch
 
+#include "forwarding/call_forwarder_attempts.h"
 #include "forwarding/call_forwarder_common.h"
 #include "forwarding/call_forwarder_models.h"
+#include "forwarding/call_forwarder_moves.h"
 #include "forwarding/call_forwarder_responses.h"
 #include "forwarding/call_forwarder_resumption.h"
 #include "forwarding/call_forwarder_statements.h"
