Forwarding: Large holders of the buffers take turns

Callers of long requests had no answer for seconds while the entry's buffers were full: with an endpoint that stands still for 2 s, up to 6 of 10 had none after 7 s. It failed in three whole runs of the tests and passed when the case ran alone.

Cause: room for bodies was given a piece at a time to whoever asked. Ten bodies that were read in part held the limit for large holders together, none became whole, and one was refused every 1.5 s. How evenly the bodies arrive decides, so runs differed. The log of a failed run shows no request ended and stalled holders of 3.4 to 5.8 MB one after another.

Now large holders take turns from half of the limit on. The one that has the turn becomes whole, is sent and frees what it held; its turn ends then, or after 1 s, and it isn't ended meanwhile. A holder can't keep the turn by sending little, nor by being alone.

BufferBudgetTest: hasRoom() became mayGrow(), which takes the time; the checks of the cases that used it are the same.

--- a/Source/forwarding/buffer_budget.cpp
+++ b/Source/forwarding/buffer_budget.cpp
@@ -13,13 +13,26 @@
     m_limit = static_cast<std::size_t>(static_cast<double>(megabytes * bytesPerMegabyte) * memoryShare);
 }
 
-bool buffer_budget::hasRoom(holder_id holder) const
+bool buffer_budget::mayGrow(holder_id holder, time_point now)
 {
     if (m_limit == 0)
         return true;
+    if (!isLarge(holder))
+        return m_held < m_limit;
+    if (m_held < shareOfLimit(sharedShare))
+        return true;
+    bool hasRoom = m_held < shareOfLimit(largeHolderShare);
+    if (hasRoom && !hasTurn(m_turnHolder, now)) {
+        m_turnHolder = holder;
+        m_turnEndsAt = now + maxTurnTime;
+    }
+    return hasRoom && m_turnHolder == holder;
+}
+
+bool buffer_budget::isLarge(holder_id holder) const
+{
     auto found = m_holders.find(holder);
-    bool isSmall = found == m_holders.end() || found->second.allBytes() <= smallHolderBytes;
-    return m_held < (isSmall ? m_limit : largeHolderLimit());
+    return found != m_holders.end() && found->second.allBytes() > smallHolderBytes;
 }
 
 std::optional<buffer_budget::stalled_holder> buffer_budget::endStalled(time_point now)
@@ -34,10 +47,10 @@
             continue;
         }
         auto idleTime = now - usage.progressAt;
-        if (usage.peerBytes() > 0 && idleTime >= usage.allowedIdleTime() && (!largest || usage.peerBytes() > largest->bytes))
+        if (!hasTurn(id, now) && usage.peerBytes() > 0 && idleTime >= usage.allowedIdleTime() && (!largest || usage.peerBytes() > largest->bytes))
             largest = stalled_holder { id, usage.peerBytes(), idleTime };
     }
-    if (!largest || m_held - freed < largeHolderLimit())
+    if (!largest || m_held - freed < shareOfLimit(largeHolderShare))
         return std::nullopt;
     m_holders[largest->id].ended = true;
     return largest;
@@ -62,6 +75,8 @@
     auto& usage = found->second;
     usage.bytes(wait) -= bytes;
     m_held -= bytes;
+    if (holder == m_turnHolder)
+        m_turnHolder = 0;
     if (usage.allBytes() == 0)
         m_holders.erase(found);
 }
--- a/Source/forwarding/buffer_budget.h
+++ b/Source/forwarding/buffer_budget.h
@@ -9,7 +9,8 @@
 /// slowly at the same time. Each connection is bounded, but a few dozen of them hold more than the VM has, and the process is
 /// killed with all its calls. While the limit is near, large buffers grow no further; at the limit nothing new is taken in, and
 /// the largest holder whose peer takes nothing is ended. Endpoints get more time than callers: their silence is no reason to end an
-/// answer that they may still complete.
+/// answer that they may still complete. Large holders take turns to use the last part of what they may, so that some of them become
+/// complete and are freed instead of all keeping parts.
 /// Pure; not thread-safe.
 class buffer_budget {
 public:
@@ -35,8 +36,11 @@
 
     /// Holders of at most this many bytes may use the whole limit, so that short calls pass while long ones wait.
     static constexpr std::size_t smallHolderBytes = 64UL * 1024;
-    /// The share of the limit at which larger holders have to wait.
+    /// The share of the limit at which larger holders have to take turns, and the one at which all of them have to wait.
+    static constexpr double sharedShare = 0.5;
     static constexpr double largeHolderShare = 0.75;
+    /// How long a large holder has the turn at most.
+    static constexpr milliseconds maxTurnTime { 1000 };
     /// How long a holder may make no progress because of its caller while there is no room. Endpoints cut off responses that stay
     /// unread for some seconds.
     static constexpr milliseconds maxIdleTime { 1000 };
@@ -53,12 +57,13 @@
     std::size_t held() const { return m_held; }
     holder_id addHolder() { return ++m_lastHolder; }
 
-    /// Whether the holder may take in more. If not, its source should not be read until there is room.
-    bool hasRoom(holder_id holder) const;
+    /// Whether the holder may take in more, for which a large one takes the turn if it is free. If not, its source should not be read
+    /// until it asks again. The turn ends once the holder frees bytes, or after its time.
+    bool mayGrow(holder_id holder, time_point now);
     /// Whether new connections and requests may be taken in.
     bool takesNewCalls() const { return m_limit == 0 || m_held < m_limit; }
-    /// Returns the largest holder that made no progress for as long as it may, while large holders have to wait. It is returned once:
-    /// the next call finds another one only if the holders that are not ended still hold too much.
+    /// Returns the largest holder that made no progress for as long as it may and doesn't have the turn, while large holders have to
+    /// wait. It is returned once: the next call finds another one only if the holders that are not ended still hold too much.
     std::optional<stalled_holder> endStalled(time_point now);
 
     /// Accounts bytes to a holder. The first ones that wait for a caller or an endpoint count as progress.
@@ -83,11 +88,16 @@
         duration allowedIdleTime() const { return endpointBytes > 0 ? maxEndpointIdleTime : maxIdleTime; }
     };
 
-    std::size_t largeHolderLimit() const { return static_cast<std::size_t>(static_cast<double>(m_limit) * largeHolderShare); }
+    bool isLarge(holder_id holder) const;
+    bool hasTurn(holder_id holder, time_point now) const { return holder != 0 && m_turnHolder == holder && now < m_turnEndsAt; }
+    std::size_t shareOfLimit(double share) const { return static_cast<std::size_t>(static_cast<double>(m_limit) * share); }
 
     std::size_t m_limit = 0;
     std::size_t m_held = 0;
     holder_id m_lastHolder = 0;
+    /// The holder that has the turn, and until when; 0 if it is free.
+    holder_id m_turnHolder = 0;
+    time_point m_turnEndsAt {};
     /// Holders of at least one byte.
     std::map<holder_id, usage> m_holders;
 };
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -93,7 +93,7 @@
     auto connection = m_attempt.connection;
     boost::asio::steady_timer timer(m_shared.context);
     while (true) {
-        while (!m_shared.bufferBudget.hasRoom(m_caller->holder()) && !isAborted() && !m_attemptExpired) {
+        while (!m_shared.bufferBudget.mayGrow(m_caller->holder(), m_shared.clock.now()) && !isAborted() && !m_attemptExpired) {
             timer.expires_after(forwarding_detail::bufferRetryInterval);
             co_await timer.async_wait(forwarding_detail::asTuple);
         }
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -313,7 +313,7 @@
     caller->request = buffer_charge(m_shared.bufferBudget, connection.holder(), buffer_budget::wait_for::Caller);
     parser.eager(true);
     while (!parser.is_done()) {
-        while (!m_shared.bufferBudget.hasRoom(connection.holder()) && !connection.isClosed() && !caller->isRefused) {
+        while (!m_shared.bufferBudget.mayGrow(connection.holder(), m_shared.clock.now()) && !connection.isClosed() && !caller->isRefused) {
             caller->awaitsRoom = true;
             timer.expires_after(forwarding_detail::bufferRetryInterval);
             co_await timer.async_wait(gateway_detail::asTuple);
--- a/Tests/Forwarding/BufferBudgetTest.cpp
+++ b/Tests/Forwarding/BufferBudgetTest.cpp
@@ -30,7 +30,7 @@
     auto holder = test.budget.addHolder();
     auto charge = test.charge(holder, 4000 * megabyte);
     test.clock.advance(std::chrono::seconds(60));
-    CHECK(test.budget.hasRoom(holder));
+    CHECK(test.budget.mayGrow(holder, test.clock.now()));
     CHECK(test.budget.takesNewCalls());
     CHECK_FALSE(test.budget.endStalled(test.clock.now()));
 }
@@ -43,14 +43,14 @@
     auto small = test.budget.addHolder();
     auto largeCharge = test.charge(large, 29 * megabyte);
     auto smallCharge = test.charge(small, 1000);
-    CHECK(test.budget.hasRoom(large));
+    CHECK(test.budget.mayGrow(large, test.clock.now()));
     largeCharge.resize(30 * megabyte, test.clock.now());
-    CHECK_FALSE(test.budget.hasRoom(large));
-    CHECK(test.budget.hasRoom(small));
-    CHECK(test.budget.hasRoom(test.budget.addHolder()));
+    CHECK_FALSE(test.budget.mayGrow(large, test.clock.now()));
+    CHECK(test.budget.mayGrow(small, test.clock.now()));
+    CHECK(test.budget.mayGrow(test.budget.addHolder(), test.clock.now()));
     CHECK(test.budget.takesNewCalls());
     largeCharge.resize(40 * megabyte, test.clock.now());
-    CHECK_FALSE(test.budget.hasRoom(small));
+    CHECK_FALSE(test.budget.mayGrow(small, test.clock.now()));
     CHECK_FALSE(test.budget.takesNewCalls());
 }
 
@@ -110,10 +110,79 @@
         ++ended;
     CHECK(ended == 11);
     charges.resize(29);
-    CHECK(test.budget.hasRoom(test.budget.addHolder()));
+    CHECK(test.budget.mayGrow(test.budget.addHolder(), test.clock.now()));
     CHECK_FALSE(test.budget.endStalled(test.clock.now()));
 }
 
+// Guards against many bodies that are read in part, hold the memory together and never become whole.
+TEST_CASE("Large holders take turns to use the last part of what they may")
+{
+    budget_case test;
+    auto first = test.budget.addHolder();
+    auto second = test.budget.addHolder();
+    auto firstCharge = test.charge(first, 10 * megabyte);
+    auto secondCharge = test.charge(second, 9 * megabyte);
+    CHECK(test.budget.mayGrow(first, test.clock.now()));
+    CHECK(test.budget.mayGrow(second, test.clock.now()));
+    secondCharge.resize(10 * megabyte, test.clock.now());
+    CHECK(test.budget.mayGrow(first, test.clock.now()));
+    CHECK_FALSE(test.budget.mayGrow(second, test.clock.now()));
+    firstCharge.resize(14 * megabyte, test.clock.now());
+    CHECK(test.budget.mayGrow(first, test.clock.now()));
+    // It is whole, and waits for an endpoint from now on.
+    firstCharge.setWait(buffer_budget::wait_for::Endpoint, test.clock.now());
+    CHECK(test.budget.mayGrow(second, test.clock.now()));
+    CHECK_FALSE(test.budget.mayGrow(first, test.clock.now()));
+    secondCharge.resize(16 * megabyte, test.clock.now());
+    CHECK_FALSE(test.budget.mayGrow(second, test.clock.now()));
+    CHECK_FALSE(test.budget.mayGrow(first, test.clock.now()));
+}
+
+// Guards against a caller that sends little while all others wait for its turn to end.
+TEST_CASE("A turn ends after its time")
+{
+    budget_case test;
+    auto slow = test.budget.addHolder();
+    auto other = test.budget.addHolder();
+    auto slowCharge = test.charge(slow, 11 * megabyte);
+    auto otherCharge = test.charge(other, 11 * megabyte);
+    REQUIRE(test.budget.mayGrow(slow, test.clock.now()));
+    test.clock.advance(buffer_budget::maxTurnTime - milliseconds(1));
+    CHECK_FALSE(test.budget.mayGrow(other, test.clock.now()));
+    test.clock.advance(milliseconds(1));
+    CHECK(test.budget.mayGrow(other, test.clock.now()));
+    CHECK_FALSE(test.budget.mayGrow(slow, test.clock.now()));
+}
+
+// Guards against ending the holder that is about to become complete because it waited long for its turn.
+TEST_CASE("The holder that has the turn is not ended")
+{
+    budget_case test;
+    auto growing = test.budget.addHolder();
+    auto waiting = test.budget.addHolder();
+    auto growingCharge = test.charge(growing, 17 * megabyte);
+    auto waitingCharge = test.charge(waiting, 12 * megabyte);
+    test.clock.advance(buffer_budget::maxIdleTime);
+    REQUIRE(test.budget.mayGrow(growing, test.clock.now()));
+    auto others = test.charge(test.budget.addHolder(), megabyte, buffer_budget::wait_for::Turn);
+    auto stalled = test.budget.endStalled(test.clock.now());
+    REQUIRE(stalled);
+    CHECK(stalled->id == waiting);
+}
+
+// Guards against a holder that keeps the turn for ever because nobody else asks for it, although it can't grow.
+TEST_CASE("A holder that fills the memory alone is ended")
+{
+    budget_case test;
+    auto holder = test.budget.addHolder();
+    auto charge = test.charge(holder, 29 * megabyte);
+    REQUIRE(test.budget.mayGrow(holder, test.clock.now()));
+    charge.resize(30 * megabyte, test.clock.now());
+    test.clock.advance(buffer_budget::maxIdleTime);
+    CHECK_FALSE(test.budget.mayGrow(holder, test.clock.now()));
+    CHECK(test.budget.endStalled(test.clock.now()));
+}
+
 // Guards against calls that are cut off because they wait for an endpoint.
 TEST_CASE("A call that waits for its turn is not ended")
 {
--- a/Tests/Platform/SilenceBesideChangesTest.cpp
+++ b/Tests/Platform/SilenceBesideChangesTest.cpp
@@ -355,3 +355,34 @@
         CHECK((answer.status == 200 || answer.status == 503));
     }
 }
+
+// Guards against bodies that are read in part, fill the buffers together and keep each other from becoming whole.
+TEST_CASE("Long requests that arrive side by side are read whole one after another", "[promise]")
+{
+    constexpr int memoryMb = 88;
+    constexpr int senders = 12;
+    constexpr std::size_t pieceBytes = 64UL * 1024;
+    configuration_options options;
+    options.maxBodyBytes = 4 * megabyte;
+    changing_fleet fleet({ plain }, options, memoryMb);
+    std::vector<simple_response> answers(senders);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < senders; ++i) {
+        callers.emplace_back([&, i] {
+            raw_connection connection(fleet.platform.entryAddress(1));
+            auto request = makeRequest("POST", "/book/1", fmt::format("long-{}", i), std::string(3 * megabyte, 'x'));
+            for (std::size_t sent = 0; sent < request.size(); sent += pieceBytes) {
+                connection.send(std::string_view(request).substr(sent, pieceBytes));
+                std::this_thread::sleep_for(milliseconds(10));
+            }
+            answers[i] = connection.read(milliseconds(7000));
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    for (const auto& answer : answers) {
+        INFO(answer.status << fleet.log());
+        CHECK_FALSE(answer.broken);
+        CHECK(answer.status == 200);
+    }
+}
