Forwarding: A connection ends when its host is silent, not its process

Cause: TCP_USER_TIMEOUT, 1.2 s, is meant for hosts that vanish, but the kernel also counts the time for which the peer's receive window is closed, although the peer's host acknowledges each probe of it.

The option is gone from connections to endpoints and between entries. While a request is sent or answered, each 200 ms TCP_INFO tells whether an acknowledgement is awaited: if it has been at each look for 1.2 s, and none came in that time, the connection is closed. An answered window probe isn't awaited any more. Looks are counted instead of time, so that a pause of the entry itself doesn't count.

AcknowledgementWatchTest covers hosts that vanish, idle connections and a real connection whose peer reads nothing. That a vanished host is noticed is tested with given figures only: without privileges no host vanishes on one machine.

--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -21,6 +21,7 @@
 
 endpoint_connection::endpoint_connection(const asio::any_io_executor& executor)
     : m_stream(executor)
+    , m_acknowledgementTimer(executor)
 {
 }
 
@@ -65,6 +66,22 @@
     m_sendComplete = false;
     m_interrupted = false;
     sendNextPart(window, clock);
+    m_acknowledgements = {};
+    watchAcknowledgements();
+}
+
+void endpoint_connection::watchAcknowledgements()
+{
+    m_acknowledgementTimer.expires_after(acknowledgement_watch::checkInterval);
+    m_acknowledgementTimer.async_wait([connection = weak_from_this()](beast::error_code error) {
+        auto self = connection.lock();
+        if (error || !self || self->m_closed || self->isReadyForRequest())
+            return;
+        if (self->m_acknowledgements.isLost(self->m_stream.socket()))
+            self->close();
+        else
+            self->watchAcknowledgements();
+    });
 }
 
 void endpoint_connection::sendNextPart(send_window& window, const clock_source& clock)
@@ -191,6 +208,7 @@
 void endpoint_connection::close()
 {
     m_closed = true;
+    m_acknowledgementTimer.cancel();
     beast::error_code ignored;
     m_stream.socket().close(ignored);
     // A write in progress refers to the buffer until its handler runs.
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -1,4 +1,5 @@
 #pragma once
+#include "forwarding/acknowledgement_watch.h"
 #include "forwarding/buffer_budget.h"
 #include "forwarding/call_types.h"
 #include "forwarding/endpoint_stream.h"
@@ -6,6 +7,7 @@
 #include "http/http.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <functional>
@@ -15,7 +17,7 @@
 namespace pistachiolatch {
 
 /// An HTTP/1.1 connection to an endpoint that carries one call at a time. It has no timeouts of its own: its user
-/// closes it. Used on one thread.
+/// closes it, unless the endpoint's host vanishes while a request is sent. Used on one thread.
 class endpoint_connection : public std::enable_shared_from_this<endpoint_connection> {
 public:
     explicit endpoint_connection(const boost::asio::any_io_executor& executor);
@@ -65,6 +67,8 @@
 private:
     void sendNextPart(send_window& window, const clock_source& clock);
     void dropSendBuffer();
+    /// Closes the connection if the endpoint's host vanishes before the response is complete.
+    void watchAcknowledgements();
     body_end bodyEnd() const;
 
     endpoint_stream m_stream;
@@ -75,6 +79,8 @@
     /// Whether a part of the buffer is being written.
     bool m_sending = false;
     buffer_charge m_sendCharge;
+    acknowledgement_watch m_acknowledgements;
+    boost::asio::steady_timer m_acknowledgementTimer;
     bool m_sendComplete = false;
     bool m_readFailed = false;
     bool m_interrupted = false;
--- a/Source/forwarding/endpoint_stream.cpp
+++ b/Source/forwarding/endpoint_stream.cpp
@@ -1,8 +1,6 @@
 #include "forwarding/endpoint_stream.h"
 
 #include <boost/asio.hpp>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace pistachiolatch {
 
@@ -10,9 +8,6 @@
 
 namespace {
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-    /// A connection whose data stays unacknowledged for this long is dead. Far longer than any delay on a live
-    /// connection, shorter than callers wait.
-    constexpr unsigned tcpUserTimeoutMs = 1200;
     /// Far more than any message that opens a connection.
     constexpr std::size_t maxMessageBytes = 4096;
 }
@@ -21,7 +16,6 @@
 {
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof tcpUserTimeoutMs);
 }
 
 std::array<unsigned char, frameLengthBytes> encodeFrameLength(std::size_t length)
--- a/Source/forwarding/relay_server.cpp
+++ b/Source/forwarding/relay_server.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/relay_server.h"
 
+#include "forwarding/acknowledgement_watch.h"
 #include <boost/asio.hpp>
 #include <openssl/crypto.h>
 #include <random>
@@ -36,11 +37,15 @@
     tcp::socket entry;
     tcp::socket endpoint;
     asio::steady_timer timer;
+    acknowledgement_watch entryAcknowledgements;
+    acknowledgement_watch endpointAcknowledgements;
+    asio::steady_timer acknowledgementTimer;
 
     explicit session(tcp::socket accepted)
         : entry(std::move(accepted))
         , endpoint(entry.get_executor())
         , timer(entry.get_executor())
+        , acknowledgementTimer(entry.get_executor())
     {
     }
 
@@ -48,6 +53,7 @@
     {
         boost::system::error_code ignored;
         timer.cancel();
+        acknowledgementTimer.cancel();
         entry.close(ignored);
         endpoint.close(ignored);
     }
@@ -61,6 +67,21 @@
                 relayed->close();
         });
     }
+
+    /// Closes both connections if the host at the end of one of them vanishes.
+    static void watchAcknowledgements(const std::shared_ptr<session>& relayed)
+    {
+        relayed->acknowledgementTimer.expires_after(acknowledgement_watch::checkInterval);
+        relayed->acknowledgementTimer.async_wait([relayed](boost::system::error_code error) {
+            if (error || !relayed->entry.is_open())
+                return;
+            bool isEntryLost = relayed->entryAcknowledgements.isLost(relayed->entry);
+            if (isEntryLost || relayed->endpointAcknowledgements.isLost(relayed->endpoint))
+                relayed->close();
+            else
+                watchAcknowledgements(relayed);
+        });
+    }
 };
 
 relay_server::relay_server(asio::io_context& context, metrics& counters, endpoint_registry& endpoints, endpoint_paths& paths, std::string listenAddress, unreachable_handler onUnreachable)
@@ -155,6 +176,7 @@
     m_metrics.count(status == wire::RELAY_OPENED ? "relay_opened" : "relay_not_opened");
     bool replied = co_await writeRelayMessage(relayed->entry, reply);
     if (replied && status == wire::RELAY_OPENED) {
+        session::watchAcknowledgements(relayed);
         asio::co_spawn(m_context, copyToEndpoint(relayed), asio::detached);
         co_await copyToEntry(relayed);
     } else {
