Forwarding: A call stays at its endpoint until another one has it

A look-up, or a stream without its first event, whose endpoint stands still for 1.2 s got 502 after 401 to 408 ms of its 6 s when the other endpoint refused it. The first one would have answered.

Cause: the timer of an attempt that may be repeated, four times the route's latency target, closed the connection before another endpoint was looked for.

The timer now interrupts the wait for the head, or for the body of a response that is read whole, and the call moves as a stalled stream does: it leaves its endpoint once another one has answered, or has held it for 300 ms without refusing it. A head that arrives from the first endpoint before ends the other attempt. Without another endpoint, or if it refuses, the call stays and asks again later. A request that isn't sent completely isn't offered to others; its connection is closed after the pause that callers tolerate.

An error of the endpoint that is asked is kept as the last resort while the first one may still answer, and what a response states is dated by its own request: both would have acted on the wrong attempt.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -86,6 +86,8 @@
         std::uint64_t callId = 0;
         std::string endpointId;
         std::shared_ptr<endpoint_connection> connection;
+        /// When the last request was sent on the connection.
+        time_point sentAt {};
         /// Counts the attempt as load of its endpoint.
         std::shared_ptr<endpoint_reservation> reservation;
         /// The endpoint's software version; empty if unknown.
@@ -107,7 +109,7 @@
         wire::endpoint_statement prefillStated;
     };
 
-    /// A stream whose endpoint has stalled, while another endpoint is asked to continue it.
+    /// A call whose endpoint has stalled, while another endpoint is asked to run or continue it.
     struct stalled_source {
         selected_endpoint endpoint;
         attempt_state attempt;
@@ -117,7 +119,7 @@
         bool left = false;
     };
 
-    /// The endpoints selected for one attempt at a model call, or the endpoint to which a stalled stream of a service without engines
+    /// The endpoints selected for one attempt at a model call, or the endpoint to which a stalled call of a service without engines
     /// moves.
     struct model_placement {
         selected_endpoint decode;
@@ -129,6 +131,14 @@
         std::uint64_t callId = 0;
     };
 
+    /// The body of a response that is read as a whole.
+    struct whole_body {
+        std::string bytes;
+        body_end end = body_end::Open;
+        /// The outcome at another endpoint that the call has moved to meanwhile, if any.
+        std::optional<attempt_outcome> moved;
+    };
+
     /// What an endpoint tells of its run.
     enum class run_check {
         Expected,
@@ -218,20 +228,29 @@
     wire::engine_plan_request makePlanRequest(std::uint64_t callId, milliseconds timeout);
     void countEvents(std::uint64_t count);
     idle_stream measureIdleTime(const std::string& endpointId) const;
-    /// Whether another endpoint may continue the stream if it stalls.
+    /// Whether another endpoint may take the call over if it stalls.
     bool mayMove() const;
     /// Interrupts the read of the stream once it has stalled.
     void scheduleStallCheck(const selected_endpoint& endpoint, milliseconds delay);
-    /// Asks another endpoint to continue a stalled stream. The stream's own endpoint keeps it until the other one begins to
-    /// answer, and goes on with it if it sends anything before. Returns the outcome at the other endpoint, or nothing if the
-    /// stream stays.
-    task_of<std::optional<attempt_outcome>> moveStalledStream(const selected_endpoint& endpoint);
+    /// How long an endpoint may take for a response that another endpoint could give before that one is asked.
+    milliseconds responseTimeout() const;
+    /// Interrupts the read of the response after a delay, and again if it goes on, if another endpoint may give the response.
+    void scheduleResponseCheck(milliseconds delay);
+    /// Asks another endpoint to give a response that takes too long; see moveStalledCall().
+    task_of<std::optional<attempt_outcome>> moveLateResponse(const selected_endpoint& endpoint, bool isSilent);
+    /// Reads the head of the current attempt's response. Asks another endpoint if it takes too long, and returns the outcome there if
+    /// the call has moved.
+    task_of<std::optional<attempt_outcome>> awaitHead(const selected_endpoint& endpoint, response_metadata& response, head_result& head);
+    /// Asks another endpoint to take a stalled call over. The call's own endpoint keeps it until the other one answers. If it has sent
+    /// nothing of what is awaited (`isSilent`), it goes on with the call if it sends anything before. Returns the outcome at the other
+    /// endpoint, or nothing if the call stays.
+    task_of<std::optional<attempt_outcome>> moveStalledCall(const selected_endpoint& endpoint, bool isSilent);
     task_of<std::optional<model_placement>> selectAlternative(const selected_endpoint& endpoint);
-    /// Whether the endpoint has sent anything since the stream stalled, or answers a status request.
+    /// Whether the endpoint has sent anything since the call stalled, or answers a status request.
     task_of<bool> isResponding(const selected_endpoint& endpoint);
-    /// Leaves the stalled stream's endpoint, if any, once the next one has held the stream for a time without refusing it.
+    /// Leaves the stalled call's endpoint, if any, once the next one has held the call for a time without refusing it.
     void limitOverlap(const selected_endpoint& next);
-    /// Ends the attempt at the stalled stream's endpoint, if any, because the next endpoint has begun to answer.
+    /// Ends the attempt at the stalled call's endpoint, if any, because the next endpoint has taken over.
     void leaveSource(const selected_endpoint& next);
     std::optional<model_placement> placementFromPlan(const wire::engine_plan_reply& plan, std::uint64_t callId) const;
     /// Records an outcome in the registry and, for model calls, in the release message that reports it to the leader.
@@ -247,9 +266,10 @@
     task_of<attempt_outcome> forwardStream(const selected_endpoint& endpoint, const response_metadata& response);
     task_of<attempt_outcome> storeFallbackResponse(const selected_endpoint& endpoint, const response_metadata& response);
     task_of<attempt_outcome> forwardCompleteResponse(const selected_endpoint& endpoint, const response_metadata& response);
-    /// Reads the rest of a response's body, accounted to the call, and no more of it while the buffer budget has no room.
-    task_of<body_end> readWholeBody(std::string& body, buffer_charge& charge);
-    task_of<call_failure> readMatchingHead(response_metadata& response);
+    /// Reads the rest of a response's body, accounted to the call, and no more of it while the buffer budget has no room. Asks another
+    /// endpoint if it takes too long.
+    task_of<whole_body> readWholeBody(const selected_endpoint& endpoint, buffer_charge& charge);
+    task_of<head_result> readMatchingHead(response_metadata& response);
     /// Returns a connection on which a request may be sent; null if there is none or the endpoint was evacuated.
     task_of<std::shared_ptr<endpoint_connection>> openConnection(const selected_endpoint& endpoint, bool idempotent);
     /// Drops what is left of the attempt before.
@@ -267,7 +287,7 @@
     void startAttemptTimer(milliseconds timeout);
     void cancelAttemptTimer();
     void closeAttemptConnection();
-    /// Closes the connection of the current attempt, and of a stalled stream that another endpoint is asked to continue.
+    /// Closes the connection of the current attempt, and of a stalled call that another endpoint is asked to take over.
     void closeConnections();
     /// Returns a connection to the pool on which nothing was sent.
     void releaseUnusedConnection(const std::string& endpointId);
@@ -317,8 +337,6 @@
     boost::asio::steady_timer m_overlapTimer;
     std::uint64_t m_attemptNumber = 0;
     bool m_attemptExpired = false;
-    /// When the last request was sent to an endpoint.
-    time_point m_sentAt {};
     bool m_callerGone = false;
     bool m_deadlinePassed = false;
     bool m_responseStarted = false;
@@ -327,7 +345,7 @@
     unsigned m_possibleRuns = 0;
     call_arrivals m_arrivals;
     bool m_firstArrivalRecorded = false;
-    /// Refusals by endpoints that were asked to continue the stream, and failures to connect to them.
+    /// Refusals by endpoints that were asked to take the call over, and failures to connect to them.
     unsigned m_refusals = 0;
     std::set<std::string> m_triedEndpoints;
     std::string m_endpointIds;
@@ -344,10 +362,10 @@
     std::string m_outcome;
     milliseconds m_firstEventLatency { -1 };
     std::uint64_t m_eventsForwarded = 0;
-    /// Since when the stream's next data is awaited; zero while it is blocked by a slow caller.
+    /// Since when the call's response or its stream's next data is awaited; zero while it is blocked by a slow caller.
     time_point m_waitingSince {};
     milliseconds m_longestPause { 0 };
-    /// The stalled stream while another endpoint is asked to continue it, or null.
+    /// The stalled call while another endpoint is asked to take it over, or null.
     stalled_source* m_source = nullptr;
     milliseconds m_retryAfter { 0 };
     /// Why the call is not retried; None while it may be.
--- a/Source/forwarding/call_forwarder_attempts.h
+++ b/Source/forwarding/call_forwarder_attempts.h
@@ -161,12 +161,12 @@
     m_attempt.bodyEnd = body_end::Open;
     m_endpointIds += (m_endpointIds.empty() ? "" : ",") + endpoint.id;
     options.timeLeft = timeLeft();
-    m_sentAt = m_shared.clock.now();
+    m_attempt.sentAt = m_shared.clock.now();
+    if (!m_source)
+        m_waitingSince = m_attempt.sentAt;
     startSend(options);
     limitOverlap(endpoint);
-    bool canRetryElsewhere = isIdempotent() && m_possibleRuns < m_route->maxEndpoints;
-    if (canRetryElsewhere)
-        startAttemptTimer(std::max(m_route->latencyTarget * forwarding_detail::attemptTimeoutTargets, milliseconds(300)));
+    scheduleResponseCheck(responseTimeout());
     auto outcome = co_await receiveResponse(endpoint);
     bool expired = m_attemptExpired;
     cancelAttemptTimer();
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -8,8 +8,6 @@
 
 namespace forwarding_detail {
     constexpr auto asTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
-    /// Timeout of an attempt that can be retried, as a multiple of the route's latency target.
-    constexpr int attemptTimeoutTargets = 4;
     /// Size limit of responses that are buffered before they are forwarded; the same as for callers' requests.
     constexpr std::size_t maxResponseBytes = 16UL * 1024 * 1024;
     /// Status of an endpoint that isn't the expected one.
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -290,14 +290,14 @@
         releaseUnusedConnection(endpoint.id);
         co_return prefill_attempt {};
     }
-    m_sentAt = m_shared.clock.now();
+    m_attempt.sentAt = m_shared.clock.now();
     startSend(options);
     startAttemptTimer(m_route->latencyTarget * forwarding_detail::prefillTimeoutTenths / 10);
     response_metadata response;
     std::string body;
-    auto failure = co_await readMatchingHead(response);
+    auto head = co_await readMatchingHead(response);
     auto end = body_end::Reset;
-    if (failure == call_failure::None) {
+    if (head == head_result::Received) {
         recordStatements(endpoint, response);
         end = co_await connection->readRemainingBody(body, forwarding_detail::maxSmallBodyBytes);
     }
--- a/Source/forwarding/call_forwarder_moves.h
+++ b/Source/forwarding/call_forwarder_moves.h
@@ -1,21 +1,24 @@
 #pragma once
-// Moves of stalled streams to other endpoints. Included only by call_forwarder.h.
+// Moves of stalled calls to other endpoints. Included only by call_forwarder.h.
 #include "forwarding/call_forwarder.h"
 #include "forwarding/call_forwarder_models.h"
 
 namespace pistachiolatch {
 
 namespace forwarding_detail {
-    /// Interval between attempts to move a stalled stream. Calls complete, and free capacity, more often than this.
+    /// Interval between attempts to move a stalled call. Calls complete, and free capacity, more often than this.
     constexpr milliseconds moveRetryInterval { 150 };
-    /// How long two endpoints may hold a stream. One that refuses does so within a round trip; one that takes longer has accepted.
+    /// How long two endpoints may hold a call. One that refuses does so within a round trip; one that takes longer has accepted.
     constexpr milliseconds maxOverlap { 300 };
+    /// How long an endpoint may take for a response that others could give, as a multiple of the route's latency target.
+    constexpr int responseTimeoutTargets = 4;
+    constexpr milliseconds minResponseTimeout { 300 };
 }
 
 template <call_codec Codec>
 bool call_forwarder<Codec>::mayMove() const
 {
-    return isResumable() && m_possibleRuns < m_route->maxEndpoints && m_refusals <= forwarding_detail::maxRefusalsToContinue && !(m_origin && m_origin->softwareVersion.empty());
+    return isIdempotent() && m_possibleRuns < m_route->maxEndpoints && m_refusals <= forwarding_detail::maxRefusalsToContinue && !(m_origin && m_origin->softwareVersion.empty());
 }
 
 template <call_codec Codec>
@@ -38,16 +41,70 @@
 }
 
 template <call_codec Codec>
-task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::moveStalledStream(const selected_endpoint& endpoint)
+milliseconds call_forwarder<Codec>::responseTimeout() const
+{
+    return std::max(m_route->latencyTarget * forwarding_detail::responseTimeoutTargets, forwarding_detail::minResponseTimeout);
+}
+
+template <call_codec Codec>
+void call_forwarder<Codec>::scheduleResponseCheck(milliseconds delay)
+{
+    if (!mayMove())
+        return;
+    m_attemptTimer.expires_after(delay);
+    m_attemptTimer.async_wait([this, attempt = m_attemptNumber, alive = m_alive](boost::system::error_code error) {
+        if (error || !*alive || attempt != m_attemptNumber || isAborted() || !m_attempt.connection)
+            return;
+        bool isSent = m_attempt.connection->isRequestSent();
+        auto elapsed = m_shared.clock.now() - m_attempt.sentAt;
+        if (!isSent && elapsed >= maxToleratedPause(m_route->latencyTarget, m_route->gapTarget)) {
+            // An endpoint that doesn't read the request isn't going to answer it.
+            m_attemptExpired = true;
+            closeAttemptConnection();
+            return;
+        }
+        if (isSent && !m_source)
+            m_attempt.connection->interruptRead();
+        scheduleResponseCheck(forwarding_detail::moveRetryInterval);
+    });
+}
+
+template <call_codec Codec>
+task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::moveLateResponse(const selected_endpoint& endpoint, bool isSilent)
+{
+    cancelAttemptTimer();
+    auto moved = co_await moveStalledCall(endpoint, isSilent);
+    if (!moved)
+        scheduleResponseCheck(forwarding_detail::moveRetryInterval * std::max(m_refusals, 1U));
+    co_return moved;
+}
+
+template <call_codec Codec>
+task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::awaitHead(const selected_endpoint& endpoint, response_metadata& response, head_result& head)
+{
+    head = co_await readMatchingHead(response);
+    while (head == head_result::Interrupted) {
+        auto moved = co_await moveLateResponse(endpoint, true);
+        if (moved)
+            co_return moved;
+        head = co_await readMatchingHead(response);
+    }
+    co_return std::nullopt;
+}
+
+template <call_codec Codec>
+task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::moveStalledCall(const selected_endpoint& endpoint, bool isSilent)
 {
     stalled_source source { endpoint, std::exchange(m_attempt, {}) };
     auto connection = source.attempt.connection;
     auto placementsBefore = m_placements;
     m_source = &source;
-    connection->watchReadable([this, &source] {
-        source.resumed = true;
-        closeAttemptConnection();
-    });
+    if (isSilent) {
+        connection->watchReadable([this, &source] {
+            source.resumed = true;
+            closeAttemptConnection();
+        });
+    }
     auto outcome = attempt_outcome::NotSent;
     auto next = co_await selectAlternative(endpoint);
     if (next) {
@@ -60,7 +117,7 @@
             m_shared.link.reportFinished({ next->callId, {}, std::move(m_attempt.outcomes), {}, {} });
     }
     connection->stopWatching();
-    // The first endpoint may have run the stream, whatever the other one did.
+    // The first endpoint may have run the call, whatever the other one did.
     if (source.left)
         co_return outcome == attempt_outcome::Completed ? outcome : attempt_outcome::MayHaveRun;
     closeAttemptConnection();
@@ -75,7 +132,7 @@
     if (outcome == attempt_outcome::RefusedNotRun)
         ++m_refusals;
     if (next)
-        logEvent("stream_stays", { { "request", m_metadata.id }, { "at", endpoint.id }, { "asked", next->decode.id }, { "not_sent", outcome == attempt_outcome::NotSent ? 1 : 0 }, { "refused", outcome == attempt_outcome::RefusedNotRun ? 1 : 0 }, { "resumed", source.resumed ? 1 : 0 }, { "quiet_ms", measureIdleTime(endpoint.id).idleTime.count() }, { "events", m_eventsForwarded } });
+        logEvent(m_responseStarted ? "stream_stays" : "call_stays", { { "request", m_metadata.id }, { "at", endpoint.id }, { "asked", next->decode.id }, { "not_sent", outcome == attempt_outcome::NotSent ? 1 : 0 }, { "refused", outcome == attempt_outcome::RefusedNotRun ? 1 : 0 }, { "resumed", source.resumed ? 1 : 0 }, { "quiet_ms", measureIdleTime(endpoint.id).idleTime.count() }, { "events", m_eventsForwarded } });
     if (outcome == attempt_outcome::MayHaveRun || outcome == attempt_outcome::Stalled) {
         m_triedEndpoints.insert(next->decode.id);
         if (!source.resumed)
@@ -153,7 +210,7 @@
     auto& source = *std::exchange(m_source, nullptr);
     auto stream = measureIdleTime(source.endpoint.id);
     bool isAlive = isEndpointAlive(stream);
-    logEvent("stream_moves", { { "request", m_metadata.id }, { "from", source.endpoint.id }, { "to", next.id }, { "quiet_ms", stream.idleTime.count() }, { "endpoint_quiet_ms", stream.endpointIdleTime.count() }, { "events", m_eventsForwarded } });
+    logEvent(m_responseStarted ? "stream_moves" : "call_moves", { { "request", m_metadata.id }, { "from", source.endpoint.id }, { "to", next.id }, { "quiet_ms", stream.idleTime.count() }, { "endpoint_quiet_ms", stream.endpointIdleTime.count() }, { "events", m_eventsForwarded } });
     source.left = true;
     m_overlapTimer.cancel();
     source.attempt.connection->close();
@@ -167,6 +224,7 @@
     std::swap(m_attempt, source.attempt);
     // The next endpoint sends the event that was cut off from its beginning.
     m_eventSplitter.discardRemainder();
+    m_waitingSince = m_attempt.sentAt;
     m_triedEndpoints.insert(source.endpoint.id);
     m_shared.counters.countRetry(reason::EndpointFailed);
 }
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -2,30 +2,31 @@
 // Reading, validation and forwarding of complete responses. Included only by call_forwarder.h.
 #include "forwarding/call_forwarder.h"
 #include "forwarding/call_forwarder_common.h"
+#include "forwarding/call_forwarder_moves.h"
 #include <algorithm>
 #include <array>
 
 namespace pistachiolatch {
 
 template <call_codec Codec>
-task_of<call_failure> call_forwarder<Codec>::readMatchingHead(response_metadata& response)
+task_of<head_result> call_forwarder<Codec>::readMatchingHead(response_metadata& response)
 {
     bool noBody = m_request.method() == boost::beast::http::verb::head;
     for (int stray = 0;; ++stray) {
-        auto failure = co_await m_attempt.connection->readResponseHead(noBody);
-        if (failure != call_failure::None)
-            co_return failure;
+        auto head = co_await m_attempt.connection->readResponseHead(noBody);
+        if (head != head_result::Received)
+            co_return head;
         response = Codec::parseResponse(m_attempt.connection->fields());
         if (response.requestId.empty() || response.requestId == m_metadata.id)
-            co_return call_failure::None;
+            co_return head_result::Received;
         // A late response to an earlier request on this connection; the expected one follows.
         m_shared.counters.count("stray_answer");
         std::string discarded;
         if (stray == forwarding_detail::maxStrayResponses || !response.sealed)
-            co_return call_failure::Broken;
+            co_return head_result::Failed;
         auto end = co_await m_attempt.connection->readRemainingBody(discarded, forwarding_detail::maxResponseBytes);
         if (!isCompleteBody(end))
-            co_return call_failure::Broken;
+            co_return head_result::Failed;
     }
 }
 
@@ -33,8 +34,11 @@
 task_of<attempt_outcome> call_forwarder<Codec>::receiveResponse(const selected_endpoint& endpoint)
 {
     response_metadata response;
-    auto failure = co_await readMatchingHead(response);
-    if (failure != call_failure::None) {
+    auto head = head_result::Failed;
+    auto moved = co_await awaitHead(endpoint, response, head);
+    if (moved)
+        co_return *moved;
+    if (head != head_result::Received) {
         if (!isAborted()) {
             recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
             // Its idle connections may hang as well.
@@ -43,7 +47,7 @@
         recordBrokenConnection(endpoint);
         co_return attempt_outcome::MayHaveRun;
     }
-    // The stalled stream has gone on at its own endpoint, and this connection was closed.
+    // The stalled call has gone on at its own endpoint, and this connection was closed.
     if (m_source && m_source->resumed)
         co_return attempt_outcome::MayHaveRun;
     auto status = m_attempt.connection->status();
@@ -73,7 +77,7 @@
         co_return attempt_outcome::MayHaveRun;
     }
     bool isServerError = status >= 500;
-    bool canRetryElsewhere = isIdempotent() && m_possibleRuns < m_route->maxEndpoints && !m_responseStarted;
+    bool canRetryElsewhere = isIdempotent() && (m_source || m_possibleRuns < m_route->maxEndpoints) && !m_responseStarted;
     if (isServerError)
         recordOutcome(endpoint.id, endpoint_outcome::Failed);
     if (isServerError && canRetryElsewhere)
@@ -88,42 +92,52 @@
 }
 
 template <call_codec Codec>
-task_of<body_end> call_forwarder<Codec>::readWholeBody(std::string& body, buffer_charge& charge)
+task_of<typename call_forwarder<Codec>::whole_body> call_forwarder<Codec>::readWholeBody(const selected_endpoint& endpoint, buffer_charge& charge)
 {
     auto connection = m_attempt.connection;
     boost::asio::steady_timer timer(m_shared.context);
-    while (true) {
+    whole_body body;
+    while (body.end == body_end::Open) {
         while (!m_shared.bufferBudget.mayGrow(m_caller->holder(), m_shared.clock.now()) && !isAborted() && !m_attemptExpired) {
             timer.expires_after(forwarding_detail::bufferRetryInterval);
             co_await timer.async_wait(forwarding_detail::asTuple);
         }
         std::string chunk;
-        auto end = co_await connection->readBodyChunk(chunk);
-        body += chunk;
-        charge.resize(body.size(), m_shared.clock.now());
-        if (body.size() > forwarding_detail::maxResponseBytes) {
+        body.end = co_await connection->readBodyChunk(chunk);
+        bool isInterrupted = chunk.empty() && body.end == body_end::Open;
+        if (isInterrupted) {
+            body.moved = co_await moveLateResponse(endpoint, false);
+            if (body.moved)
+                co_return body;
+            continue;
+        }
+        body.bytes += chunk;
+        charge.resize(body.bytes.size(), m_shared.clock.now());
+        if (body.bytes.size() > forwarding_detail::maxResponseBytes) {
             connection->close();
-            co_return body_end::Reset;
+            body.end = body_end::Reset;
         }
-        if (end != body_end::Open)
-            co_return end;
     }
+    cancelAttemptTimer();
+    recordBodyEnd(body.end);
+    co_return body;
 }
 
 template <call_codec Codec>
 task_of<attempt_outcome> call_forwarder<Codec>::storeFallbackResponse(const selected_endpoint& endpoint, const response_metadata& response)
 {
-    std::string body;
-    m_fallbackCharge = buffer_charge(m_shared.bufferBudget, m_caller->holder());
-    auto end = co_await readWholeBody(body, m_fallbackCharge);
-    recordBodyEnd(end);
-    // It waits for other endpoints from now on, not for a peer.
-    m_fallbackCharge.setWait(buffer_budget::wait_for::Turn, m_shared.clock.now());
-    if (!isCompleteBody(end) || !response.sealed)
+    buffer_charge charge(m_shared.bufferBudget, m_caller->holder());
+    auto body = co_await readWholeBody(endpoint, charge);
+    if (body.moved)
+        co_return *body.moved;
+    if (!isCompleteBody(body.end) || !response.sealed)
         co_return attempt_outcome::MayHaveRun;
+    // It waits for other endpoints from now on, not for a peer.
+    charge.setWait(buffer_budget::wait_for::Turn, m_shared.clock.now());
+    m_fallbackCharge = std::move(charge);
     m_fallbackStatus = m_attempt.connection->status();
     // A shutdown may start while the call waits for another endpoint, so this response always closes the connection.
-    m_fallbackResponse = encodeResponseHead(m_fallbackStatus, m_attempt.connection->reasonPhrase(), m_attempt.connection->fields(), { body.size(), true }) + body;
+    m_fallbackResponse = encodeResponseHead(m_fallbackStatus, m_attempt.connection->reasonPhrase(), m_attempt.connection->fields(), { body.bytes.size(), true }) + body.bytes;
     releaseConnection(endpoint.id, response);
     co_return attempt_outcome::MayHaveRun;
 }
@@ -131,29 +145,30 @@
 template <call_codec Codec>
 task_of<attempt_outcome> call_forwarder<Codec>::forwardCompleteResponse(const selected_endpoint& endpoint, const response_metadata& response)
 {
-    std::string body;
     buffer_charge charge(m_shared.bufferBudget, m_caller->holder());
     auto status = m_attempt.connection->status();
-    auto end = co_await readWholeBody(body, charge);
-    recordBodyEnd(end);
-    if (!isCompleteBody(end)) {
+    auto body = co_await readWholeBody(endpoint, charge);
+    if (body.moved)
+        co_return *body.moved;
+    if (!isCompleteBody(body.end)) {
         if (!isAborted())
             recordOutcome(endpoint.id, endpoint_outcome::Failed);
         recordBrokenConnection(endpoint);
         co_return attempt_outcome::MayHaveRun;
     }
+    leaveSource(endpoint);
     if (status < 500)
         recordOutcome(endpoint.id, endpoint_outcome::Succeeded);
     m_keepAlive = m_keepAlive && !closesConnections();
-    auto head = encodeResponseHead(status, m_attempt.connection->reasonPhrase(), m_attempt.connection->fields(), { body.size(), !m_keepAlive });
+    auto head = encodeResponseHead(status, m_attempt.connection->reasonPhrase(), m_attempt.connection->fields(), { body.bytes.size(), !m_keepAlive });
     releaseConnection(endpoint.id, response);
     m_responseStarted = true;
     m_status = status;
     m_outcome = "answered";
     // Put before the body, of which there must not be a second copy while a slow caller reads.
-    body.insert(0, head);
+    body.bytes.insert(0, head);
     charge.clear();
-    bool written = co_await m_caller->write(std::move(body));
+    bool written = co_await m_caller->write(std::move(body.bytes));
     m_callerGone = m_callerGone || !written;
     co_return attempt_outcome::Completed;
 }
--- a/Source/forwarding/call_forwarder_resumption.h
+++ b/Source/forwarding/call_forwarder_resumption.h
@@ -158,13 +158,13 @@
 task_of<typename call_forwarder<Codec>::run_check> call_forwarder<Codec>::checkRun(const selected_endpoint& endpoint)
 {
     auto connection = m_attempt.connection;
-    m_sentAt = m_shared.clock.now();
+    m_attempt.sentAt = m_shared.clock.now();
     connection->startSend(Codec::encodeStatusRequest(endpoint.address), m_shared.sendWindow, m_shared.clock);
     startAttemptTimer(forwarding_detail::runCheckTimeout);
     std::string body;
-    auto failure = co_await connection->readResponseHead(false);
+    auto head = co_await connection->readResponseHead(false);
     auto end = body_end::Reset;
-    if (failure == call_failure::None) {
+    if (head == head_result::Received) {
         recordStatements(endpoint, Codec::parseResponse(connection->fields()));
         end = co_await connection->readRemainingBody(body, forwarding_detail::maxSmallBodyBytes);
     }
--- a/Source/forwarding/call_forwarder_statements.h
+++ b/Source/forwarding/call_forwarder_statements.h
@@ -16,7 +16,7 @@
 {
     // Only a whole answer tells that a limit is withdrawn; an endpoint may leave its state out of refusals and errors.
     if (response.callLimit || (isAnswer && !response.namesCallLimit))
-        m_shared.link.onResponse(endpoint.id, endpoint.incarnation, response.callLimit, m_sentAt);
+        m_shared.link.onResponse(endpoint.id, endpoint.incarnation, response.callLimit, m_attempt.sentAt);
 }
 
 template <call_codec Codec>
@@ -31,7 +31,7 @@
         m_shared.counters.count("endpoint_rests");
         m_shared.endpoints.recordRest(endpoint, rest);
     }
-    m_shared.endpoints.recordLeaving(endpoint, response.leaves, m_sentAt);
+    m_shared.endpoints.recordLeaving(endpoint, response.leaves, m_attempt.sentAt);
     // The endpoint asked the entry that connected to it.
     if (!m_attempt.connection->relayAddress().empty() && (rest > milliseconds(0) || response.leaves))
         m_shared.connector.tellRelay(m_attempt.connection->relayAddress(), endpoint, rest, response.leaves);
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -65,6 +65,7 @@
     m_bytesSent = 0;
     m_sendComplete = false;
     m_interrupted = false;
+    m_insideHead = false;
     sendNextPart(window, clock);
     m_acknowledgements = {};
     watchAcknowledgements();
@@ -106,19 +107,27 @@
     });
 }
 
-task_of<call_failure> endpoint_connection::readResponseHead(bool noBody)
+task_of<head_result> endpoint_connection::readResponseHead(bool noBody)
 {
     auto self = shared_from_this();
     while (true) {
-        m_parser.emplace();
-        m_parser->header_limit(maxHeaderBytes);
-        m_parser->body_limit(boost::none);
-        m_parser->skip(noBody);
+        if (!std::exchange(m_insideHead, true)) {
+            m_parser.emplace();
+            m_parser->header_limit(maxHeaderBytes);
+            m_parser->body_limit(boost::none);
+            m_parser->skip(noBody);
+        }
+        if (std::exchange(m_interrupted, false))
+            co_return head_result::Interrupted;
         auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, asTuple);
+        if (error == asio::error::operation_aborted && m_interrupted && !m_closed)
+            continue;
+        m_interrupted = false;
+        m_insideHead = false;
         if (error)
-            co_return call_failure::Broken;
+            co_return head_result::Failed;
         if (status() >= firstFinalStatus)
-            co_return call_failure::None;
+            co_return head_result::Received;
     }
 }
 
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -16,6 +16,14 @@
 
 namespace pistachiolatch {
 
+/// How a wait for a response head ended.
+enum class head_result {
+    Received,
+    /// The wait was interrupted. The head may still arrive.
+    Interrupted,
+    Failed,
+};
+
 /// An HTTP/1.1 connection to an endpoint that carries one call at a time. It has no timeouts of its own: its user
 /// closes it, unless the endpoint's host vanishes while a request is sent. Used on one thread.
 class endpoint_connection : public std::enable_shared_from_this<endpoint_connection> {
@@ -31,16 +39,19 @@
     /// respond before it has read everything. The bytes are accounted to a holder of the budget until they are sent.
     /// Precondition: the window, the clock and the budget outlive the context's handlers.
     void startSend(std::string bytes, send_window& window, const clock_source& clock, buffer_charge charge = {});
-    /// Reads a response head and skips interim responses. Precondition: startSend() was called since the last response.
-    task_of<call_failure> readResponseHead(bool noBody);
+    /// Whether the last request was sent completely.
+    bool isRequestSent() const { return m_sendComplete; }
+    /// Reads a response head and skips interim responses. Returns Interrupted if interruptRead() ends the wait; the next call
+    /// reads the rest of the head. Precondition: startSend() was called since the last response.
+    task_of<head_result> readResponseHead(bool noBody);
     unsigned status() const { return m_parser->get().result_int(); }
     std::string reasonPhrase() const { return std::string(m_parser->get().reason()); }
     const header_fields& fields() const { return m_parser->get(); }
     /// Reads the next bytes of the body; none if it is interrupted. Returns how the body ended, or Open if more may follow.
-    /// Precondition: readResponseHead() returned None.
+    /// Precondition: readResponseHead() returned Received.
     task_of<body_end> readBodyChunk(std::string& chunk);
-    /// Has the readBodyChunk() that waits for data, or else the next one, return Open without any. The rest of the body can still be
-    /// read. Does nothing while a part of the request is being sent.
+    /// Has the readResponseHead() or readBodyChunk() that waits for data, or else the next one, return Interrupted, or Open without
+    /// any data. The rest of the response can still be read. Does nothing while a part of the request is being sent.
     void interruptRead();
     /// Calls a handler once data has arrived, not the end of it, unless stopWatching() is called before. Precondition: nothing is read meanwhile.
     void watchReadable(std::function<void()> onReadable);
@@ -84,6 +95,8 @@
     bool m_sendComplete = false;
     bool m_readFailed = false;
     bool m_interrupted = false;
+    /// Whether a part of a response head may have been read.
+    bool m_insideHead = false;
     /// Identifies the handler that waits for data.
     std::uint64_t m_watchId = 0;
     std::string m_relayAddress;
