Forwarding: Count a slow caller's progress, not the time of its whole answer

What callers saw: one that read a long answer at a steady rate was cut off 10 to 10.5 s after the entry began to write, with part of the answer (caller_write_timeout).

Cause: gateway_detail::maxWriteTime was compared with the time since the start of the write, and one write carries an answer of up to 16 MB.

Why this works: the gateway counts from the last moment at which the caller had acknowledged more of what was written (bytes handed to the kernel less SIOCOUTQ). What the kernel accepts is not enough: with 3.9 MB in its buffer it became writable again only once 1.2 MB were read, 30 s at 40 KB/s. Charges and progress in buffer_budget are as before, so that the bounds of slow readers' memory stay: the answer is charged whole until it is written, and while buffers are full the largest holders from which the kernel accepts nothing for 1 s are ended.

The field writing_ms of caller_write_timeout is idle_ms now.

--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -102,8 +102,8 @@
     constexpr auto asTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
     /// How often connections are checked for timeouts, which are seconds long.
     constexpr milliseconds expiryCheckInterval { 500 };
-    /// Maximum duration of one write to a caller. Closing a blocked connection frees its endpoint.
-    constexpr milliseconds maxWriteTime { 10000 };
+    /// How long a caller may take nothing of what is written to it. Closing a blocked connection frees its endpoint.
+    constexpr milliseconds maxWriteIdleTime { 10000 };
     constexpr milliseconds acceptRetryDelay { 20 };
     /// Retry-After while the buffers are full. Holders that make no progress have been ended by then.
     constexpr milliseconds buffersRetryAfter { 2000 };
@@ -402,13 +402,14 @@
         auto& connection = *caller->connection;
         if (!caller->receiving && now - caller->phaseStartedAt > gateway_detail::maxExpectationTime)
             caller->expectedBytes = {};
-        bool writeTimedOut = connection.writeStartedAt() != time_point {} && now - connection.writeStartedAt() > gateway_detail::maxWriteTime;
+        auto writeIdleTime = connection.measureWriteIdleTime();
+        bool writeTimedOut = writeIdleTime > gateway_detail::maxWriteIdleTime;
         caller->headerTimeout = std::max(caller->headerTimeout, bounds.headerTimeout);
         caller->idleTimeout = std::max(caller->idleTimeout, bounds.idleTimeout);
         bool readTimedOut = hasReadTimedOut(*caller, now);
         bool idleInShutdown = stopAccepting && isIdle(*caller);
         if (writeTimedOut)
-            logEvent("caller_write_timeout", { { "request", caller->call ? caller->call->requestId() : std::string() }, { "writing_ms", std::chrono::duration_cast<milliseconds>(now - connection.writeStartedAt()).count() } });
+            logEvent("caller_write_timeout", { { "request", caller->call ? caller->call->requestId() : std::string() }, { "idle_ms", std::chrono::duration_cast<milliseconds>(writeIdleTime).count() } });
         if (writeTimedOut || readTimedOut || idleInShutdown)
             connection.close();
     }
--- a/Source/forwarding/caller_connection.cpp
+++ b/Source/forwarding/caller_connection.cpp
@@ -1,6 +1,8 @@
 #include "forwarding/caller_connection.h"
 
 #include <boost/asio.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace pistachiolatch {
@@ -26,7 +28,8 @@
 task_of<bool> caller_connection::write(std::string bytes)
 {
     auto self = shared_from_this();
-    m_writeStartedAt = m_clock.now();
+    m_isWriting = true;
+    m_progressAt = m_clock.now();
     buffer_charge charge(m_budget, m_holder, buffer_budget::wait_for::Caller);
     charge.resize(bytes.size(), m_clock.now());
     boost::system::error_code error;
@@ -34,13 +37,31 @@
         auto [partError, count] = co_await m_socket.async_write_some(asio::buffer(bytes.data() + written, std::min(maxWriteBytes, bytes.size() - written)), asTuple);
         error = partError;
         written += count;
+        m_writtenBytes += count;
         if (count > 0)
             charge.recordProgress(m_clock.now());
     }
-    m_writeStartedAt = {};
+    m_isWriting = false;
     co_return !error && !m_closed;
 }
 
+duration caller_connection::measureWriteIdleTime()
+{
+    if (!m_isWriting)
+        return duration(0);
+    // The kernel accepts more only once a large part of its buffer is free, which takes a slow caller many seconds. So progress is
+    // what the caller has acknowledged.
+    int unacknowledged = 0;
+    if (::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0) {
+        auto takenBytes = m_writtenBytes - std::min(m_writtenBytes, static_cast<std::uint64_t>(unacknowledged));
+        if (takenBytes > m_takenBytes) {
+            m_takenBytes = takenBytes;
+            m_progressAt = m_clock.now();
+        }
+    }
+    return m_clock.now() - m_progressAt;
+}
+
 void caller_connection::watchDisconnect(std::function<void()> onDisconnect)
 {
     m_onDisconnect = std::move(onDisconnect);
--- a/Source/forwarding/caller_connection.h
+++ b/Source/forwarding/caller_connection.h
@@ -26,8 +26,9 @@
     bool isClosed() const { return m_closed; }
     /// To whom the budget accounts what is held for this connection and its calls.
     buffer_budget::holder_id holder() const { return m_holder; }
-    /// Start of the write in progress; zero if there is none.
-    time_point writeStartedAt() const { return m_writeStartedAt; }
+    /// How long the caller has taken nothing of the write in progress; zero if there is none. What the kernel holds for the caller is
+    /// not taken. Call it periodically: progress is seen when it is called.
+    duration measureWriteIdleTime();
 
 private:
     boost::asio::ip::tcp::socket m_socket;
@@ -37,7 +38,11 @@
     buffer_budget::holder_id m_holder;
     std::function<void()> m_onDisconnect;
     std::uint64_t m_watchId = 0;
-    time_point m_writeStartedAt {};
+    bool m_isWriting = false;
+    /// Handed to the kernel, and taken by the caller as of m_progressAt, of all writes.
+    std::uint64_t m_writtenBytes = 0;
+    std::uint64_t m_takenBytes = 0;
+    time_point m_progressAt {};
     bool m_closed = false;
 };
 
