Routing: Require keys if the list of organisations is empty

What callers saw: after a configuration with "tenants": [], requests with a withdrawn key, with one that never existed and without any were served.

Cause: route_table::requiresKeys() asked whether there are organisations, so an empty list was the same as none. The users' page says that keys are required if the configuration contains the list.

Evidence: OrganisationListTest with real processes: 8 of 21 assertions failed. The decoded configuration required no key with an empty list nor with null; on the entry an unknown key and no key got 200, key-1 got 429 while the entry still had the configuration before, and 200 after a restart.

Of the two readings of an empty list this one lets nobody in by mistake.

--- a/Source/routing/configuration.h
+++ b/Source/routing/configuration.h
@@ -90,6 +90,8 @@
     std::vector<route_config> routes;
     std::vector<service_config> services;
     std::vector<organisation_config> organisations;
+    /// Whether callers need API keys although there may be no organisations, so that no key is valid.
+    bool requiresKeys = false;
     caller_limits limits;
 };
 
--- a/Source/routing/route_table.h
+++ b/Source/routing/route_table.h
@@ -18,7 +18,7 @@
     const organisation_config* findOrganisation(const std::string& key) const;
     const service_config* findService(const std::string& name) const;
     /// Whether callers need API keys, except on public routes.
-    bool requiresKeys() const { return !m_source.organisations.empty(); }
+    bool requiresKeys() const { return m_source.requiresKeys || !m_source.organisations.empty(); }
     const configuration& source() const { return m_source; }
     std::uint64_t version() const { return m_source.version; }
 
