Forwarding: Don't send a call again on a connection that has carried it

What callers saw: nothing was reported; found by reading. A call that an engine refused could run twice, also on routes whose calls run once.

Cause: a response was matched to an attempt by the id of the call, which all attempts share. Without a leader the entry asks the only engine again 40 ms after its refusal, on the same connection. If a late copy of the refusal arrives there after the second attempt was sent, the entry takes it for the refusal of that attempt, which the engine runs, and sends a third one.

Evidence: RepeatedRefusalTest, with real processes and control killed: both for a stream that may run once and for a resumable one, 3 requests of the call reached the engine where 2 are right, the last two of which it ran. A scripted endpoint can now repeat a response once the next request has arrived on its connection.

Why this works: a connection remembers the ids of its last 32 requests, as hashes, and the pool gives a call none that has carried its id. On the old connection the copy has an id that the next call doesn't have, and is dropped as before. Repeats by callers with the same id are covered too. The price is one more connection for a call that is sent again to the same endpoint, or whose prompt was read there. Calls without an id reuse connections as before.

--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -269,6 +269,7 @@
     m_bytesToSend.spend(m_request.body().size());
     // The connection accounts for the copy from now on.
     m_requestCharge.resize(m_request.body().size(), m_shared.clock.now());
+    m_attempt.connection->recordRequest(m_metadata.id);
     m_attempt.connection->startSend(Codec::encodeRequest(m_request, options), m_shared.sendWindow, m_shared.clock, buffer_charge(m_shared.bufferBudget, m_caller->holder()));
 }
 
@@ -358,7 +359,7 @@
     if (m_shared.endpoints.isResting(endpoint.id))
         co_return nullptr;
     std::function<bool()> aborted = [this] { return isAborted(); };
-    bool opened = co_await m_shared.connector.open(endpoint, idempotent, m_attempt.connection, aborted);
+    bool opened = co_await m_shared.connector.open(endpoint, m_metadata.id, idempotent, m_attempt.connection, aborted);
     if (!opened) {
         closeAttemptConnection();
         m_attempt.connection.reset();
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -335,7 +335,9 @@
     auto release = [](endpoint_connector& connector, send_window& window, const clock_source& clock, prefill_result prefill) -> task_of<void> {
         std::shared_ptr<endpoint_connection> connection;
         std::function<bool()> neverAborted = [] { return false; };
-        bool opened = co_await connector.open(prefill.endpoint, true, connection, neverAborted);
+        // The request has no id, and its response is not used.
+        std::string requestId;
+        bool opened = co_await connector.open(prefill.endpoint, requestId, true, connection, neverAborted);
         if (opened) {
             connection->startSend(Codec::encodePrefillRelease(prefill.endpoint.address, prefill.handle), window, clock);
             co_await connection->readResponseHead(false);
--- a/Source/forwarding/connection_pool.cpp
+++ b/Source/forwarding/connection_pool.cpp
@@ -16,23 +16,28 @@
     constexpr milliseconds maxIdleTimeNonIdempotent { 1200 };
 }
 
-std::shared_ptr<endpoint_connection> connection_pool::acquire(const std::string& endpointId, bool idempotent)
+std::shared_ptr<endpoint_connection> connection_pool::acquire(const std::string& endpointId, const std::string& requestId, bool idempotent)
 {
     auto found = m_idle.find(endpointId);
     if (found == m_idle.end())
         return nullptr;
     auto now = m_clock.now();
     auto& idle = found->second;
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+    std::shared_ptr<endpoint_connection> acquired;
+    for (auto i = idle.size(); i-- > 0 && !acquired;) {
+        auto connection = idle[i];
+        if (connection->hasCarried(requestId))
+            continue;
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
         auto maxIdle = idempotent ? connection->maxIdleTime : std::min(connection->maxIdleTime, maxIdleTimeNonIdempotent);
         if (now - connection->idleSince < maxIdle && connection->isOpenAndIdle())
-            return connection;
-        connection->close();
+            acquired = std::move(connection);
+        else
+            connection->close();
     }
-    m_idle.erase(found);
-    return nullptr;
+    if (idle.empty())
+        m_idle.erase(found);
+    return acquired;
 }
 
 void connection_pool::release(const std::string& endpointId, std::shared_ptr<endpoint_connection> connection, std::optional<std::chrono::seconds> keepAlive)
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/endpoint_connection.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
@@ -17,6 +18,8 @@
     constexpr unsigned firstFinalStatus = 200;
     /// Requests are sent in parts of this size, so that no long one keeps others, and messages to control, waiting.
     constexpr std::size_t sendPartBytes = 8UL * 1024;
+    /// Requests whose ids a connection remembers. Responses that are later than this many others are not expected.
+    constexpr std::size_t maxRememberedRequests = 32;
 }
 
 endpoint_connection::endpoint_connection(const asio::any_io_executor& executor)
@@ -207,6 +210,20 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void endpoint_connection::recordRequest(const std::string& requestId)
+{
+    if (requestId.empty())
+        return;
+    m_requests.push_back(std::hash<std::string>()(requestId));
+    if (m_requests.size() > maxRememberedRequests)
+        m_requests.pop_front();
+}
+
+bool endpoint_connection::hasCarried(const std::string& requestId) const
+{
+    return std::find(m_requests.begin(), m_requests.end(), std::hash<std::string>()(requestId)) != m_requests.end();
+}
+
 void endpoint_connection::dropSendBuffer()
 {
     std::string().swap(m_sendBuffer);
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -65,6 +66,10 @@
     /// Whether a pooled connection is still open and has no unread data. Unexpected data, such as a second response,
     /// would be taken for the response to the next call.
     bool isOpenAndIdle();
+    /// Notes that a request of this id was sent. One without an id can't be told from others and is not noted.
+    void recordRequest(const std::string& requestId);
+    /// Whether one of the last requests had this id. A late copy of its response would be taken for that to a later one of the same id.
+    bool hasCarried(const std::string& requestId) const;
     void close();
     /// Address of the entry that relays the connection; empty if it is direct.
     const std::string& relayAddress() const { return m_relayAddress; }
@@ -100,6 +105,8 @@
     /// Identifies the handler that waits for data.
     std::uint64_t m_watchId = 0;
     std::string m_relayAddress;
+    /// Hashes of the ids of the last requests, the newest last.
+    std::deque<std::size_t> m_requests;
     bool m_closed = false;
 };
 
--- a/Source/forwarding/endpoint_connector.cpp
+++ b/Source/forwarding/endpoint_connector.cpp
@@ -54,10 +54,10 @@
 {
 }
 
-task_of<bool> endpoint_connector::open(const selected_endpoint& endpoint, bool idempotent, std::shared_ptr<endpoint_connection>& connection, const std::function<bool()>& isAborted)
+task_of<bool> endpoint_connector::open(const selected_endpoint& endpoint, const std::string& requestId, bool idempotent, std::shared_ptr<endpoint_connection>& connection, const std::function<bool()>& isAborted)
 {
     if (m_paths.choose(endpoint.id) == connection_path::Direct) {
-        connection = m_pool.acquire(endpoint.id, idempotent);
+        connection = m_pool.acquire(endpoint.id, requestId, idempotent);
         if (connection)
             co_return true;
         connection = std::make_shared<endpoint_connection>(m_context.get_executor());
--- a/Source/forwarding/endpoint_connector.h
+++ b/Source/forwarding/endpoint_connector.h
@@ -21,8 +21,9 @@
         connection_pool& pool, endpoint_paths& paths, relay_choice& relays, unreachable_handler onUnreachable);
 
     /// Opens a connection and stores it in `connection`, also while it is being opened, so that the caller can close it.
+    /// A connection that has carried a request of this id is not reused.
     /// Returns false if the endpoint is not reached on any path or isAborted() returns true meanwhile.
-    task_of<bool> open(const selected_endpoint& endpoint, bool idempotent, std::shared_ptr<endpoint_connection>& connection, const std::function<bool()>& isAborted);
+    task_of<bool> open(const selected_endpoint& endpoint, const std::string& requestId, bool idempotent, std::shared_ptr<endpoint_connection>& connection, const std::function<bool()>& isAborted);
     /// Passes on to the entry that relayed a call what the endpoint asked of it.
     void tellRelay(const std::string& relayAddress, const selected_endpoint& endpoint, milliseconds rest, bool leaves);
     /// Has other entries check whether an endpoint is reachable that this one could not reach.
--- a/Tests/Platform/scripted_endpoint.cpp
+++ b/Tests/Platform/scripted_endpoint.cpp
@@ -75,6 +75,7 @@
 {
     boost::beast::flat_buffer buffer;
     auto from = socket.remote_endpoint().address().to_string();
+    std::string lateCopy;
     while (true) {
         http_exchange::request request;
         auto [readError, readBytes] = co_await http::async_read(socket, buffer, request, asTuple);
@@ -106,6 +107,8 @@
             m_arrivals.push_back({ std::chrono::steady_clock::now(), from, id, response.status });
         }
         auto bytes = encode(response);
+        auto copy = std::exchange(lateCopy, response.repeatedLate ? bytes : std::string());
+        bytes.insert(0, copy);
         if (response.endlessHead)
             bytes.resize(bytes.find("\r\n\r\n"));
         auto [writeError, writtenBytes] = co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
--- a/Tests/Platform/scripted_endpoint.h
+++ b/Tests/Platform/scripted_endpoint.h
@@ -40,6 +40,8 @@
     bool endless = false;
     /// The same for the last header's value, so that the head never ends.
     bool endlessHead = false;
+    /// A copy of the response follows on its connection once the next request has arrived there, before the response to that.
+    bool repeatedLate = false;
 };
 
 /// A request that reached a scripted endpoint, status requests included.
