Entry: Ask the owner of a limit again that did not know its shard yet

Callers within their limits got 503 limit_unreachable after 4 s, right after the limit's shard had changed its owner. DoubleFaultsTest "An entry loses its lease in a one-way partition…" failed with it in 2 of 12 runs, four at a time beside compilers (load 9 to 18 on 8 cores).

Cause: entries and schedulers hear of a new owner at the same time. An entry that hears first sends its waiting requests at once; a scheduler that doesn't know the epoch yet, or has no lease, dropped them without a reply, and the entry repeated them only at the next change of the owner. A lost message had the same end. Placements were repeated before. In one failed run the new owner took the shard 31 ms after the leader had assigned it, in the other 1 ms.

Fix: the scheduler replies that it is not the owner, and the entry asks again after 0.2 s; a request without a reply is repeated once the owner must have decided. Two grants charge an organisation twice, so its limit holds. Entries that don't know the reply ignore it, since it has no epoch.

The new case delays by 0.3 s what the leader tells the new owner. Before: 4 of 4 runs failed with limit_unreachable. LeavingTest, whose 503 after the kill of an owner may have the same cause, passed in 4 of 4; that it was the cause is only suspected.

--- a/Source/entry/limit_client.cpp
+++ b/Source/entry/limit_client.cpp
@@ -6,6 +6,10 @@
     /// Added to the wait timeout, so that a pending request survives a change of owner.
     constexpr milliseconds ownerChangeAllowance { 2500 };
     constexpr milliseconds unreachableRetry { 1000 };
+    /// A new owner may learn of its shard later than the entries do.
+    constexpr milliseconds wrongOwnerRetry { 200 };
+    /// The owner decides within the wait timeout; a request without an answer after this much more was lost.
+    constexpr milliseconds replyAllowance { 500 };
 }
 
 limit_client::limit_client(control_loop& loop, control_session& session, milliseconds waitTimeout)
@@ -33,7 +37,7 @@
     }
     auto id = ++m_lastId;
     auto deadline = m_loop.now() + m_waitTimeout + ownerChangeAllowance;
-    auto& pending = m_pending.emplace(id, pending_request { id, organisation, tokens, 0, deadline, std::move(callback) }).first->second;
+    auto& pending = m_pending.emplace(id, pending_request { id, organisation, tokens, 0, {}, deadline, std::move(callback) }).first->second;
     sendRequest(pending);
 }
 
@@ -43,6 +47,7 @@
     if (!owner)
         return;
     pending.requestEpoch = owner->epoch();
+    pending.resendAt.reset();
     wire::envelope message;
     auto* request = message.mutable_limit();
     request->set_shard(owner->shard());
@@ -52,19 +57,26 @@
     request->set_ahead(m_cache.estimateDemand(pending.organisation, m_loop.now()));
     request->set_patience_ms(static_cast<std::uint32_t>(m_waitTimeout.count()));
     auto sentAt = m_loop.now();
-    auto timeout = m_waitTimeout + milliseconds(500);
-    m_loop.call(owner->address(), message, timeout, [this, id = pending.id, sentAt](const wire::envelope* reply) { onReply(id, sentAt, reply); });
+    m_loop.call(owner->address(), message, m_waitTimeout + replyAllowance, [this, id = pending.id, epoch = owner->epoch(), sentAt](const wire::envelope* reply) { onReply(id, epoch, sentAt, reply); });
 }
 
-void limit_client::onReply(std::uint64_t id, time_point sentAt, const wire::envelope* reply)
+void limit_client::onReply(std::uint64_t id, std::uint64_t epoch, time_point sentAt, const wire::envelope* reply)
 {
     auto found = m_pending.find(id);
-    if (found == m_pending.end() || !reply || !reply->has_limit_reply())
-        return; // The deadline or a change of owner completes the request.
+    // Ignores the decision of an owner that has lost the shard since.
+    if (found == m_pending.end() || found->second.requestEpoch != epoch)
+        return;
     auto& pending = found->second;
+    if (!reply || !reply->has_limit_reply()) {
+        sendRequest(pending);
+        return;
+    }
     const auto& decision = reply->limit_reply();
-    // Ignores the decision of an owner that has lost the shard since.
-    if (decision.epoch() != pending.requestEpoch)
+    if (decision.wrong_owner()) {
+        pending.resendAt = m_loop.now() + wrongOwnerRetry;
+        return;
+    }
+    if (decision.epoch() != epoch)
         return;
     if (decision.granted() < pending.tokens) {
         complete(id, { false, reason::OverRate, milliseconds(decision.retry_after_ms()) });
@@ -107,9 +119,11 @@
     for (const auto& returned : m_cache.removeExpired(now))
         sendRefund(returned);
     std::vector<std::uint64_t> overdue;
-    for (const auto& [id, pending] : m_pending) {
+    for (auto& [id, pending] : m_pending) {
         if (now >= pending.deadline)
             overdue.push_back(id);
+        else if (pending.resendAt && now >= *pending.resendAt)
+            sendRequest(pending);
     }
     for (auto id : overdue)
         complete(id, { false, reason::LimitUnreachable, unreachableRetry });
--- a/Source/entry/limit_client.h
+++ b/Source/entry/limit_client.h
@@ -2,6 +2,7 @@
 #include "limits/limits.h"
 #include "session/session.h"
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,11 +36,13 @@
         std::string organisation;
         std::uint64_t tokens;
         std::uint64_t requestEpoch;
+        /// When to ask again, after the process that was asked replied that it is not the owner.
+        std::optional<time_point> resendAt;
         time_point deadline;
         std::function<void(limit_result)> callback;
     };
     void sendRequest(pending_request& pending);
-    void onReply(std::uint64_t id, time_point sentAt, const wire::envelope* reply);
+    void onReply(std::uint64_t id, std::uint64_t epoch, time_point sentAt, const wire::envelope* reply);
     void complete(std::uint64_t id, limit_result result);
     void sendRefund(const returned_tokens& returned);
 
--- a/Source/scheduler/scheduler_node.cpp
+++ b/Source/scheduler/scheduler_node.cpp
@@ -43,6 +43,8 @@
     // After the lease has expired, another scheduler may already own the shards.
     if (!m_session.hasValidLease() || m_left) {
         m_metrics.count("message_without_lease");
+        if (message.has_limit())
+            denyOwnership(message);
         return;
     }
     if (message.has_place()) {
@@ -59,8 +61,12 @@
             ownedPool->onAnnouncement(message.announce(), now);
     } else if (message.has_limit()) {
         auto found = m_limits.find(message.limit().shard());
-        if (found != m_limits.end() && found->second->epoch() == message.limit().epoch())
+        if (found != m_limits.end() && found->second->epoch() == message.limit().epoch()) {
             found->second->onRequest(message, now);
+        } else {
+            m_metrics.count("limit_for_other_epoch");
+            denyOwnership(message);
+        }
     } else if (message.has_crash()) {
         if (auto* ownedPool = findPool(message.crash().shard())) {
             ownedPool->placementPool().handleCrashReport(message.crash(), now);
@@ -83,6 +89,19 @@
         m_metrics.count("place_for_other_epoch");
 }
 
+void scheduler_node::denyOwnership(const wire::envelope& message)
+{
+    // Refunds are sent without a call, so nobody waits for a reply.
+    if (message.call() == 0)
+        return;
+    wire::envelope envelope;
+    auto* reply = envelope.mutable_limit_reply();
+    reply->set_shard(message.limit().shard());
+    // Without an epoch, entries that don't know this field ignore the reply.
+    reply->set_wrong_owner(true);
+    m_loop.wire().reply(message, envelope);
+}
+
 owned_pool* scheduler_node::findPool(const std::string& shard)
 {
     auto found = m_pools.find(shard);
--- a/Source/scheduler/scheduler_node.h
+++ b/Source/scheduler/scheduler_node.h
@@ -39,6 +39,8 @@
     void updateOwnedShards();
     void applyConfiguration();
     void onPlacementRequest(const wire::envelope& message);
+    /// Tells the sender of a limit request that this scheduler is not the shard's owner, or not yet.
+    void denyOwnership(const wire::envelope& message);
     void onStatus(const wire::envelope& message);
     owned_pool* findPool(const std::string& shard);
     void collectOrphans(time_point now);
--- a/Tests/Promises/LimitsUnderFaultTest.cpp
+++ b/Tests/Promises/LimitsUnderFaultTest.cpp
@@ -142,3 +142,23 @@
     generator.stop();
     CHECK(generator.maxExcess() <= 0);
 }
+
+// Guards against refusing requests within their limit when the entries learn of a new owner before it does.
+TEST_CASE("A request is granted by an owner that learns of its shard after the entries", "[promise]")
+{
+    fleet_options options;
+    options.proxied = true;
+    fleet testFleet(options);
+    testFleet.start();
+    int leader = testFleet.leader();
+    REQUIRE(leader > 0);
+    int owner = testFleet.owner(limitShard("alpha"));
+    REQUIRE(owner > 0);
+    int successor = owner == 1 ? 2 : 1;
+    int entry = leader == 3 ? owner : 3;
+    testFleet.proxy().setRule(testFleet.ip(leader), testFleet.ip(successor), { .delay = milliseconds(300) });
+    testFleet.scheduler(owner).kill();
+    auto response = testFleet.complete(entry, "during the change of owner", 5);
+    INFO(response.body);
+    CHECK(response.status == 200);
+}
