Wire: Give up a handshake without an answer after 3 s

A VM whose links were restored after a partition stayed away for another 30 s: its entry refused all work, its control replica lagged. In DoubleFaultsTest "An entry loses its lease in a one-way partition…" the entry was ready only then in each of 8 timed runs (37 to 38 s for the case); ConfigTest "An isolated control VM…" had shown it in some runs.

Cause: a connection without heartbeats is opened again after 3 s. During a partition the handshake's first messages may be lost, and ZeroMQ waits 30 s for the answer by default, however soon the links are back.

Fix: handshakes are given up after 3 s, like established connections without heartbeats.

The case now asks for a ready entry within 10 s instead of 40 s.

--- a/Source/wire/transport.cpp
+++ b/Source/wire/transport.cpp
@@ -12,6 +12,8 @@
     constexpr int maxReconnectMillis = 500;
     constexpr int heartbeatMillis = 1000;
     constexpr int heartbeatTimeoutMillis = 3000;
+    /// A handshake that loses a message never continues. ZeroMQ's default gives up on it after 30 s.
+    constexpr int handshakeTimeoutMillis = 3000;
     constexpr std::size_t maxMessageBytes = 256UL * 1024 * 1024;
     constexpr auto idlePeerLifetime = std::chrono::seconds(60);
 
@@ -55,6 +57,7 @@
         router.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(maxMessageBytes));
         router.set(zmq::sockopt::heartbeat_ivl, heartbeatMillis);
         router.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMillis);
+        router.set(zmq::sockopt::handshake_ivl, handshakeTimeoutMillis);
         router.bind("tcp://" + m_settings.listen);
     } catch (const zmq::error_t& error) {
         return failure { fmt::format("wire.listen: can't listen on {}: {}; free the address or check the keys", m_settings.listen, error.what()) };
@@ -81,6 +84,7 @@
             socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectMillis);
             socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMillis);
             socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMillis);
+            socket.set(zmq::sockopt::handshake_ivl, handshakeTimeoutMillis);
             socket.set(zmq::sockopt::curve_serverkey, m_settings.publicKey);
             socket.set(zmq::sockopt::curve_publickey, m_settings.publicKey);
             socket.set(zmq::sockopt::curve_secretkey, m_settings.secretKey);
--- a/Tests/Promises/DoubleFaultsTest.cpp
+++ b/Tests/Promises/DoubleFaultsTest.cpp
@@ -18,6 +18,10 @@
     return options;
 }
 
+/// How long a VM may take to be ready after its links are restored. Connections that died during the partition are given
+/// up after 3 s.
+constexpr std::chrono::seconds maxReconnectTime { 10 };
+
 std::string writeLimitFile(const fleet& testFleet, int version, int rate)
 {
     return testFleet.file("limit.toml", fmt::format("[[limit]]\nname = \"alpha\"\nversion = {}\nrate = {}\nburst = 1000000\n", version, rate));
@@ -123,6 +127,6 @@
     }
     for (int n = 1; n <= 5; ++n)
         testFleet.proxy().setRule(testFleet.ip(1), testFleet.ip(n), {});
-    CHECK(eventually([&] { return testFleet.isReady(testFleet.entryAdminAddress(1)); }));
+    CHECK(eventually([&] { return testFleet.isReady(testFleet.entryAdminAddress(1)); }, maxReconnectTime));
     CHECK(eventually([&] { return testFleet.complete(1, "hello", 5).status == 200; }));
 }
