Consensus: Keep the lease while commands arrive faster than acknowledgements

A leader could refuse changes and leases, and step down after 0.9 s, while all followers replied in time. Not seen in a deployment; found by reading what can end a lead.

Cause: the lease runs from the sending of the newest round that a majority acknowledged. The leader remembered 64 rounds, and each batch of commands or reads starts one, so with more in flight the acknowledged one was always forgotten already.

Fix: rounds are remembered for as long as their acknowledgement could extend the lease. Their numbers are consecutive, so that the lookup no longer searches.

--- a/Source/consensus/raft_core.h
+++ b/Source/consensus/raft_core.h
@@ -2,6 +2,7 @@
 #include "consensus/memory_log.h"
 #include "kernel/kernel.h"
 #include "wire/generated/pistachiolatch.pb.h"
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -201,6 +202,8 @@
     void completeReads();
     void failReads();
     std::uint64_t quorumRound() const;
+    /// When a round was sent, if it is still tracked.
+    std::optional<time_point> roundSentAt(std::uint64_t round) const;
     wire::raft_message makeMessage(wire::raft_kind kind, const wire::replica_id& to) const;
     void send(wire::raft_message message);
     void saveHardState() { m_ready.hardState = m_hardState; }
@@ -226,7 +229,7 @@
     std::set<replica_key> m_votes;
     std::map<replica_key, follower_progress> m_progress;
     std::uint64_t m_round = 0;
-    std::vector<sent_round> m_rounds;
+    std::deque<sent_round> m_rounds;
     std::vector<pending_read> m_reads;
     bool m_broadcastPending = false;
     raft_ready m_ready;
--- a/Source/consensus/raft_leader.cpp
+++ b/Source/consensus/raft_leader.cpp
@@ -5,7 +5,8 @@
 namespace pistachiolatch {
 
 namespace {
-    constexpr std::size_t maxTrackedRounds = 64;
+    /// Older rounds are forgotten beyond this number, unless their acknowledgement could still extend the lease.
+    constexpr std::size_t maxOldRounds = 64;
     constexpr int maxVoters = 5;
     // The lease lasts nine tenths of the minimum election timeout, to allow for clocks that run at different speeds.
     constexpr int leaseTenths = 9;
@@ -35,8 +36,8 @@
     m_broadcastPending = false;
     if (newRound) {
         m_rounds.push_back({ ++m_round, now });
-        if (m_rounds.size() > maxTrackedRounds)
-            m_rounds.erase(m_rounds.begin());
+        while (m_rounds.size() > maxOldRounds && now - m_rounds.front().sentAt > m_settings.minElectionTimeout)
+            m_rounds.pop_front();
         m_heartbeatDue = now + m_settings.heartbeatInterval;
     }
     for (auto& [key, progress] : m_progress)
@@ -191,26 +192,25 @@
         return std::nullopt;
     if (isVoter() && quorum() == 1)
         return now;
-    auto round = quorumRound();
-    for (const auto& sent : m_rounds) {
-        if (sent.round == round)
-            return sent.sentAt;
-    }
-    return std::nullopt;
+    return roundSentAt(quorumRound());
+}
+
+std::optional<time_point> raft_core::roundSentAt(std::uint64_t round) const
+{
+    // The tracked rounds have consecutive numbers.
+    if (m_rounds.empty() || round < m_rounds.front().round || round > m_rounds.back().round)
+        return std::nullopt;
+    return m_rounds[round - m_rounds.front().round].sentAt;
 }
 
 bool raft_core::leaseValid(time_point now) const
 {
     if (m_role != raft_role::Leader)
         return false;
-    auto round = quorumRound();
     if (isVoter() && quorum() == 1)
         return true;
-    for (const auto& sent : m_rounds) {
-        if (sent.round == round)
-            return now - sent.sentAt < m_settings.minElectionTimeout * leaseTenths / 10;
-    }
-    return false;
+    auto sentAt = roundSentAt(quorumRound());
+    return sentAt && now - *sentAt < m_settings.minElectionTimeout * leaseTenths / 10;
 }
 
 void raft_core::requestRead(std::uint64_t id)
