Control: Log why a leader lost its lead and when its thread stood still

leadership_lost names the reason (no_quorum, newer_term, storage_failed), and control_paused tells that the control thread did not run for 0.2 s or more, and how much of that went into storing and sending. The time before the thread first runs doesn't count.

ConfigTest asks for both events in the cases that suspend leaders and followers. DoubleFaultsTest prints them with the output of an apply that fails, as the start of a fleet does.

--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -10,6 +10,8 @@
     constexpr milliseconds confirmationTimeout { 10000 };
     constexpr milliseconds statusTimeout { 1000 };
     constexpr std::size_t maxEvents = 1000;
+    /// Pauses of the control thread from this length on are logged: a leader that pauses longer loses its lead.
+    constexpr milliseconds reportedPause { 200 };
 }
 
 opened_replica makeMemoryReplica(const wire_settings& wire)
@@ -106,6 +108,7 @@
 
 void control_node::tick()
 {
+    reportPause();
     if (m_storageFailed)
         reopenStorage();
     if (m_storageFailed)
@@ -120,6 +123,16 @@
     compactLogIfNeeded();
 }
 
+void control_node::reportPause()
+{
+    auto now = m_clock.now();
+    auto last = std::exchange(m_lastTick, now);
+    auto pause = std::chrono::duration_cast<milliseconds>(now - last);
+    auto storage = std::chrono::duration_cast<milliseconds>(std::exchange(m_storageTime, duration::zero()));
+    if (last != time_point {} && pause >= reportedPause)
+        logEvent("control_paused", { { "ms", pause.count() }, { "storage_ms", storage.count() } });
+}
+
 void control_node::processUpdates()
 {
     processReady();
@@ -130,7 +143,9 @@
 {
     if (m_storageFailed)
         return;
+    auto startedAt = m_clock.now();
     auto processed = m_host->processReady();
+    m_storageTime += m_clock.now() - startedAt;
     if (!processed)
         handleStorageFailure(processed.error().message);
 }
@@ -232,7 +247,9 @@
     m_isLeader = isLeader;
     m_assignmentPending = false;
     if (!isLeader) {
-        logEvent("leadership_lost", { { "term", core().term() } });
+        auto why = m_storageFailed ? "storage_failed" : core().term() > m_leaderTerm ? "newer_term"
+                                                                                     : "no_quorum";
+        logEvent("leadership_lost", { { "term", core().term() }, { "led_term", m_leaderTerm }, { "why", why } });
         m_sessions.reset();
         failPendingRequests();
         return;
@@ -243,6 +260,7 @@
     m_pushedPoison = m_state.poisonVersion();
     m_pushedLive = 0;
     m_leaderSince = m_clock.now();
+    m_leaderTerm = core().term();
     m_metrics.count("leadership_gained");
     addEvent(m_self.vm(), fmt::format("became leader of the control log in term {}", core().term()));
 }
--- a/Source/control/control_node.h
+++ b/Source/control/control_node.h
@@ -116,6 +116,8 @@
     void apply(const wire::log_entry& entry);
     void processUpdates();
     void processReady();
+    /// Logs that the control thread did not run for long, and how much of that time it waited for storage.
+    void reportPause();
     void compactLogIfNeeded();
     void updateLeadership();
     void failPendingRequests();
@@ -142,6 +144,9 @@
     wire_settings m_wire;
     wire::replica_id m_self;
     replica_opener m_openReplica;
+    time_point m_lastTick {};
+    /// Time spent on storing and sending since the last tick.
+    duration m_storageTime { 0 };
     std::optional<raft_host<replica_store>> m_host;
     bool m_storageFailed = false;
     time_point m_reopenAt {};
@@ -157,6 +162,7 @@
     time_point m_nextJoinRequest {};
     time_point m_nextLedgerExpiry {};
     time_point m_leaderSince {};
+    std::uint64_t m_leaderTerm = 0;
     bool m_assignmentPending = false;
     std::uint64_t m_pushedRevision = 0;
     std::uint64_t m_pushedShards = 0;
--- a/Tests/Promises/ConfigTest.cpp
+++ b/Tests/Promises/ConfigTest.cpp
@@ -116,6 +116,7 @@
     CHECK(applied.code == 0);
     testFleet.control(suspended).signal(SIGCONT);
     CHECK(submitLimit(testFleet, suspended, "test-token", 2, 1).status == 503);
+    CHECK(testFleet.controlLogLines({ "control_paused" }).find(fmt::format(" vm=vm{} ", suspended)) != std::string::npos);
     CHECK(testFleet.command({ "get", "limit", "alpha" }).out.find("rate = 900000") != std::string::npos);
 }
 
@@ -147,4 +148,5 @@
     CHECK(applied.out.find("not yet confirmed in force") != std::string::npos);
     CHECK(log().find("event=change_unconfirmed") != std::string::npos);
     CHECK(log().find(" why=leadership_lost") != std::string::npos);
+    CHECK(log().find(" why=no_quorum") != std::string::npos);
 }
--- a/Tests/Promises/DoubleFaultsTest.cpp
+++ b/Tests/Promises/DoubleFaultsTest.cpp
@@ -26,6 +26,14 @@
 {
     return testFleet.file("limit.toml", fmt::format("[[limit]]\nname = \"alpha\"\nversion = {}\nrate = {}\nburst = 1000000\n", version, rate));
 }
+
+/// Applies a limit record. A failure prints what the command and the control processes said.
+void applyLimit(fleet& testFleet, int version, int rate)
+{
+    auto applied = testFleet.command({ "apply", writeLimitFile(testFleet, version, rate) });
+    INFO(applied.out << applied.err << testFleet.controlLogLines({ "change_unconfirmed", "control_paused", "leadership_", "storage_" }));
+    CHECK(applied.code == 0);
+}
 }
 
 // Guards against losing accepted records when a second VM with a disk is lost right after the first was replaced with
@@ -34,7 +42,7 @@
 {
     fleet testFleet(fiveControlOptions());
     testFleet.start();
-    CHECK(testFleet.command({ "apply", writeLimitFile(testFleet, 1, 510000) }).code == 0);
+    applyLimit(testFleet, 1, 510000);
     int leader = testFleet.leader();
     int wiped = leader == 2 ? 3 : 2;
     testFleet.control(wiped).kill();
@@ -47,7 +55,7 @@
     testFleet.control(leader).kill();
     std::filesystem::remove_all(testFleet.dataFolder(leader));
     CHECK(testFleet.command({ "get", "limit", "alpha" }).out.find("rate = 510000") != std::string::npos);
-    CHECK(testFleet.command({ "apply", writeLimitFile(testFleet, 2, 520000) }).code == 0);
+    applyLimit(testFleet, 2, 520000);
     testFleet.startControl(leader);
     CHECK(testFleet.command({ "get", "limit", "alpha" }).out.find("rate = 520000") != std::string::npos);
 }
@@ -69,7 +77,7 @@
     CHECK(caller.text() == expectedText(prompt, 110));
     CHECK(testFleet.book(2, "hire-1", "{}").header("Idempotent-Replay") == "true");
     CHECK(testFleet.stat("orderdesk-1", "service_runs") == 1);
-    CHECK(testFleet.command({ "apply", writeLimitFile(testFleet, 1, 530000) }).code == 0);
+    applyLimit(testFleet, 1, 530000);
 }
 
 // Guards against replicas that don't catch up when one VM is isolated while another restarts.
@@ -85,7 +93,7 @@
     testFleet.proxy().isolate(testFleet.ip(isolated), true);
     testFleet.control(restarted).kill();
     testFleet.entry(2).kill();
-    CHECK(testFleet.command({ "apply", writeLimitFile(testFleet, 1, 540000) }).code == 0);
+    applyLimit(testFleet, 1, 540000);
     testFleet.startControl(restarted);
     testFleet.startEntry(2);
     CHECK(eventually([&] { return testFleet.isReady(testFleet.entryAdminAddress(2)); }));
--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -211,7 +211,7 @@
     auto records = file("records.toml", m_options.records.empty() ? defaultRecords : m_options.records);
     auto applied = command({ "apply", records });
     if (applied.code != 0)
-        throw std::runtime_error("apply failed: " + applied.err + applied.out + controlLogLines({ "change_unconfirmed", "leadership_", "storage_" }));
+        throw std::runtime_error("apply failed: " + applied.err + applied.out + controlLogLines({ "change_unconfirmed", "control_paused", "leadership_", "storage_" }));
     for (const char* organisation : { "alpha", "beta" })
         m_keys[organisation] = findValue(command({ "key", "issue", organisation }).out, "key");
     bool up = eventually([&] {
