Command: Ask the next leader whether an accepted change is in force

apply failed with "accepted but not yet confirmed in force", although the change was in the log and in force seconds later.

Cause: a change is committed before every process has applied it. When the leader lost its lead in between, the command gave up; the next leader has the record and knows when it is in force.

Fix: the command asks the current leader for 10 s, until its revision is that of the change or newer and in force. A leader says so only once the leases of its predecessor have ended. Without a leader the command fails with the same message as before, later.

The new case suspends the followers until the leader has lost its lead. Why the first leaders lost their lead is open.

--- a/Source/command/record_commands.cpp
+++ b/Source/command/record_commands.cpp
@@ -5,6 +5,7 @@
 #include "records/records.h"
 #include <algorithm>
 #include <boost/json.hpp>
+#include <thread>
 
 namespace pistachiolatch {
 
@@ -12,6 +13,10 @@
 
 namespace {
     constexpr unsigned statusOk = 200;
+    /// How long to ask whether an accepted change is in force that its leader did not confirm. A new leader can tell
+    /// once the leases granted by its predecessor have expired.
+    constexpr std::chrono::seconds confirmationTimeout { 10 };
+    constexpr std::chrono::milliseconds confirmationInterval { 300 };
 
     int reportError(const std::string& message, int exitCode)
     {
@@ -94,6 +99,22 @@
         return json::serialize(body);
     }
 
+    /// Asks the current leader, until the timeout, whether an accepted revision is in force everywhere.
+    bool waitUntilInForce(const operator_client& client, std::uint64_t revision)
+    {
+        auto deadline = std::chrono::steady_clock::now() + confirmationTimeout;
+        while (std::chrono::steady_clock::now() < deadline) {
+            auto response = client.sendRequest("GET", "/v1/status", "");
+            if (!response || response.value().status != statusOk)
+                return false;
+            auto status = json::parse(response.value().body);
+            if (status.at("revision").to_number<std::uint64_t>() >= revision && status.at("in_force").as_bool())
+                return true;
+            std::this_thread::sleep_for(confirmationInterval);
+        }
+        return false;
+    }
+
     int submitRecords(const operator_client& client, const std::vector<wire::record>& records)
     {
         auto response = client.sendRequest("POST", "/v1/records", serializeBatch(records));
@@ -102,8 +123,10 @@
         if (response.value().status != statusOk)
             return reportError(extractErrorMessage(response.value()), exitFailed);
         auto value = json::parse(response.value().body);
-        bool inForce = value.at("in_force").as_bool();
-        fmt::print("{} as revision {}, {}\n", value.at("status").as_string().c_str(), value.at("revision").to_number<std::uint64_t>(),
+        auto revision = value.at("revision").to_number<std::uint64_t>();
+        // The record is in the log, so it outlives a leader that stopped leading before every process had applied it.
+        bool inForce = value.at("in_force").as_bool() || waitUntilInForce(client, revision);
+        fmt::print("{} as revision {}, {}\n", value.at("status").as_string().c_str(), revision,
             inForce ? "in force everywhere" : "accepted but not yet confirmed in force; look again with status");
         return inForce ? exitOk : exitFailed;
     }
--- a/Tests/Promises/ConfigTest.cpp
+++ b/Tests/Promises/ConfigTest.cpp
@@ -150,3 +150,34 @@
     CHECK(log().find(" why=leadership_lost") != std::string::npos);
     CHECK(log().find(" why=no_quorum") != std::string::npos);
 }
+
+// Guards against a failed apply whose change is in the log and in force soon, because the leader that accepted it lost
+// its lead before it could confirm it.
+TEST_CASE("A change accepted by a leader that loses its lead is confirmed by the next one", "[promise]")
+{
+    fleet testFleet({});
+    testFleet.start();
+    int leader = testFleet.leader();
+    REQUIRE(leader > 0);
+    auto before = testFleet.status("revision");
+    testFleet.entry(1).signal(SIGSTOP);
+    command_output applied;
+    std::thread commandThread([&] { applied = testFleet.command({ "apply", writeLimitFile(testFleet, 1, 700000) }); });
+    auto log = [&] { return readFile(fmt::format("{}/control{}.out", testFleet.folder(), leader)); };
+    CHECK(eventually([&] { return testFleet.status("revision") != before; }, std::chrono::seconds(2)));
+    for (int n = 1; n <= 3; ++n) {
+        if (n != leader)
+            testFleet.control(n).signal(SIGSTOP);
+    }
+    CHECK(eventually([&] { return log().find("event=change_unconfirmed") != std::string::npos; }));
+    for (int n = 1; n <= 3; ++n) {
+        if (n != leader)
+            testFleet.control(n).signal(SIGCONT);
+    }
+    testFleet.entry(1).signal(SIGCONT);
+    commandThread.join();
+    INFO(applied.out << applied.err << log());
+    CHECK(log().find(" why=leadership_lost") != std::string::npos);
+    CHECK(applied.code == 0);
+    CHECK(applied.out.find("in force everywhere") != std::string::npos);
+}
