Tests: Lose the second disk only once the first replica was replaced

The case on two lost disks waited for lines that were there before the first replica was lost: the commits of the fleet's start, and the VM among the voters, under its former incarnation. So it killed the leader before the replacement that it is about. It now waits until the leader names another incarnation of that VM as a voter, which it does only after the new replica has stored all committed records.

--- a/Tests/Promises/DoubleFaultsTest.cpp
+++ b/Tests/Promises/DoubleFaultsTest.cpp
@@ -1,6 +1,7 @@
 #include "load/expected_output.h"
 #include "Support/fleet.h"
 
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
@@ -34,6 +35,20 @@
     INFO(applied.out << applied.err << testFleet.controlLogLines({ "change_unconfirmed", "control_paused", "leadership_", "storage_" }));
     CHECK(applied.code == 0);
 }
+
+/// Returns the incarnation of the voter on a VM according to the leader, or an empty string if there is none.
+std::string findVoter(const fleet& testFleet, int leader, int vm)
+{
+    auto response = testFleet.call(testFleet.operatorAddress(leader), "GET", "/v1/status", { { "Authorization", "Bearer " + testFleet.token() } }, "");
+    if (response.status != 200)
+        return {};
+    auto status = boost::json::parse(response.body);
+    for (const auto& replica : status.at("replicas").as_array()) {
+        if (replica.at("vm").as_string() == fmt::format("vm{}", vm))
+            return std::string(replica.at("incarnation").as_string());
+    }
+    return {};
+}
 }
 
 // Guards against losing accepted records when a second VM with a disk is lost right after the first was replaced with
@@ -45,12 +60,14 @@
     applyLimit(testFleet, 1, 510000);
     int leader = testFleet.leader();
     int wiped = leader == 2 ? 3 : 2;
+    auto before = findVoter(testFleet, leader, wiped);
+    REQUIRE(!before.empty());
     testFleet.control(wiped).kill();
     std::filesystem::remove_all(testFleet.dataFolder(wiped));
     testFleet.startControl(wiped);
     REQUIRE(eventually([&] {
-        return readFile(testFleet.folder() + "/control" + std::to_string(leader) + ".out").find("membership_committed") != std::string::npos
-            && testFleet.command({ "status" }).out.find(fmt::format("replica vm=vm{} ", wiped)) != std::string::npos;
+        auto voter = findVoter(testFleet, leader, wiped);
+        return !voter.empty() && voter != before;
     }));
     testFleet.control(leader).kill();
     std::filesystem::remove_all(testFleet.dataFolder(leader));
