Forwarding: The turn of large holders goes to another one that waits

A caller that sends little could keep the turn for as long as it sent: it asks for room after each piece, those that wait ask each 100 ms, so it was the first after its own turn and took it again. The case of the turn's time passed only because the other holder asked first.

The holder that had the turn last doesn't get it again while another one has asked for it within 300 ms. BufferBudgetTest has a holder that asks five times as often as the other, which never had the turn before.

--- a/Source/forwarding/buffer_budget.cpp
+++ b/Source/forwarding/buffer_budget.cpp
@@ -22,11 +22,18 @@
     if (m_held < shareOfLimit(sharedShare))
         return true;
     bool hasRoom = m_held < shareOfLimit(largeHolderShare);
-    if (hasRoom && !hasTurn(m_turnHolder, now)) {
-        m_turnHolder = holder;
-        m_turnEndsAt = now + maxTurnTime;
+    if (hasTurn(m_turnHolder, now)) {
+        if (m_turnHolder != holder)
+            m_deniedAt = now;
+        return hasRoom && m_turnHolder == holder;
     }
-    return hasRoom && m_turnHolder == holder;
+    bool othersWait = m_lastTurnHolder == holder && now - m_deniedAt < maxAskInterval;
+    if (!hasRoom || othersWait)
+        return false;
+    m_turnHolder = holder;
+    m_lastTurnHolder = holder;
+    m_turnEndsAt = now + maxTurnTime;
+    return true;
 }
 
 bool buffer_budget::isLarge(holder_id holder) const
--- a/Source/forwarding/buffer_budget.h
+++ b/Source/forwarding/buffer_budget.h
@@ -41,6 +41,8 @@
     static constexpr double largeHolderShare = 0.75;
     /// How long a large holder has the turn at most.
     static constexpr milliseconds maxTurnTime { 1000 };
+    /// Holders that wait for their turn ask for it within this time. The one that had it may not have it again before.
+    static constexpr milliseconds maxAskInterval { 300 };
     /// How long a holder may make no progress because of its caller while there is no room. Endpoints cut off responses that stay
     /// unread for some seconds.
     static constexpr milliseconds maxIdleTime { 1000 };
@@ -98,6 +100,9 @@
     /// The holder that has the turn, and until when; 0 if it is free.
     holder_id m_turnHolder = 0;
     time_point m_turnEndsAt {};
+    /// The holder that had the turn last, and when another one asked for it in vain.
+    holder_id m_lastTurnHolder = 0;
+    time_point m_deniedAt {};
     /// Holders of at least one byte.
     std::map<holder_id, usage> m_holders;
 };
--- a/Tests/Forwarding/BufferBudgetTest.cpp
+++ b/Tests/Forwarding/BufferBudgetTest.cpp
@@ -154,6 +154,24 @@
     CHECK_FALSE(test.budget.mayGrow(slow, test.clock.now()));
 }
 
+// Guards against a caller that sends little, asks after each piece and so is always the first after its own turn.
+TEST_CASE("A holder that asks more often than others doesn't keep the turn")
+{
+    budget_case test;
+    auto slow = test.budget.addHolder();
+    auto other = test.budget.addHolder();
+    auto slowCharge = test.charge(slow, 11 * megabyte);
+    auto otherCharge = test.charge(other, 11 * megabyte);
+    bool hadTurn = false;
+    for (int i = 0; i < 150 && !hadTurn; ++i) {
+        test.budget.mayGrow(slow, test.clock.now());
+        if (i % 5 == 4)
+            hadTurn = test.budget.mayGrow(other, test.clock.now());
+        test.clock.advance(milliseconds(20));
+    }
+    CHECK(hadTurn);
+}
+
 // Guards against ending the holder that is about to become complete because it waited long for its turn.
 TEST_CASE("The holder that has the turn is not ended")
 {
