Forwarding: Calls leave endpoints that won't answer, and only those

What a review of the calls that stay at their endpoints found:

- A refusal whose body doesn't end held a repeatable call until its deadline, 503 after 5,999 ms, though another endpoint was free: the timer no longer closes the connection, and the read of a small body ignored interruptions.
The body of a refusal is read for 250 ms, and an interruption ends the read of any small body.
- A body that kept arriving was left 300 ms after four latency targets: answered after 1,902 ms instead of 1,202, and run twice.
The time counts from the last data now, and data that arrives brings the call back, as for heads and streams.
- An error kept as the last resort was sent at the deadline itself, when callers may have left.
It is sent 250 ms before.
- The first endpoint was left 300 ms after the other one was asked, even if that had not got the whole request.
- An endpoint that was asked in vain counted as tried although nothing was sent, and the leader was asked each 150 ms without end.
The intervals grow to 1.2 s.

EarlyGiveUpTest has new cases for the refusal and the kept error.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -230,21 +230,23 @@
     idle_stream measureIdleTime(const std::string& endpointId) const;
     /// Whether another endpoint may take the call over if it stalls.
     bool mayMove() const;
+    /// The same without regard to how many have refused it.
+    bool mayAskOthers() const;
     /// Interrupts the read of the stream once it has stalled.
     void scheduleStallCheck(const selected_endpoint& endpoint, milliseconds delay);
     /// How long an endpoint may take for a response that another endpoint could give before that one is asked.
     milliseconds responseTimeout() const;
-    /// Interrupts the read of the response after a delay, and again if it goes on, if another endpoint may give the response.
+    /// Interrupts the read of the response after a delay, and again if it goes on, if another endpoint may give the response. Gives
+    /// the attempt up shortly before the deadline if another response can be sent instead.
     void scheduleResponseCheck(milliseconds delay);
     /// Asks another endpoint to give a response that takes too long; see moveStalledCall().
-    task_of<std::optional<attempt_outcome>> moveLateResponse(const selected_endpoint& endpoint, bool isSilent);
+    task_of<std::optional<attempt_outcome>> moveLateResponse(const selected_endpoint& endpoint);
     /// Reads the head of the current attempt's response. Asks another endpoint if it takes too long, and returns the outcome there if
     /// the call has moved.
     task_of<std::optional<attempt_outcome>> awaitHead(const selected_endpoint& endpoint, response_metadata& response, head_result& head);
-    /// Asks another endpoint to take a stalled call over. The call's own endpoint keeps it until the other one answers. If it has sent
-    /// nothing of what is awaited (`isSilent`), it goes on with the call if it sends anything before. Returns the outcome at the other
-    /// endpoint, or nothing if the call stays.
-    task_of<std::optional<attempt_outcome>> moveStalledCall(const selected_endpoint& endpoint, bool isSilent);
+    /// Asks another endpoint to take a stalled call over. The call's own endpoint keeps it until the other one answers, and goes on
+    /// with it if it sends anything before. Returns the outcome at the other endpoint, or nothing if the call stays.
+    task_of<std::optional<attempt_outcome>> moveStalledCall(const selected_endpoint& endpoint);
     task_of<std::optional<model_placement>> selectAlternative(const selected_endpoint& endpoint);
     /// Whether the endpoint has sent anything since the call stalled, or answers a status request.
     task_of<bool> isResponding(const selected_endpoint& endpoint);
@@ -347,6 +349,8 @@
     bool m_firstArrivalRecorded = false;
     /// Refusals by endpoints that were asked to take the call over, and failures to connect to them.
     unsigned m_refusals = 0;
+    /// How often another endpoint was asked in vain to give a late response.
+    unsigned m_lateMoves = 0;
     std::set<std::string> m_triedEndpoints;
     std::string m_endpointIds;
     std::optional<prefill_result> m_prefill;
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -18,6 +18,8 @@
     constexpr std::size_t maxSmallBodyBytes = 64UL * 1024;
     /// Size limit of an event of a stream. Incomplete events are buffered.
     constexpr std::size_t maxEventBytes = 1024UL * 1024;
+    /// How long the body of a refusal is read, so that its connection can be used again.
+    constexpr milliseconds refusalBodyTimeout { 250 };
     /// Responses to earlier requests that are skipped before the expected one.
     constexpr int maxStrayResponses = 2;
     /// The wait for tokens of the organisation's limit is bounded by this fraction of the route's latency target.
--- a/Source/forwarding/call_forwarder_moves.h
+++ b/Source/forwarding/call_forwarder_moves.h
@@ -13,12 +13,20 @@
     /// How long an endpoint may take for a response that others could give, as a multiple of the route's latency target.
     constexpr int responseTimeoutTargets = 4;
     constexpr milliseconds minResponseTimeout { 300 };
+    /// Time to send a response that was kept as the last resort.
+    constexpr milliseconds fallbackTime { 250 };
 }
 
 template <call_codec Codec>
 bool call_forwarder<Codec>::mayMove() const
 {
-    return isIdempotent() && m_possibleRuns < m_route->maxEndpoints && m_refusals <= forwarding_detail::maxRefusalsToContinue && !(m_origin && m_origin->softwareVersion.empty());
+    return mayAskOthers() && m_refusals <= forwarding_detail::maxRefusalsToContinue;
+}
+
+template <call_codec Codec>
+bool call_forwarder<Codec>::mayAskOthers() const
+{
+    return isIdempotent() && m_possibleRuns < m_route->maxEndpoints && !(m_origin && m_origin->softwareVersion.empty());
 }
 
 template <call_codec Codec>
@@ -49,33 +57,37 @@
 template <call_codec Codec>
 void call_forwarder<Codec>::scheduleResponseCheck(milliseconds delay)
 {
-    if (!mayMove())
+    bool hasFallback = !m_fallbackResponse.empty();
+    if (!mayAskOthers() && !hasFallback)
         return;
-    m_attemptTimer.expires_after(delay);
+    // A response that is kept as the last resort must reach the caller before its deadline.
+    auto fallbackIn = std::max(milliseconds(0), timeLeft() - forwarding_detail::fallbackTime);
+    m_attemptTimer.expires_after(hasFallback ? std::min(delay, fallbackIn) : delay);
     m_attemptTimer.async_wait([this, attempt = m_attemptNumber, alive = m_alive](boost::system::error_code error) {
         if (error || !*alive || attempt != m_attemptNumber || isAborted() || !m_attempt.connection)
             return;
         bool isSent = m_attempt.connection->isRequestSent();
-        auto elapsed = m_shared.clock.now() - m_attempt.sentAt;
-        if (!isSent && elapsed >= maxToleratedPause(m_route->latencyTarget, m_route->gapTarget)) {
-            // An endpoint that doesn't read the request isn't going to answer it.
+        // An endpoint that doesn't read the request isn't going to answer it.
+        bool isUnread = !isSent && m_shared.clock.now() - m_attempt.sentAt >= maxToleratedPause(m_route->latencyTarget, m_route->gapTarget);
+        bool needsFallback = !m_fallbackResponse.empty() && timeLeft() <= forwarding_detail::fallbackTime;
+        if (isUnread || needsFallback) {
             m_attemptExpired = true;
             closeAttemptConnection();
             return;
         }
-        if (isSent && !m_source)
+        if (isSent && !m_source && mayAskOthers())
             m_attempt.connection->interruptRead();
         scheduleResponseCheck(forwarding_detail::moveRetryInterval);
     });
 }
 
 template <call_codec Codec>
-task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::moveLateResponse(const selected_endpoint& endpoint, bool isSilent)
+task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::moveLateResponse(const selected_endpoint& endpoint)
 {
     cancelAttemptTimer();
-    auto moved = co_await moveStalledCall(endpoint, isSilent);
+    auto moved = co_await moveStalledCall(endpoint);
     if (!moved)
-        scheduleResponseCheck(forwarding_detail::moveRetryInterval * std::max(m_refusals, 1U));
+        scheduleResponseCheck(forwarding_detail::moveRetryInterval * std::min(++m_lateMoves, forwarding_detail::maxRefusalsToContinue));
     co_return moved;
 }
 
@@ -84,7 +96,7 @@
 {
     head = co_await readMatchingHead(response);
     while (head == head_result::Interrupted) {
-        auto moved = co_await moveLateResponse(endpoint, true);
+        auto moved = co_await moveLateResponse(endpoint);
         if (moved)
             co_return moved;
         head = co_await readMatchingHead(response);
@@ -93,18 +105,17 @@
 }
 
 template <call_codec Codec>
-task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::moveStalledCall(const selected_endpoint& endpoint, bool isSilent)
+task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::moveStalledCall(const selected_endpoint& endpoint)
 {
     stalled_source source { endpoint, std::exchange(m_attempt, {}) };
     auto connection = source.attempt.connection;
     auto placementsBefore = m_placements;
     m_source = &source;
-    if (isSilent) {
-        connection->watchReadable([this, &source] {
-            source.resumed = true;
-            closeAttemptConnection();
-        });
-    }
+    auto runsBefore = m_possibleRuns;
+    connection->watchReadable([this, &source] {
+        source.resumed = true;
+        closeAttemptConnection();
+    });
     auto outcome = attempt_outcome::NotSent;
     auto next = co_await selectAlternative(endpoint);
     if (next) {
@@ -133,7 +144,7 @@
         ++m_refusals;
     if (next)
         logEvent(m_responseStarted ? "stream_stays" : "call_stays", { { "request", m_metadata.id }, { "at", endpoint.id }, { "asked", next->decode.id }, { "not_sent", outcome == attempt_outcome::NotSent ? 1 : 0 }, { "refused", outcome == attempt_outcome::RefusedNotRun ? 1 : 0 }, { "resumed", source.resumed ? 1 : 0 }, { "quiet_ms", measureIdleTime(endpoint.id).idleTime.count() }, { "events", m_eventsForwarded } });
-    if (outcome == attempt_outcome::MayHaveRun || outcome == attempt_outcome::Stalled) {
+    if (m_possibleRuns > runsBefore) {
         m_triedEndpoints.insert(next->decode.id);
         if (!source.resumed)
             co_await reportCrash();
@@ -197,7 +208,12 @@
         return;
     m_overlapTimer.expires_after(forwarding_detail::maxOverlap);
     m_overlapTimer.async_wait([this, source = m_source, alive = m_alive, next](boost::system::error_code error) {
-        if (!error && *alive && source == m_source && !isAborted())
+        if (error || !*alive || source != m_source || isAborted())
+            return;
+        // The next endpoint can't refuse what it hasn't got.
+        if (m_attempt.connection && !m_attempt.connection->isRequestSent())
+            limitOverlap(next);
+        else
             leaveSource(next);
     });
 }
@@ -216,10 +232,13 @@
     source.attempt.connection->close();
     std::swap(m_attempt, source.attempt);
     // A move away from a live endpoint is not counted as its failure.
-    if (isAlive)
+    if (isAlive) {
         m_shared.endpoints.recordOutcome(source.endpoint.id, endpoint_outcome::Refused);
-    else
+    } else {
         recordOutcome(source.endpoint.id, endpoint_outcome::Unreachable);
+        // Its idle connections may hang as well.
+        m_shared.pool.discard(source.endpoint.id);
+    }
     finishAttempt();
     std::swap(m_attempt, source.attempt);
     // The next endpoint sends the event that was cut off from its beginning.
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -57,8 +57,12 @@
     if (status != forwarding_detail::misdirected)
         recordCallLimit(endpoint, response, response.sealed && status < 500);
     if (response.guaranteedNotRun || status == forwarding_detail::misdirected) {
+        // The refusal stands whether or not its body ends.
+        m_overlapTimer.cancel();
+        startAttemptTimer(forwarding_detail::refusalBodyTimeout);
         std::string discarded;
         auto end = co_await m_attempt.connection->readRemainingBody(discarded, forwarding_detail::maxSmallBodyBytes);
+        cancelAttemptTimer();
         recordBodyEnd(end);
         if (isCompleteBody(end))
             releaseConnection(endpoint.id, response);
@@ -78,8 +82,10 @@
     }
     bool isServerError = status >= 500;
     bool canRetryElsewhere = isIdempotent() && (m_source || m_possibleRuns < m_route->maxEndpoints) && !m_responseStarted;
-    if (isServerError)
+    if (isServerError) {
+        m_overlapTimer.cancel();
         recordOutcome(endpoint.id, endpoint_outcome::Failed);
+    }
     if (isServerError && canRetryElsewhere)
         co_return co_await storeFallbackResponse(endpoint, response);
     if (isServerError && m_responseStarted)
@@ -106,11 +112,14 @@
         body.end = co_await connection->readBodyChunk(chunk);
         bool isInterrupted = chunk.empty() && body.end == body_end::Open;
         if (isInterrupted) {
-            body.moved = co_await moveLateResponse(endpoint, false);
+            body.moved = co_await moveLateResponse(endpoint);
             if (body.moved)
                 co_return body;
             continue;
         }
+        // A body that goes on arriving isn't late.
+        cancelAttemptTimer();
+        scheduleResponseCheck(responseTimeout());
         body.bytes += chunk;
         charge.resize(body.bytes.size(), m_shared.clock.now());
         if (body.bytes.size() > forwarding_detail::maxResponseBytes) {
--- a/Source/forwarding/call_forwarder_streams.h
+++ b/Source/forwarding/call_forwarder_streams.h
@@ -63,7 +63,7 @@
             std::optional<attempt_outcome> moved;
             auto stream = measureIdleTime(endpoint.id);
             if (stream.idleTime >= stallTimeout(stream))
-                moved = co_await moveStalledCall(endpoint, true);
+                moved = co_await moveStalledCall(endpoint);
             if (moved)
                 co_return *moved;
             if (mayMove())
--- a/Source/forwarding/connection_pool.h
+++ b/Source/forwarding/connection_pool.h
@@ -14,8 +14,8 @@
     {
     }
 
-    /// Returns a usable connection that has not carried a request of this id, or null. A non-idempotent call only gets a recently used connection: if the endpoint
-    /// closes an idle connection while the call is being sent, it is unknown whether the call has run.
+    /// Returns a usable connection that has not carried a request of this id, or null. A non-idempotent call only gets a recently used
+    /// connection: if the endpoint closes an idle connection while the call is being sent, it is unknown whether the call has run.
     std::shared_ptr<endpoint_connection> acquire(const std::string& endpointId, const std::string& requestId, bool idempotent);
     /// Returns a reusable connection to the pool; a relayed one is closed.
     void release(const std::string& endpointId, std::shared_ptr<endpoint_connection> connection, std::optional<std::chrono::seconds> keepAlive);
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -185,7 +185,8 @@
         std::string chunk;
         end = co_await readBodyChunk(chunk);
         body += chunk;
-        if (body.size() > maxBytes) {
+        bool isInterrupted = chunk.empty() && end == body_end::Open;
+        if (isInterrupted || body.size() > maxBytes) {
             close();
             co_return body_end::Reset;
         }
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -57,7 +57,8 @@
     /// Calls a handler once data has arrived, not the end of it, unless stopWatching() is called before. Precondition: nothing is read meanwhile.
     void watchReadable(std::function<void()> onReadable);
     void stopWatching() { ++m_watchId; }
-    /// Reads the rest of the body; never returns Open. A body of more than maxBytes is given up, which is a Reset.
+    /// Reads the rest of the body; never returns Open. A body of more than maxBytes is given up, which is a Reset, and so is one whose
+    /// read is interrupted.
     task_of<body_end> readRemainingBody(std::string& body, std::size_t maxBytes);
     /// Whether another request may be sent: the last one was sent, its response is complete and no data follows.
     bool isReadyForRequest() const;
--- a/Tests/Platform/EarlyGiveUpTest.cpp
+++ b/Tests/Platform/EarlyGiveUpTest.cpp
@@ -1,6 +1,7 @@
-// Guards against requests that the entry takes from a silent endpoint before another one has them, and against streams that two
-// endpoints work on.
+// Guards against requests that the entry takes from a silent endpoint before another one has them, or leaves with one that isn't going
+// to answer, and against streams that two endpoints work on.
 #include "Platform/endpoint_process.h"
+#include "Platform/scripted_endpoint.h"
 #include "platform_names.h"
 #include <catch2/catch.hpp>
 #include <regex>
@@ -20,13 +21,37 @@
     return readFile(fleet.folder() + "/entry-1.out");
 }
 
+std::string makeConfiguration()
+{
+    return std::regex_replace(exampleConfiguration(7), std::regex("\"targetLatencyMs\":[0-9]*"), "\"targetLatencyMs\":100");
+}
+
+struct timed_answer {
+    simple_response response;
+    milliseconds time;
+};
+
+/// Looks something up, while more endpoints begin to report shortly after.
+timed_answer lookUp(const platform_fleet& fleet, const std::vector<fake_endpoint*>& endpoints)
+{
+    timed_answer answer;
+    std::thread caller([&] {
+        auto startedAt = std::chrono::steady_clock::now();
+        answer.response = fleet.call(fleet.entryAddress(1), "GET", "/read/x", makeHeaders(), "", milliseconds(8000));
+        answer.time = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - startedAt);
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    endpoint_reporter reporter(fleet, endpoints);
+    caller.join();
+    return answer;
+}
+
 /// Sends a request to an endpoint that pauses before it answers, while another one refuses it.
 void checkIsAnswered(const std::string& service, const std::string& stage, const std::string& method, const std::string& target)
 {
     platform_fleet fleet;
     fleet.start();
-    auto configuration = std::regex_replace(exampleConfiguration(7), std::regex("\"targetLatencyMs\":[0-9]*"), "\"targetLatencyMs\":100");
-    REQUIRE(fleet.submitConfiguration(configuration) == 200);
+    REQUIRE(fleet.submitConfiguration(makeConfiguration()) == 200);
     endpoint_process pausing(fleet, 1, { service, stage, milliseconds(300), false });
     endpoint_process refusing(fleet, 2, { service, stage, milliseconds(300), true });
     REQUIRE(fleet.sendReport(pausing.reporter()).status == 200);
@@ -55,6 +80,49 @@
     checkIsAnswered("llm", "decode", "POST", "/report/x");
 }
 
+TEST_CASE("A refusal whose body doesn't end doesn't keep a request from the other endpoint", "[promise]")
+{
+    platform_fleet fleet;
+    fleet.start();
+    REQUIRE(fleet.submitConfiguration(makeConfiguration()) == 200);
+    scripted_endpoint refusing(fleet.endpointAddress(1), [](const http_exchange::request&) {
+        scripted_response response;
+        response.status = 503;
+        response.framing = body_framing::Length;
+        response.end = connection_end::KeepOpen;
+        response.truncated = true;
+        response.headers = { { platform_names::notExecuted, "1" } };
+        return response;
+    });
+    fake_endpoint refusingReport("app-1", fleet.endpointAddress(101), "app", "");
+    refusingReport.setReportedAddress(fleet.endpointAddress(1));
+    REQUIRE(fleet.sendReport(refusingReport).status == 200);
+    REQUIRE(eventually([&] { return fleet.isEntryReady(1) && entryLog(fleet).find("event=endpoint_known ") != std::string::npos; }));
+    fake_endpoint sound("app-2", fleet.endpointAddress(2), "app", "");
+    auto answer = lookUp(fleet, { &refusingReport, &sound });
+    INFO(answer.time.count() << " ms" << entryLog(fleet));
+    CHECK(answer.response.status == 200);
+    CHECK(answer.time < milliseconds(1000));
+}
+
+TEST_CASE("An error of the other endpoint is sent before the deadline if the silent one doesn't answer", "[promise]")
+{
+    platform_fleet fleet;
+    fleet.start();
+    REQUIRE(fleet.submitConfiguration(makeConfiguration()) == 200);
+    endpoint_process silent(fleet, 1, { "app", "", milliseconds(5), false });
+    REQUIRE(fleet.sendReport(silent.reporter()).status == 200);
+    REQUIRE(eventually([&] { return fleet.isEntryReady(1) && entryLog(fleet).find("event=endpoint_known ") != std::string::npos; }));
+    silent.pause();
+    fake_endpoint failing("app-2", fleet.endpointAddress(2), "app", "");
+    failing.setMode(fake_endpoint_mode::ServerError);
+    auto answer = lookUp(fleet, { &silent.reporter(), &failing });
+    silent.resume();
+    INFO(answer.time.count() << " ms" << entryLog(fleet));
+    CHECK(answer.response.status == 500);
+    CHECK(answer.time < milliseconds(5900));
+}
+
 TEST_CASE("A stream isn't at two engines for longer than they may both work on it", "[promise]")
 {
     constexpr milliseconds maxOverlap { 400 };
