--- a/Tests/Platform/EarlyGiveUpTest.cpp
+++ b/Tests/Platform/EarlyGiveUpTest.cpp
@@ -32,7 +32,7 @@
 };
 
 /// Looks something up, while more endpoints begin to report shortly after.
-timed_answer lookUp(const platform_fleet& fleet, const std::vector<fake_endpoint*>& endpoints)
+timed_answer lookUp(platform_fleet& fleet, const std::vector<fake_endpoint*>& endpoints)
 {
     timed_answer answer;
     std::thread caller([&] {
