Forwarding: Keep one holder of the turn

The holder that has the turn and the one that had it last were two fields with the same value, except that the first was cleared when its holder freed bytes. The end of the turn says the same. Nothing else changes; BufferBudgetTest is the same.

--- a/Source/forwarding/buffer_budget.cpp
+++ b/Source/forwarding/buffer_budget.cpp
@@ -27,11 +27,10 @@
             m_deniedAt = now;
         return hasRoom && m_turnHolder == holder;
     }
-    bool othersWait = m_lastTurnHolder == holder && now - m_deniedAt < maxAskInterval;
+    bool othersWait = m_turnHolder == holder && now - m_deniedAt < maxAskInterval;
     if (!hasRoom || othersWait)
         return false;
     m_turnHolder = holder;
-    m_lastTurnHolder = holder;
     m_turnEndsAt = now + maxTurnTime;
     return true;
 }
@@ -83,7 +82,7 @@
     usage.bytes(wait) -= bytes;
     m_held -= bytes;
     if (holder == m_turnHolder)
-        m_turnHolder = 0;
+        m_turnEndsAt = {};
     if (usage.allBytes() == 0)
         m_holders.erase(found);
 }
--- a/Source/forwarding/buffer_budget.h
+++ b/Source/forwarding/buffer_budget.h
@@ -91,17 +91,15 @@
     };
 
     bool isLarge(holder_id holder) const;
-    bool hasTurn(holder_id holder, time_point now) const { return holder != 0 && m_turnHolder == holder && now < m_turnEndsAt; }
+    bool hasTurn(holder_id holder, time_point now) const { return m_turnHolder == holder && now < m_turnEndsAt; }
     std::size_t shareOfLimit(double share) const { return static_cast<std::size_t>(static_cast<double>(m_limit) * share); }
 
     std::size_t m_limit = 0;
     std::size_t m_held = 0;
     holder_id m_lastHolder = 0;
-    /// The holder that has the turn, and until when; 0 if it is free.
+    /// The holder that took the turn last, until when it has it, and when another one asked for it in vain.
     holder_id m_turnHolder = 0;
     time_point m_turnEndsAt {};
-    /// The holder that had the turn last, and when another one asked for it in vain.
-    holder_id m_lastTurnHolder = 0;
     time_point m_deniedAt {};
     /// Holders of at least one byte.
     std::map<holder_id, usage> m_holders;
