Forwarding: Look at the last data instead of arming a timer for each piece

The body of each response that others could give cancelled and armed its timer anew with every piece that arrived. The timer now looks at when the last piece did, as it does for streams. An endpoint's time for its response is the same.

--- a/Source/forwarding/call_forwarder_moves.h
+++ b/Source/forwarding/call_forwarder_moves.h
@@ -75,6 +75,12 @@
             closeAttemptConnection();
             return;
         }
+        auto remaining = responseTimeout() - std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_waitingSince);
+        if (remaining > milliseconds(0)) {
+            // A body that goes on arriving isn't late.
+            scheduleResponseCheck(remaining);
+            return;
+        }
         if (isSent && !m_source && mayAskOthers())
             m_attempt.connection->interruptRead();
         scheduleResponseCheck(forwarding_detail::moveRetryInterval);
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -117,9 +117,8 @@
                 co_return body;
             continue;
         }
-        // A body that goes on arriving isn't late.
-        cancelAttemptTimer();
-        scheduleResponseCheck(responseTimeout());
+        if (!m_source)
+            m_waitingSince = m_shared.clock.now();
         body.bytes += chunk;
         charge.resize(body.bytes.size(), m_shared.clock.now());
         if (body.bytes.size() > forwarding_detail::maxResponseBytes) {
