--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -10,7 +10,7 @@
     constexpr milliseconds confirmationTimeout { 10000 };
     constexpr milliseconds statusTimeout { 1000 };
     constexpr std::size_t maxEvents = 1000;
-    /// Pauses of the control thread from this length on are logged: a leader that pauses longer loses its lead.
+    /// Pauses of the control thread from this length on are logged. A leader loses its lead after one of minElectionTimeout.
     constexpr milliseconds reportedPause { 200 };
 }
 
--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -431,7 +431,7 @@
 void control_link::reportCrash(const wire::crash_report& report, std::function<void(std::uint32_t)> handler)
 {
     m_crashes.add(report, m_clock.now());
-    auto seen = m_crashes.unreportedCrashes(report.fingerprint(), m_requestSuccesses.lastBegunAt(report.fingerprint()));
+    auto seen = countSeenCrashes(report.fingerprint());
     logEvent("crash_seen", { { "request", report.request_id() }, { "endpoint", report.endpoint() }, { "fingerprint", report.fingerprint() }, { "crashes", seen }, { "leader", m_leader } });
     if (m_leader.empty()) {
         handler(seen);
@@ -444,11 +444,16 @@
     });
 }
 
+std::uint32_t control_link::countSeenCrashes(std::uint64_t fingerprint) const
+{
+    return m_crashes.unreportedCrashes(fingerprint, m_requestSuccesses.lastBegunAt(fingerprint));
+}
+
 request_block control_link::blockOf(std::uint64_t fingerprint) const
 {
     auto found = m_blocked.find(fingerprint);
     if (found == m_blocked.end())
-        return m_crashes.unreportedCrashes(fingerprint, m_requestSuccesses.lastBegunAt(fingerprint)) >= crash_tracker::crashesToBlock ? request_block::Suspected : request_block::None;
+        return countSeenCrashes(fingerprint) >= crash_tracker::crashesToBlock ? request_block::Suspected : request_block::None;
     return found->second ? request_block::Certain : request_block::Suspected;
 }
 
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -133,6 +133,8 @@
     void continueFetch();
     void setLeader(const std::string& leader);
     void sendCrashKnowledge();
+    /// Crashes under the request that this entry saw, since its last success, and that the leader doesn't know.
+    std::uint32_t countSeenCrashes(std::uint64_t fingerprint) const;
 
     peer_network& m_network;
     const clock_source& m_clock;
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -456,15 +456,19 @@
         return;
     logEvent("crash_suspected", { { "request", report.request_id() }, { "endpoint", report.endpoint() }, { "fingerprint", report.fingerprint() }, { "crashes", m_blocks.crashCount(report.fingerprint()) }, { "age_ms", report.age_ms() } });
     m_metrics.count("crash_suspected");
-    for (const auto& address : m_replica.peers()) {
-        wire::envelope message;
-        *message.mutable_crash() = report;
-        m_network.send(address, std::move(message));
-    }
+    wire::envelope message;
+    *message.mutable_crash() = std::move(report);
+    sendToPeers(message);
     if (m_blocks.version() != blocksBefore)
         pushChanges();
 }
 
+void entry_coordinator::sendToPeers(const wire::envelope& message)
+{
+    for (const auto& address : m_replica.peers())
+        m_network.send(address, message);
+}
+
 void entry_coordinator::recordPartStatuses(const google::protobuf::RepeatedPtrField<wire::prompt_part_status>& statuses, const entry_session& session)
 {
     auto blocksBefore = m_blocks.version();
@@ -480,11 +484,9 @@
         return;
     logEvent("crash_taken_back", { { "requests_told", successes.size() }, { "suspected", m_blocks.blocks().suspected_requests_size() }, { "blocked", m_blocks.blocks().requests_size() } });
     m_metrics.count("crash_taken_back");
-    for (const auto& address : m_replica.peers()) {
-        wire::envelope message;
-        *message.mutable_prompt_parts()->mutable_requests() = successes;
-        m_network.send(address, std::move(message));
-    }
+    wire::envelope message;
+    *message.mutable_prompt_parts()->mutable_requests() = successes;
+    sendToPeers(message);
     if (m_blocks.version() != blocksBefore)
         pushChanges();
 }
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -137,6 +137,8 @@
     /// Records a crash that an entry reported, and passes it on to the other control processes if this one leads.
     void recordCrash(wire::crash_report report);
     /// Records what an entry told of parts of prompts, and tells the entries if the blocks changed.
+    /// Sends a message to all other control processes.
+    void sendToPeers(const wire::envelope& message);
     void recordPartStatuses(const google::protobuf::RepeatedPtrField<wire::prompt_part_status>& statuses, const entry_session& session);
     /// Records what an entry told of successes of requests, and passes it on to the other control processes if this one leads and
     /// fewer crashes count because of it.
