Tests: Share fleets, deserted leaders, long senders and large holders

ForeignTextTest and OddReportTest had the same fleet with one endpoint, two cases of ConfigTest the same leader that loses its followers, two of SilenceBesideChangesTest the same senders, three of EarlyGiveUpTest the same wait, two of BufferBudgetTest the same holders. The checks are the same.

--- a/Tests/Forwarding/BufferBudgetTest.cpp
+++ b/Tests/Forwarding/BufferBudgetTest.cpp
@@ -21,6 +21,14 @@
         return charge;
     }
 };
+
+/// Two large holders that hold more than both may have without turns.
+struct turn_case : budget_case {
+    buffer_budget::holder_id slow = budget.addHolder();
+    buffer_budget::holder_id other = budget.addHolder();
+    buffer_charge slowCharge = charge(slow, 11 * megabyte);
+    buffer_charge otherCharge = charge(other, 11 * megabyte);
+};
 }
 
 TEST_CASE("A budget without a limit always has room and ends nobody")
@@ -141,32 +149,24 @@
 // Guards against a caller that sends little while all others wait for its turn to end.
 TEST_CASE("A turn ends after its time")
 {
-    budget_case test;
-    auto slow = test.budget.addHolder();
-    auto other = test.budget.addHolder();
-    auto slowCharge = test.charge(slow, 11 * megabyte);
-    auto otherCharge = test.charge(other, 11 * megabyte);
-    REQUIRE(test.budget.mayGrow(slow, test.clock.now()));
+    turn_case test;
+    REQUIRE(test.budget.mayGrow(test.slow, test.clock.now()));
     test.clock.advance(buffer_budget::maxTurnTime - milliseconds(1));
-    CHECK_FALSE(test.budget.mayGrow(other, test.clock.now()));
+    CHECK_FALSE(test.budget.mayGrow(test.other, test.clock.now()));
     test.clock.advance(milliseconds(1));
-    CHECK(test.budget.mayGrow(other, test.clock.now()));
-    CHECK_FALSE(test.budget.mayGrow(slow, test.clock.now()));
+    CHECK(test.budget.mayGrow(test.other, test.clock.now()));
+    CHECK_FALSE(test.budget.mayGrow(test.slow, test.clock.now()));
 }
 
 // Guards against a caller that sends little, asks after each piece and so is always the first after its own turn.
 TEST_CASE("A holder that asks more often than others doesn't keep the turn")
 {
-    budget_case test;
-    auto slow = test.budget.addHolder();
-    auto other = test.budget.addHolder();
-    auto slowCharge = test.charge(slow, 11 * megabyte);
-    auto otherCharge = test.charge(other, 11 * megabyte);
+    turn_case test;
     bool hadTurn = false;
     for (int i = 0; i < 150 && !hadTurn; ++i) {
-        test.budget.mayGrow(slow, test.clock.now());
+        test.budget.mayGrow(test.slow, test.clock.now());
         if (i % 5 == 4)
-            hadTurn = test.budget.mayGrow(other, test.clock.now());
+            hadTurn = test.budget.mayGrow(test.other, test.clock.now());
         test.clock.advance(milliseconds(20));
     }
     CHECK(hadTurn);
--- a/Tests/Platform/EarlyGiveUpTest.cpp
+++ b/Tests/Platform/EarlyGiveUpTest.cpp
@@ -21,6 +21,12 @@
     return readFile(fleet.folder() + "/entry-1.out");
 }
 
+/// Waits until the entry knows the first endpoint.
+void awaitEndpoint(const platform_fleet& fleet)
+{
+    REQUIRE(eventually([&] { return fleet.isEntryReady(1) && entryLog(fleet).find("event=endpoint_known ") != std::string::npos; }));
+}
+
 std::string makeConfiguration()
 {
     return std::regex_replace(exampleConfiguration(7), std::regex("\"targetLatencyMs\":[0-9]*"), "\"targetLatencyMs\":100");
@@ -55,7 +61,7 @@
     endpoint_process pausing(fleet, 1, { service, stage, milliseconds(300), false });
     endpoint_process refusing(fleet, 2, { service, stage, milliseconds(300), true });
     REQUIRE(fleet.sendReport(pausing.reporter()).status == 200);
-    REQUIRE(eventually([&] { return fleet.isEntryReady(1) && entryLog(fleet).find("event=endpoint_known ") != std::string::npos; }));
+    awaitEndpoint(fleet);
     simple_response answer;
     std::thread caller([&] { answer = fleet.call(fleet.entryAddress(1), method, target, makeHeaders(), method == "GET" ? "" : "the prompt", milliseconds(6000)); });
     std::this_thread::sleep_for(milliseconds(150));
@@ -97,7 +103,7 @@
     fake_endpoint refusingReport("app-1", fleet.endpointAddress(101), "app", "");
     refusingReport.setReportedAddress(fleet.endpointAddress(1));
     REQUIRE(fleet.sendReport(refusingReport).status == 200);
-    REQUIRE(eventually([&] { return fleet.isEntryReady(1) && entryLog(fleet).find("event=endpoint_known ") != std::string::npos; }));
+    awaitEndpoint(fleet);
     fake_endpoint sound("app-2", fleet.endpointAddress(2), "app", "");
     auto answer = lookUp(fleet, { &refusingReport, &sound });
     INFO(answer.time.count() << " ms" << entryLog(fleet));
@@ -112,7 +118,7 @@
     REQUIRE(fleet.submitConfiguration(makeConfiguration()) == 200);
     endpoint_process silent(fleet, 1, { "app", "", milliseconds(5), false });
     REQUIRE(fleet.sendReport(silent.reporter()).status == 200);
-    REQUIRE(eventually([&] { return fleet.isEntryReady(1) && entryLog(fleet).find("event=endpoint_known ") != std::string::npos; }));
+    awaitEndpoint(fleet);
     silent.pause();
     fake_endpoint failing("app-2", fleet.endpointAddress(2), "app", "");
     failing.setMode(fake_endpoint_mode::ServerError);
--- a/Tests/Platform/ForeignTextTest.cpp
+++ b/Tests/Platform/ForeignTextTest.cpp
@@ -1,4 +1,4 @@
-#include "Platform/platform_fleet.h"
+#include "Platform/plain_fleet.h"
 #include "Platform/scripted_endpoint.h"
 #include "platform_names.h"
 #include <catch2/catch.hpp>
@@ -10,49 +10,17 @@
 namespace {
 constexpr std::chrono::seconds changeBound { 2 };
 
-/// A fleet with an endpoint of the plain service.
-class text_fleet {
+/// A fleet whose endpoint has reported once.
+class text_fleet : public plain_fleet {
 public:
-    platform_fleet platform;
-    fake_endpoint app;
-
     text_fleet()
-        : app("app-1", platform.endpointAddress(1), "app", "")
     {
-        platform.start();
-        REQUIRE(platform.submitConfiguration(exampleConfiguration(7)) == 200);
         REQUIRE(platform.sendReport(app).status == 200);
         REQUIRE(eventually([&] { return platform.isEntryReady(1) && read("first").status == 200; }));
     }
 
-    simple_response read(const std::string& requestId, const std::string& path = "/read/x") const
-    {
-        http_headers headers { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, requestId }, { platform_names::deadlineMs, "3000" } };
-        return platform.call(platform.entryAddress(1), "GET", path, headers);
-    }
-
-    /// Sends a report, or a deregistration, with this end of the path to every control process. Returns the statuses.
-    std::set<unsigned> sendToAll(const std::string& method, const std::string& id, const std::string& body)
-    {
-        std::set<unsigned> statuses;
-        for (const auto& answer : platform.callControls(method, id, body)) {
-            statuses.insert(answer.status);
-            lastBody = answer.body;
-        }
-        return statuses;
-    }
-
     /// Whether entries still learn of changes.
-    bool appliesChange(std::uint64_t version) const
-    {
-        auto applied = fmt::format("event=configuration_applied version={} ", version);
-        return platform.submitConfiguration(exampleConfiguration(version)) == 200
-            && eventually([&] { return entryLog().find(applied) != std::string::npos; }, changeBound);
-    }
-
-    std::string entryLog() const { return readFile(platform.folder() + "/entry-1.out"); }
-
-    std::string lastBody;
+    bool appliesChange(std::uint64_t version) const { return plain_fleet::appliesChange(version, changeBound); }
 };
 
 constexpr const char* reportBody = R"({"service":"lumo","address":"127.0.0.1:9","zone":"a","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1})";
--- a/Tests/Platform/OddReportTest.cpp
+++ b/Tests/Platform/OddReportTest.cpp
@@ -1,4 +1,4 @@
-#include "Platform/platform_fleet.h"
+#include "Platform/plain_fleet.h"
 #include "platform_names.h"
 #include <catch2/catch.hpp>
 
@@ -10,41 +10,19 @@
 /// An endpoint that goes on reporting is used again after this time.
 constexpr std::chrono::seconds returnBound { 14 };
 
-/// A fleet with an endpoint of the plain service that goes on reporting.
-class odd_report_fleet {
+/// A fleet whose endpoint goes on reporting.
+class odd_report_fleet : public plain_fleet {
 public:
-    platform_fleet platform;
-    fake_endpoint app;
-    std::unique_ptr<endpoint_reporter> reporter;
-
     odd_report_fleet()
-        : app("app-1", platform.endpointAddress(1), "app", "")
     {
-        platform.start();
-        REQUIRE(platform.submitConfiguration(exampleConfiguration(7)) == 200);
-        reporter = std::make_unique<endpoint_reporter>(platform, std::vector<fake_endpoint*> { &app });
+        m_reporter = std::make_unique<endpoint_reporter>(platform, std::vector<fake_endpoint*> { &app });
         REQUIRE(eventually([&] { return platform.isEntryReady(1) && read().status == 200; }));
         for (int n = 1; n <= platform.controls(); ++n)
             m_pids.push_back(platform.control(n).pid());
         m_pids.push_back(platform.entry(1).pid());
     }
 
-    simple_response read()
-    {
-        http_headers headers { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, fmt::format("read-{}", ++m_requests) }, { platform_names::deadlineMs, "3000" } };
-        return platform.call(platform.entryAddress(1), "GET", "/read/x", headers);
-    }
-
-    /// Sends a call of the endpoints to every control process. Returns the statuses.
-    std::set<unsigned> sendToAll(const std::string& method, const std::string& id, const std::string& body)
-    {
-        std::set<unsigned> statuses;
-        for (const auto& answer : platform.callControls(method, id, body)) {
-            statuses.insert(answer.status);
-            lastBody = answer.body;
-        }
-        return statuses;
-    }
+    simple_response read() { return plain_fleet::read(fmt::format("read-{}", ++m_requests)); }
 
     /// A report of the endpoint with some fields replaced. The endpoint itself sends other sequences.
     std::string makeOddReport(const std::map<std::string, std::string>& replaced) const
@@ -71,19 +49,15 @@
     /// Whether entries learn of a new configuration and of a new endpoint, which serves alone.
     bool followsChanges(std::uint64_t version)
     {
-        auto applied = fmt::format("event=configuration_applied version={} ", version);
-        if (platform.submitConfiguration(exampleConfiguration(version)) != 200 || !eventually([&] { return entryLog().find(applied) != std::string::npos; }, std::chrono::seconds(2)))
+        if (!appliesChange(version, std::chrono::seconds(2)))
             return false;
         fake_endpoint other(fmt::format("app-{}", version), platform.endpointAddress(static_cast<int>(version)), "app", "");
         bool known = platform.sendReport(other).status == 200 && eventually([&] { return entryLog().find(fmt::format("event=endpoint_known endpoint={} ", other.id())) != std::string::npos; });
         return known && platform.call(platform.controlAddress(2), "DELETE", platform_names::endpointsPath + other.id()).status == 200;
     }
 
-    std::string entryLog() const { return readFile(platform.folder() + "/entry-1.out"); }
-
-    std::string lastBody;
-
 private:
+    std::unique_ptr<endpoint_reporter> m_reporter;
     int m_requests = 0;
     std::vector<pid_t> m_pids;
 };
--- a/Tests/Platform/SilenceBesideChangesTest.cpp
+++ b/Tests/Platform/SilenceBesideChangesTest.cpp
@@ -287,6 +287,48 @@
         { "other services", [](auto& options) { options.plainService = "other-app"; options.streamService = "other-llm"; } }, { "longer idle time", [](auto& options) { options.idleTimeout = milliseconds(15000); } },
         { "longer time-out", [](auto& options) { options.routeTimeout = milliseconds(6000); } }, { "former services", [](auto& options) { options.plainService = "app"; options.streamService = "llm"; } } };
 }
+
+/// Callers that send long requests side by side, each in pieces with a pause after each.
+class long_senders {
+public:
+    long_senders(const std::string& address, int count, std::size_t pieceBytes, milliseconds pause)
+        : m_answers(count)
+    {
+        for (int i = 0; i < count; ++i) {
+            m_callers.emplace_back([this, address, i, pieceBytes, pause] {
+                raw_connection connection(address);
+                auto request = makeRequest("POST", "/book/1", fmt::format("long-{}", i), std::string(3 * megabyte, 'x'));
+                for (std::size_t sent = 0; sent < request.size(); sent += pieceBytes) {
+                    connection.send(std::string_view(request).substr(sent, pieceBytes));
+                    std::this_thread::sleep_for(pause);
+                }
+                m_answers[i] = connection.read(milliseconds(7000));
+            });
+        }
+    }
+    /// Waits for the answers.
+    const std::vector<simple_response>& answers()
+    {
+        for (auto& caller : m_callers)
+            caller.join();
+        m_callers.clear();
+        return m_answers;
+    }
+
+private:
+    std::vector<simple_response> m_answers;
+    std::vector<std::thread> m_callers;
+};
+
+/// The memory of a VM whose buffers a few long requests fill.
+constexpr int fewMemoryMb = 88;
+
+configuration_options longRequestOptions()
+{
+    configuration_options options;
+    options.maxBodyBytes = 4 * megabyte;
+    return options;
+}
 }
 
 // Guards against requests of any kind that get no whole answer while sound endpoints stand still beside a change.
@@ -328,27 +370,13 @@
 // the entry's buffers are full.
 TEST_CASE("Long requests get answers while their endpoint stands still and the buffers are full", "[promise]")
 {
-    constexpr int memoryMb = 88;
-    constexpr int senders = 10;
-    configuration_options options;
-    options.maxBodyBytes = 4 * megabyte;
     auto pause = GENERATE(milliseconds(1300), milliseconds(2000));
-    changing_fleet fleet({ plain }, options, memoryMb);
+    changing_fleet fleet({ plain }, longRequestOptions(), fewMemoryMb);
     fleet.endpoint(1).pause();
-    std::vector<simple_response> answers(senders);
-    std::vector<std::thread> callers;
-    for (int i = 0; i < senders; ++i) {
-        callers.emplace_back([&, i] {
-            raw_connection connection(fleet.platform.entryAddress(1));
-            connection.send(makeRequest("POST", "/book/1", fmt::format("long-{}", i), std::string(3 * megabyte, 'x')));
-            answers[i] = connection.read(milliseconds(7000));
-        });
-    }
+    long_senders senders(fleet.platform.entryAddress(1), 10, 4 * megabyte, milliseconds(0));
     std::this_thread::sleep_for(pause);
     fleet.endpoint(1).resume();
-    for (auto& caller : callers)
-        caller.join();
-    for (const auto& answer : answers) {
+    for (const auto& answer : senders.answers()) {
         INFO(pause.count() << " ms: " << answer.status << fleet.log());
         CHECK_FALSE(answer.broken);
         // What wasn't read whole may be refused.
@@ -359,28 +387,9 @@
 // Guards against bodies that are read in part, fill the buffers together and keep each other from becoming whole.
 TEST_CASE("Long requests that arrive side by side are read whole one after another", "[promise]")
 {
-    constexpr int memoryMb = 88;
-    constexpr int senders = 12;
-    constexpr std::size_t pieceBytes = 64UL * 1024;
-    configuration_options options;
-    options.maxBodyBytes = 4 * megabyte;
-    changing_fleet fleet({ plain }, options, memoryMb);
-    std::vector<simple_response> answers(senders);
-    std::vector<std::thread> callers;
-    for (int i = 0; i < senders; ++i) {
-        callers.emplace_back([&, i] {
-            raw_connection connection(fleet.platform.entryAddress(1));
-            auto request = makeRequest("POST", "/book/1", fmt::format("long-{}", i), std::string(3 * megabyte, 'x'));
-            for (std::size_t sent = 0; sent < request.size(); sent += pieceBytes) {
-                connection.send(std::string_view(request).substr(sent, pieceBytes));
-                std::this_thread::sleep_for(milliseconds(10));
-            }
-            answers[i] = connection.read(milliseconds(7000));
-        });
-    }
-    for (auto& caller : callers)
-        caller.join();
-    for (const auto& answer : answers) {
+    changing_fleet fleet({ plain }, longRequestOptions(), fewMemoryMb);
+    long_senders senders(fleet.platform.entryAddress(1), 12, 64UL * 1024, milliseconds(10));
+    for (const auto& answer : senders.answers()) {
         INFO(answer.status << fleet.log());
         CHECK_FALSE(answer.broken);
         CHECK(answer.status == 200);
--- a/Tests/Promises/ConfigTest.cpp
+++ b/Tests/Promises/ConfigTest.cpp
@@ -20,6 +20,53 @@
     auto body = fmt::format(R"({{"records":[{{"kind":"limit","name":"alpha","version":{},"schema_version":1,"body":{{"rate":{},"burst":1000000}}}}]}})", version, rate);
     return testFleet.call(testFleet.operatorAddress(control), "POST", "/v1/records", { { "Authorization", "Bearer " + token } }, body);
 }
+
+/// A leader that accepts a change and then loses all its followers, before the change is in force everywhere.
+class deserted_leader {
+public:
+    deserted_leader()
+    {
+        testFleet.start();
+        m_leader = testFleet.leader();
+        REQUIRE(m_leader > 0);
+        auto before = testFleet.status("revision");
+        // The change is not in force until the lease of this suspended entry expires.
+        testFleet.entry(1).signal(SIGSTOP);
+        m_command = std::thread([&] { applied = testFleet.command({ "apply", writeLimitFile(testFleet, 1, 700000) }); });
+        CHECK(eventually([&] { return testFleet.status("revision") != before; }, std::chrono::seconds(2)));
+        signalFollowers(SIGSTOP);
+    }
+    ~deserted_leader() { awaitCommand(); }
+    deserted_leader(const deserted_leader&) = delete;
+    deserted_leader& operator=(const deserted_leader&) = delete;
+
+    void resumeOthers()
+    {
+        signalFollowers(SIGCONT);
+        testFleet.entry(1).signal(SIGCONT);
+    }
+    void awaitCommand()
+    {
+        if (m_command.joinable())
+            m_command.join();
+    }
+    std::string log() const { return readFile(fmt::format("{}/control{}.out", testFleet.folder(), m_leader)); }
+
+    fleet testFleet { fleet_options {} };
+    command_output applied;
+
+private:
+    void signalFollowers(int signal)
+    {
+        for (int n = 1; n <= 3; ++n) {
+            if (n != m_leader)
+                testFleet.control(n).signal(signal);
+        }
+    }
+
+    int m_leader = 0;
+    std::thread m_command;
+};
 }
 
 // Guards against lost updates when two operators submit the same version: the second is told who submitted it. A
@@ -123,61 +170,28 @@
 // Guards against an accepted change that is left unconfirmed without a log line that gives the reason.
 TEST_CASE("The log says why an accepted change was not confirmed to be in force", "[promise]")
 {
-    fleet testFleet({});
-    testFleet.start();
-    int leader = testFleet.leader();
-    REQUIRE(leader > 0);
-    auto before = testFleet.status("revision");
-    // The change is not in force until the lease of this suspended entry expires.
-    testFleet.entry(1).signal(SIGSTOP);
-    command_output applied;
-    std::thread commandThread([&] { applied = testFleet.command({ "apply", writeLimitFile(testFleet, 1, 700000) }); });
-    auto log = [&] { return readFile(fmt::format("{}/control{}.out", testFleet.folder(), leader)); };
-    CHECK(eventually([&] { return testFleet.status("revision") != before; }, std::chrono::seconds(2)));
-    for (int n = 1; n <= 3; ++n) {
-        if (n != leader)
-            testFleet.control(n).signal(SIGSTOP);
-    }
-    commandThread.join();
-    for (int n = 1; n <= 3; ++n) {
-        if (n != leader)
-            testFleet.control(n).signal(SIGCONT);
-    }
-    testFleet.entry(1).signal(SIGCONT);
+    deserted_leader leader;
+    leader.awaitCommand();
+    leader.resumeOthers();
+    const auto& applied = leader.applied;
     INFO(applied.out << applied.err);
     CHECK(applied.out.find("not yet confirmed in force") != std::string::npos);
-    CHECK(log().find("event=change_unconfirmed") != std::string::npos);
-    CHECK(log().find(" why=leadership_lost") != std::string::npos);
-    CHECK(log().find(" why=no_quorum") != std::string::npos);
+    CHECK(leader.log().find("event=change_unconfirmed") != std::string::npos);
+    CHECK(leader.log().find(" why=leadership_lost") != std::string::npos);
+    CHECK(leader.log().find(" why=no_quorum") != std::string::npos);
 }
 
 // Guards against a failed apply whose change is in the log and in force soon, because the leader that accepted it lost
 // its lead before it could confirm it.
 TEST_CASE("A change accepted by a leader that loses its lead is confirmed by the next one", "[promise]")
 {
-    fleet testFleet({});
-    testFleet.start();
-    int leader = testFleet.leader();
-    REQUIRE(leader > 0);
-    auto before = testFleet.status("revision");
-    testFleet.entry(1).signal(SIGSTOP);
-    command_output applied;
-    std::thread commandThread([&] { applied = testFleet.command({ "apply", writeLimitFile(testFleet, 1, 700000) }); });
-    auto log = [&] { return readFile(fmt::format("{}/control{}.out", testFleet.folder(), leader)); };
-    CHECK(eventually([&] { return testFleet.status("revision") != before; }, std::chrono::seconds(2)));
-    for (int n = 1; n <= 3; ++n) {
-        if (n != leader)
-            testFleet.control(n).signal(SIGSTOP);
-    }
-    CHECK(eventually([&] { return log().find("event=change_unconfirmed") != std::string::npos; }));
-    for (int n = 1; n <= 3; ++n) {
-        if (n != leader)
-            testFleet.control(n).signal(SIGCONT);
-    }
-    testFleet.entry(1).signal(SIGCONT);
-    commandThread.join();
-    INFO(applied.out << applied.err << log());
-    CHECK(log().find(" why=leadership_lost") != std::string::npos);
+    deserted_leader leader;
+    CHECK(eventually([&] { return leader.log().find("event=change_unconfirmed") != std::string::npos; }));
+    leader.resumeOthers();
+    leader.awaitCommand();
+    const auto& applied = leader.applied;
+    INFO(applied.out << applied.err << leader.log());
+    CHECK(leader.log().find(" why=leadership_lost") != std::string::npos);
     CHECK(applied.code == 0);
     CHECK(applied.out.find("in force everywhere") != std::string::npos);
 }
