--- a/Source/consensus/consensus.h
+++ b/Source/consensus/consensus.h
@@ -4,3 +4,4 @@
 #include "consensus/memory_log_store.h"
 #include "consensus/raft_core.h"
 #include "consensus/raft_host.h"
+#include "consensus/write_queue.h"
--- a/Source/consensus/file_log_store.cpp
+++ b/Source/consensus/file_log_store.cpp
@@ -217,19 +217,19 @@
     return syncFolder(m_folder);
 }
 
-result<void> file_log_store::persist(const raft_ready& ready)
+result<void> file_log_store::persist(const raft_write& write)
 {
     // The snapshot is written first; otherwise a crash could leave a gap between the log and the entries after the snapshot.
-    if (ready.snapshot) {
-        BOOST_OUTCOME_TRYV(compact(*ready.snapshot, {}));
+    if (write.snapshot) {
+        BOOST_OUTCOME_TRYV(compact(*write.snapshot, {}));
     }
-    if (ready.hardState) {
-        BOOST_OUTCOME_TRYV(writeFile(hardStateFile, ready.hardState->SerializeAsString()));
+    if (write.hardState) {
+        BOOST_OUTCOME_TRYV(writeFile(hardStateFile, write.hardState->SerializeAsString()));
     }
-    if (ready.append.empty())
+    if (write.append.empty())
         return ok();
     std::string bytes;
-    for (const auto& entry : ready.append)
+    for (const auto& entry : write.append)
         bytes += encodeRecord(entry.SerializeAsString());
     return appendBytes(bytes);
 }
--- a/Source/consensus/file_log_store.h
+++ b/Source/consensus/file_log_store.h
@@ -37,8 +37,8 @@
     result<stored_replica> openAfterFailure(const std::string& folder, std::optional<std::uint64_t> incarnationIfNew = std::nullopt);
     /// Closes the files and releases the lock, so that the folder can be opened again.
     void close();
-    /// Writes and syncs the snapshot, hard state and entries of `ready`. Errors: disk errors.
-    result<void> persist(const raft_ready& ready);
+    /// Writes and syncs the snapshot, hard state and entries. Errors: disk errors.
+    result<void> persist(const raft_write& write);
     /// Replaces the snapshot, then the log with the entries after the snapshot.
     result<void> compact(const wire::raft_snapshot& snapshot, const std::vector<wire::log_entry>& remainingEntries);
 
--- a/Source/consensus/memory_log_store.h
+++ b/Source/consensus/memory_log_store.h
@@ -5,10 +5,10 @@
 
 /// Storage that persists a replica's state.
 template <typename T>
-concept log_storage = requires(T store, const raft_ready& ready, const wire::raft_snapshot& snapshot, const std::vector<wire::log_entry>& remainingEntries)
+concept log_storage = requires(T store, const raft_write& write, const wire::raft_snapshot& snapshot, const std::vector<wire::log_entry>& remainingEntries)
 {
     {
-        store.persist(ready)
+        store.persist(write)
         } -> std::same_as<result<void>>;
     {
         store.compact(snapshot, remainingEntries)
@@ -18,7 +18,7 @@
 /// Storage of a replica without a disk. It keeps nothing, so each start needs a new incarnation.
 class memory_log_store {
 public:
-    result<void> persist(const raft_ready&) { return ok(); }
+    result<void> persist(const raft_write&) { return ok(); }
     void close() { }
     result<void> compact(const wire::raft_snapshot&, const std::vector<wire::log_entry>&) { return ok(); }
 };
--- a/Source/consensus/raft_core.cpp
+++ b/Source/consensus/raft_core.cpp
@@ -14,9 +14,11 @@
     , m_settings(settings)
     , m_random(seed)
     , m_hardState(std::move(restored.hardState))
+    , m_storedHardState(m_hardState)
     , m_snapshot(std::move(restored.snapshot))
     , m_log(m_snapshot.index(), m_snapshot.term(), std::move(restored.entries))
     , m_commitIndex(m_snapshot.index())
+    , m_storedIndex(m_log.lastIndex())
     , m_now(now)
     // A replica that restarts may have acknowledged a heartbeat just before. Treating the start as contact with a leader
     // keeps it from voting for another candidate while that leader's lease is still valid.
@@ -42,7 +44,7 @@
     entry.set_term(1);
     entry.set_kind(wire::ENTRY_MEMBERSHIP);
     entry.set_data(voters.SerializeAsString());
-    m_ready.append.push_back(entry);
+    m_ready.write.append.push_back(entry);
     m_log.append(std::move(entry));
     refreshMembers();
 }
@@ -117,12 +119,11 @@
     entry.set_term(term());
     entry.set_kind(kind);
     entry.set_data(std::move(data));
-    m_ready.append.push_back(entry);
+    m_ready.write.append.push_back(entry);
     m_log.append(std::move(entry));
     if (kind == wire::ENTRY_MEMBERSHIP)
         refreshMembers();
     m_broadcastPending = true;
-    advanceCommit();
 }
 
 void raft_core::compact(std::uint64_t index, std::string state)
@@ -150,6 +151,32 @@
     return std::exchange(m_ready, {});
 }
 
+log_position raft_write::end() const
+{
+    if (!append.empty())
+        return { append.back().index(), append.back().term() };
+    if (snapshot)
+        return { snapshot->index(), snapshot->term() };
+    return {};
+}
+
+void raft_core::recordStored(const std::optional<wire::hard_state>& hardState, log_position end)
+{
+    if (hardState)
+        m_storedHardState = *hardState;
+    // Entries that another leader replaced meanwhile are stored by a later write.
+    bool isInLog = end.index > 0 && end.index >= m_log.baseIndex() && m_log.termAt(end.index) == end.term;
+    if (isInLog)
+        m_storedIndex = std::max(m_storedIndex, end.index);
+    advanceCommit();
+}
+
+bool raft_core::isHardStateStored() const
+{
+    return m_storedHardState.term() == m_hardState.term() && m_storedHardState.voted_for_vm() == m_hardState.voted_for_vm()
+        && m_storedHardState.voted_for_incarnation() == m_hardState.voted_for_incarnation();
+}
+
 void raft_core::becomeFollower(std::uint64_t newTerm, time_point now)
 {
     if (newTerm > term()) {
@@ -195,7 +222,7 @@
     auto matchIndex = std::max(lastNew, covered ? m_log.baseIndex() : 0);
     commitTo(std::min(message.commit(), matchIndex));
     reply.set_index(matchIndex);
-    send(std::move(reply));
+    sendAppendReply(std::move(reply));
 }
 
 void raft_core::appendEntries(const wire::raft_message& message)
@@ -203,17 +230,21 @@
     for (const auto& entry : message.entries()) {
         if (entry.index() <= m_log.baseIndex() || m_log.termAt(entry.index()) == entry.term())
             continue;
-        if (entry.index() <= m_log.lastIndex()) {
-            m_log.truncateFrom(entry.index());
-            m_ready.truncateFrom = m_ready.truncateFrom ? std::min(m_ready.truncateFrom, entry.index()) : entry.index();
-            std::erase_if(m_ready.append, [&](const auto& pending) { return pending.index() >= entry.index(); });
-        }
-        m_ready.append.push_back(entry);
+        if (entry.index() <= m_log.lastIndex())
+            truncateFrom(entry.index());
+        m_ready.write.append.push_back(entry);
         m_log.append(entry);
     }
     refreshMembers();
 }
 
+void raft_core::truncateFrom(std::uint64_t index)
+{
+    m_log.truncateFrom(index);
+    m_storedIndex = std::min(m_storedIndex, index - 1);
+    std::erase_if(m_ready.write.append, [&](const auto& pending) { return pending.index() >= index; });
+}
+
 void raft_core::followLeader(const wire::raft_message& message, time_point now)
 {
     if (message.term() > term() || m_role != raft_role::Follower)
@@ -278,10 +309,10 @@
     m_log.reset(snapshot.index(), snapshot.term());
     m_commitIndex = snapshot.index();
     // Pending entries that are not persisted yet precede the snapshot or conflict with it.
-    m_ready.append.clear();
+    m_ready.write.append.clear();
     m_ready.committed.clear();
-    m_ready.truncateFrom = 0;
-    m_ready.snapshot = snapshot;
+    m_ready.write.snapshot = snapshot;
+    m_storedIndex = 0;
     refreshMembers();
 }
 
@@ -290,7 +321,7 @@
     auto reply = makeMessage(wire::RAFT_APPEND_REPLY, message.from());
     reply.set_round(message.round());
     reply.set_index(std::max(m_commitIndex, index));
-    send(std::move(reply));
+    sendAppendReply(std::move(reply));
 }
 
 void raft_core::commitTo(std::uint64_t index)
@@ -332,7 +363,23 @@
 
 void raft_core::send(wire::raft_message message)
 {
-    m_ready.messages.push_back(std::move(message));
+    bool isVote = message.kind() == wire::RAFT_PRE_VOTE || message.kind() == wire::RAFT_PRE_VOTE_REPLY || message.kind() == wire::RAFT_VOTE || message.kind() == wire::RAFT_VOTE_REPLY;
+    // A replica that restarts must not take part again in a term that it has forgotten.
+    auto& messages = isVote || !isHardStateStored() ? m_ready.messagesAfterWrite : m_ready.messages;
+    messages.push_back(std::move(message));
+}
+
+void raft_core::sendAppendReply(wire::raft_message message)
+{
+    if (message.index() <= m_storedIndex) {
+        send(std::move(message));
+        return;
+    }
+    // The round is confirmed at once, so that the leader keeps its lease however long the write takes.
+    auto stored = message;
+    stored.set_index(m_storedIndex);
+    send(std::move(stored));
+    m_ready.messagesAfterWrite.push_back(std::move(message));
 }
 
 } // namespace pistachiolatch
--- a/Source/consensus/raft_core.h
+++ b/Source/consensus/raft_core.h
@@ -55,30 +55,43 @@
     std::vector<wire::log_entry> entries;
 };
 
-/// Output of a raft_core that its host must process in this order: persist and sync the hard state, the snapshot and
-/// the entries; only then send the messages, apply the committed entries and complete the reads.
-struct raft_ready {
+/// The position of an entry in the log.
+struct log_position {
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    auto operator<=>(const log_position&) const = default;
+};
+
+/// State to be stored: the snapshot, which replaces the log, then the hard state and the entries.
+struct raft_write {
     std::optional<wire::hard_state> hardState;
     std::optional<wire::raft_snapshot> snapshot;
-    /// Stored entries from this index on are invalid; 0 means none.
-    std::uint64_t truncateFrom = 0;
     std::vector<wire::log_entry> append;
+
+    bool isEmpty() const { return !hardState && !snapshot && append.empty(); }
+    /// The last entry that the write stores, or the end of its snapshot; index 0 if it contains neither.
+    log_position end() const;
+};
+
+/// Output of a raft_core. Its host passes the writes to stable storage in their order and may do the rest meanwhile, except
+/// for `messagesAfterWrite`: they promise what this write and the earlier ones store.
+struct raft_ready {
+    raft_write write;
+    /// To be sent once this write and all earlier ones are on stable storage.
+    std::vector<wire::raft_message> messagesAfterWrite;
+    /// To be sent at once.
     std::vector<wire::raft_message> messages;
     std::vector<wire::log_entry> committed;
     std::vector<std::uint64_t> confirmedReads;
     std::vector<std::uint64_t> failedReads;
 };
 
-/// The position of a proposed entry in the log.
-struct log_position {
-    std::uint64_t index = 0;
-    std::uint64_t term = 0;
-    auto operator<=>(const log_position&) const = default;
-};
-
 /// Implements one replica of a Raft log (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm",
 /// 2014): elections with pre-vote and leader stickiness, replication, single-replica membership changes, quorum reads
-/// and a leader lease. Its inputs are messages and the time, its output is a raft_ready; it does no I/O.
+/// and a leader lease. Its inputs are messages, the time and completed writes, its output is a raft_ready; it does no I/O.
+/// A leader sends entries and heartbeats while it stores its own copy, which counts towards a majority once it is stored, and a
+/// follower confirms heartbeats meanwhile (Ongaro, "Consensus: Bridging Theory and Practice", 10.2.1). So a replica whose disk is
+/// slow neither loses its lead nor contact with the leader.
 /// Not thread-safe.
 class raft_core {
 public:
@@ -105,6 +118,8 @@
     void compact(std::uint64_t index, std::string state);
     /// Returns the output since the last call.
     raft_ready takeReady();
+    /// Records that a write and all earlier ones are on stable storage. `end`: raft_write::end().
+    void recordStored(const std::optional<wire::hard_state>& hardState, log_position end);
 
     raft_role role() const { return m_role; }
     /// The leader, if known.
@@ -206,12 +221,17 @@
     std::optional<time_point> roundSentAt(std::uint64_t round) const;
     wire::raft_message makeMessage(wire::raft_kind kind, const wire::replica_id& to) const;
     void send(wire::raft_message message);
-    void saveHardState() { m_ready.hardState = m_hardState; }
+    /// Sends a follower's confirmation, the part of it that isn't stored yet after the write.
+    void sendAppendReply(wire::raft_message message);
+    bool isHardStateStored() const;
+    void truncateFrom(std::uint64_t index);
+    void saveHardState() { m_ready.write.hardState = m_hardState; }
 
     wire::replica_id m_self;
     raft_settings m_settings;
     std::mt19937_64 m_random;
     wire::hard_state m_hardState;
+    wire::hard_state m_storedHardState;
     wire::raft_snapshot m_snapshot;
     /// The current snapshot, serialized once for all followers.
     std::shared_ptr<const serialized_snapshot> m_serializedSnapshot;
@@ -222,6 +242,8 @@
     raft_role m_role = raft_role::Follower;
     std::optional<wire::replica_id> m_leader;
     std::uint64_t m_commitIndex = 0;
+    /// The log up to this index is on stable storage.
+    std::uint64_t m_storedIndex = 0;
     time_point m_now;
     time_point m_lastLeaderContact;
     time_point m_electionDue;
--- a/Source/consensus/raft_host.h
+++ b/Source/consensus/raft_host.h
@@ -1,6 +1,9 @@
 #pragma once
 #include "consensus/memory_log_store.h"
+#include "consensus/write_queue.h"
+#include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace pistachiolatch {
@@ -11,81 +14,159 @@
     std::function<void(const wire::log_entry&)> apply;
     std::function<void(const wire::raft_snapshot&)> restore;
     std::function<void(std::uint64_t id, bool confirmed)> completeRead;
+    /// Called on another thread after a write: processReady() is to be called on the host's thread.
+    /// It may still be called while the host is destroyed.
+    std::function<void()> writeCompleted;
+    /// A write took this long, with the writes before it that it waited for.
+    std::function<void(duration)> slowWrite;
 };
 
-/// Connects a raft_core to its storage and its callbacks; persists state before it sends messages or applies entries.
-/// Not thread-safe.
+/// Connects a raft_core to its storage and its callbacks. It writes on a thread of its own, and sends what a write promises
+/// only when it is complete. Not thread-safe, except for that thread.
 template <log_storage Storage>
 class raft_host {
 public:
-    raft_host(raft_core core, Storage storage, raft_callbacks callbacks)
+    /// Precondition: the clock outlives the host.
+    raft_host(raft_core core, Storage storage, const clock_source& clock, raft_callbacks callbacks)
         : m_core(std::move(core))
         , m_storage(std::move(storage))
+        , m_clock(clock)
         , m_callbacks(std::move(callbacks))
+        , m_writes(m_callbacks.writeCompleted)
     {
     }
 
     raft_core& core() { return m_core; }
     const raft_core& core() const { return m_core; }
-
+    /// Precondition: processReady() failed, so that no write uses the storage.
     Storage& storage() { return m_storage; }
 
-    /// Processes the pending output of the core. A storage error is final: the core already includes state that was not
-    /// stored and must not acknowledge it. The replica has to be reopened from its files.
+    /// Processes completed writes and the pending output of the core. A storage error is final: the core already includes
+    /// state that was not stored and must not acknowledge it. The replica has to be reopened from its files, after this
+    /// host was destroyed.
     result<void> processReady()
     {
+        processCompleted();
         // Callbacks can produce further output. Two iterations nearly always suffice; the rest waits for the next tick.
         constexpr int maxIterations = 4;
         for (int i = 0; i < maxIterations; ++i) {
-            auto ready = m_core.takeReady();
             // A callback may have called processReady() itself, and that call may have failed.
             if (m_storageError)
                 return *m_storageError;
+            // Behind a disk that stands still a replica falls silent rather than collect writes without a bound.
+            if (m_pendingBytes > maxPendingBytes)
+                return ok();
+            auto ready = m_core.takeReady();
             if (isEmpty(ready))
                 return ok();
-            BOOST_OUTCOME_TRYV(recordError(m_storage.persist(ready)));
-            if (ready.snapshot)
-                m_callbacks.restore(*ready.snapshot);
-            for (const auto& message : ready.messages)
-                m_callbacks.send(message);
-            for (const auto& entry : ready.committed)
-                m_callbacks.apply(entry);
-            for (auto id : ready.confirmedReads)
-                m_callbacks.completeRead(id, true);
-            for (auto id : ready.failedReads)
-                m_callbacks.completeRead(id, false);
+            process(std::move(ready));
         }
         return ok();
     }
 
-    /// Stores the state up to the index as a snapshot and removes the log entries that it covers.
-    result<void> compact(std::uint64_t index, std::string state)
+    /// Stores the state up to the index as a snapshot and removes the log entries that it covers. Errors: in processReady().
+    void compact(std::uint64_t index, std::string state)
     {
         m_core.compact(index, std::move(state));
-        std::vector<wire::log_entry> remainingEntries;
-        for (auto i = m_core.log().firstIndex(); i <= m_core.log().lastIndex(); ++i)
-            remainingEntries.push_back(m_core.log().at(i));
-        return recordError(m_storage.compact(m_core.snapshot(), remainingEntries));
+        auto remaining = std::make_shared<std::vector<wire::log_entry>>();
+        auto bytes = m_core.snapshot().state().size();
+        for (auto i = m_core.log().firstIndex(); i <= m_core.log().lastIndex(); ++i) {
+            remaining->push_back(m_core.log().at(i));
+            bytes += remaining->back().data().size();
+        }
+        log_position end { m_core.log().lastIndex(), m_core.log().termAt(m_core.log().lastIndex()) };
+        auto snapshot = std::make_shared<wire::raft_snapshot>(m_core.snapshot());
+        push({ {}, end, bytes, {}, {} }, [this, snapshot, remaining] { return m_storage.compact(*snapshot, *remaining); });
     }
 
+    /// Whether a write has not completed yet.
+    bool isWriting() const { return !m_pending.empty(); }
+
 private:
-    result<void> recordError(result<void> outcome)
+    static constexpr std::size_t maxPendingBytes = 64UL * 1024 * 1024;
+    /// Writes from this length on are reported. Networks and disks take a few milliseconds.
+    static constexpr milliseconds slowWriteTime { 200 };
+
+    /// A write that was passed to the queue.
+    struct pending_write {
+        std::optional<wire::hard_state> hardState;
+        log_position end;
+        std::size_t bytes = 0;
+        time_point startedAt {};
+        std::vector<wire::raft_message> messages;
+    };
+
+    void process(raft_ready ready)
+    {
+        if (!ready.write.isEmpty()) {
+            auto write = std::make_shared<raft_write>(std::move(ready.write));
+            auto bytes = write->snapshot ? write->snapshot->state().size() : 0;
+            for (const auto& entry : write->append)
+                bytes += entry.data().size();
+            push({ write->hardState, write->end(), bytes, {}, {} }, [this, write] { return m_storage.persist(*write); });
+            if (write->snapshot)
+                m_callbacks.restore(*write->snapshot);
+        }
+        for (const auto& message : ready.messages)
+            m_callbacks.send(message);
+        if (!m_pending.empty())
+            std::move(ready.messagesAfterWrite.begin(), ready.messagesAfterWrite.end(), std::back_inserter(m_pending.back().messages));
+        else
+            sendAll(ready.messagesAfterWrite);
+        for (const auto& entry : ready.committed)
+            m_callbacks.apply(entry);
+        for (auto id : ready.confirmedReads)
+            m_callbacks.completeRead(id, true);
+        for (auto id : ready.failedReads)
+            m_callbacks.completeRead(id, false);
+    }
+
+    void push(pending_write pending, write_queue::write work)
+    {
+        m_pendingBytes += pending.bytes;
+        pending.startedAt = m_clock.now();
+        m_pending.push_back(std::move(pending));
+        m_writes.push(std::move(work));
+    }
+
+    void processCompleted()
+    {
+        for (auto& outcome : m_writes.takeCompleted()) {
+            if (!outcome) {
+                m_storageError = outcome.error();
+                return;
+            }
+            auto done = std::move(m_pending.front());
+            m_pending.pop_front();
+            m_pendingBytes -= done.bytes;
+            if (auto took = m_clock.now() - done.startedAt; took >= slowWriteTime)
+                m_callbacks.slowWrite(took);
+            m_core.recordStored(done.hardState, done.end);
+            sendAll(done.messages);
+        }
+    }
+
+    void sendAll(const std::vector<wire::raft_message>& messages)
     {
-        if (!outcome)
-            m_storageError = outcome.error();
-        return outcome;
+        for (const auto& message : messages)
+            m_callbacks.send(message);
     }
 
     static bool isEmpty(const raft_ready& ready)
     {
-        return !ready.hardState && !ready.snapshot && ready.append.empty() && ready.messages.empty() && ready.committed.empty()
+        return ready.write.isEmpty() && ready.messagesAfterWrite.empty() && ready.messages.empty() && ready.committed.empty()
             && ready.confirmedReads.empty() && ready.failedReads.empty();
     }
 
     raft_core m_core;
     Storage m_storage;
+    const clock_source& m_clock;
     raft_callbacks m_callbacks;
+    std::deque<pending_write> m_pending;
+    std::size_t m_pendingBytes = 0;
     std::optional<failure> m_storageError;
+    /// Declared last: its thread uses the storage.
+    write_queue m_writes;
 };
 
 } // namespace pistachiolatch
--- a/Source/consensus/raft_leader.cpp
+++ b/Source/consensus/raft_leader.cpp
@@ -150,7 +150,7 @@
         return;
     std::vector<std::uint64_t> matches;
     if (isVoter())
-        matches.push_back(m_log.lastIndex());
+        matches.push_back(m_storedIndex);
     for (const auto& [key, progress] : m_progress) {
         if (progress.voter)
             matches.push_back(progress.matchIndex);
--- a/Source/control/control_node.cpp
+++ b/Source/control/control_node.cpp
@@ -50,7 +50,7 @@
     if (m_appliedIndex > 0 && !m_state.load(replica.restored.snapshot.state()))
         std::abort(); // The checksum was valid, so invalid content means a broken invariant.
     raft_core core(m_self, raft_settings {}, generateIncarnation(), std::move(replica.restored), m_clock.now());
-    m_host.emplace(std::move(core), std::move(replica.store), makeCallbacks());
+    m_host.emplace(std::move(core), std::move(replica.store), m_clock, makeCallbacks());
 }
 
 raft_callbacks control_node::makeCallbacks()
@@ -76,6 +76,9 @@
         m_pendingReads.erase(found);
         handler(done);
     };
+    // The loop ticks after each task.
+    callbacks.writeCompleted = [&loop = m_loop] { loop.post([] {}); };
+    callbacks.slowWrite = [](duration took) { logEvent("storage_slow", { { "ms", std::chrono::duration_cast<milliseconds>(took).count() } }); };
     return callbacks;
 }
 
@@ -128,9 +131,8 @@
     auto now = m_clock.now();
     auto last = std::exchange(m_lastTick, now);
     auto pause = std::chrono::duration_cast<milliseconds>(now - last);
-    auto storage = std::chrono::duration_cast<milliseconds>(std::exchange(m_storageTime, duration::zero()));
     if (last != time_point {} && pause >= reportedPause)
-        logEvent("control_paused", { { "ms", pause.count() }, { "storage_ms", storage.count() } });
+        logEvent("control_paused", { { "ms", pause.count() } });
 }
 
 void control_node::processUpdates()
@@ -143,10 +145,7 @@
 {
     if (m_storageFailed)
         return;
-    auto startedAt = m_clock.now();
-    auto processed = m_host->processReady();
-    m_storageTime += m_clock.now() - startedAt;
-    if (!processed)
+    if (auto processed = m_host->processReady(); !processed)
         handleStorageFailure(processed.error().message);
 }
 
@@ -269,11 +268,7 @@
 {
     if (m_storageFailed || m_appliedIndex < core().log().baseIndex() + compactionThreshold)
         return;
-    auto compacted = m_host->compact(m_appliedIndex, m_state.save());
-    if (compacted)
-        return;
-    handleStorageFailure(compacted.error().message);
-    updateLeadership();
+    m_host->compact(m_appliedIndex, m_state.save());
 }
 
 void control_node::submit(wire::submit_batch batch, std::function<void(submit_response)> handler)
--- a/Source/control/control_node.h
+++ b/Source/control/control_node.h
@@ -20,9 +20,9 @@
         : m_store(std::move(store))
     {
     }
-    result<void> persist(const raft_ready& ready)
+    result<void> persist(const raft_write& write)
     {
-        return std::visit([&](auto& store) { return store.persist(ready); }, m_store);
+        return std::visit([&](auto& store) { return store.persist(write); }, m_store);
     }
     result<void> compact(const wire::raft_snapshot& snapshot, const std::vector<wire::log_entry>& rest)
     {
@@ -116,7 +116,7 @@
     void apply(const wire::log_entry& entry);
     void processUpdates();
     void processReady();
-    /// Logs that the control thread did not run for long, and how much of that time it waited for storage.
+    /// Logs that the control thread did not run for long.
     void reportPause();
     void compactLogIfNeeded();
     void updateLeadership();
@@ -145,8 +145,6 @@
     wire::replica_id m_self;
     replica_opener m_openReplica;
     time_point m_lastTick {};
-    /// Time spent on storing and sending since the last tick.
-    duration m_storageTime { 0 };
     std::optional<raft_host<replica_store>> m_host;
     bool m_storageFailed = false;
     time_point m_reopenAt {};
--- a/Source/replication/document_replica.cpp
+++ b/Source/replication/document_replica.cpp
@@ -34,6 +34,7 @@
     : m_network(network)
     , m_clock(clock)
     , m_metrics(counters)
+    , m_executor(context.get_executor())
     , m_events(std::move(events))
     , m_settings(std::move(settings))
     , m_storageUnusableSince(clock.now())
@@ -82,6 +83,13 @@
         m_reads.erase(found);
         handler(done ? &m_document : nullptr);
     };
+    effects.writeCompleted = [this, executor = m_executor, alive = std::weak_ptr(m_alive)] {
+        boost::asio::post(executor, [this, alive] {
+            if (alive.lock())
+                processEffects();
+        });
+    };
+    effects.slowWrite = [](duration took) { logEvent("storage_slow", { { "ms", std::chrono::duration_cast<milliseconds>(took).count() } }); };
     return effects;
 }
 
@@ -359,9 +367,11 @@
         onStorageFailure(drained.error().message);
         return;
     }
+    if (m_openAttempts > 0 && !m_host->isWriting())
+        recordStorageUsable();
     updateLeadership();
-    if (compactIfNeeded())
-        scheduleTimer();
+    compactIfNeeded();
+    scheduleTimer();
 }
 
 void document_replica::scheduleTimer()
@@ -425,20 +435,17 @@
         handler(nullptr);
 }
 
-bool document_replica::compactIfNeeded()
+void document_replica::compactIfNeeded()
 {
     bool tooLong = m_bytesSinceSnapshot > maxLogBytes || m_applied > core().log().baseIndex() + maxLogEntries;
     if (!tooLong)
-        return true;
+        return;
     m_bytesSinceSnapshot = 0;
     wire::replicated_state state;
     state.set_version(m_document.version());
     state.set_body(m_document.body());
     *state.mutable_evacuations() = m_evacuations.encode();
-    auto compacted = m_host->compact(m_applied, state.SerializeAsString());
-    if (!compacted)
-        onStorageFailure(compacted.error().message);
-    return m_storageUsable;
+    m_host->compact(m_applied, state.SerializeAsString());
 }
 
 } // namespace pistachiolatch
--- a/Source/replication/document_replica.h
+++ b/Source/replication/document_replica.h
@@ -5,6 +5,7 @@
 #include "replication/replica_identity.h"
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -119,8 +120,9 @@
     /// The VM of a voter that doesn't support evacuations; empty if none is known.
     std::string findUnsupportingVoter() const;
     void recordSupport(const wire::raft_message& message);
-    /// Returns whether the files are still usable.
-    bool compactIfNeeded();
+    /// Called once all writes since the files were opened are stored.
+    void recordStorageUsable();
+    void compactIfNeeded();
     void updateLeadership();
     void failPending();
     void propose(const wire::document& document, submit_handler handler);
@@ -145,6 +147,9 @@
     peer_network& m_network;
     const clock_source& m_clock;
     metrics& m_metrics;
+    boost::asio::io_context::executor_type m_executor;
+    /// Expires with this replica, which completed writes may outlive.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     replica_events m_events;
     replica_settings m_settings;
     wire::replica_id m_self;
--- a/Source/replication/document_replica_storage.cpp
+++ b/Source/replication/document_replica_storage.cpp
@@ -16,8 +16,10 @@
     }
     m_storageUsable = true;
     processEffects();
-    if (!m_storageUsable)
-        return;
+}
+
+void document_replica::recordStorageUsable()
+{
     m_openAttempts = 0;
     m_reopenAfterFailure = false;
     // If the files disappear while the process runs, the disk was lost; bootstrapping would create a second log.
@@ -35,7 +37,7 @@
     m_self = start.self;
     auto initialVoters = start.initialVoters;
     loadSnapshot(start.restored.snapshot);
-    m_host.emplace(raft_core(m_self, raftSettings(), generateIncarnation(), std::move(start.restored), m_clock.now()), std::move(store), effects());
+    m_host.emplace(raft_core(m_self, raftSettings(), generateIncarnation(), std::move(start.restored), m_clock.now()), std::move(store), m_clock, effects());
     if (initialVoters.voters_size() > 0) {
         core().bootstrap(initialVoters);
         logEvent("log_founded", { { "voters", initialVoters.voters_size() } });
--- a/Tests/Consensus/FileLogStoreTest.cpp
+++ b/Tests/Consensus/FileLogStoreTest.cpp
@@ -37,9 +37,9 @@
     ~scratch_folder() { std::filesystem::remove_all(path); }
 };
 
-raft_ready makeEntries(std::uint64_t first, std::uint64_t last, std::uint64_t term)
+raft_write makeEntries(std::uint64_t first, std::uint64_t last, std::uint64_t term)
 {
-    raft_ready ready;
+    raft_write ready;
     for (auto index = first; index <= last; ++index) {
         wire::log_entry entry;
         entry.set_index(index);
--- a/Tests/Consensus/LeaderLeaseTest.cpp
+++ b/Tests/Consensus/LeaderLeaseTest.cpp
@@ -14,6 +14,15 @@
     return id;
 }
 
+/// Takes the output of a replica whose disk is fast: its write is complete before its messages are sent.
+std::vector<wire::raft_message> takeMessages(raft_core& replica)
+{
+    auto ready = replica.takeReady();
+    replica.recordStored(ready.write.hardState, ready.write.end());
+    std::move(ready.messagesAfterWrite.begin(), ready.messagesAfterWrite.end(), std::back_inserter(ready.messages));
+    return std::move(ready.messages);
+}
+
 /// A log of two replicas, the first of which leads, with a link that delays messages to the second.
 class slow_follower {
 public:
@@ -34,13 +43,13 @@
     {
         now += time;
         leader.tick(now);
-        for (auto& message : leader.takeReady().messages)
+        for (auto& message : takeMessages(leader))
             m_toFollower.push_back({ now + m_delay, std::move(message) });
         while (!m_toFollower.empty() && m_toFollower.front().dueAt <= now) {
             follower.step(m_toFollower.front().message, now);
             m_toFollower.pop_front();
         }
-        for (const auto& message : follower.takeReady().messages)
+        for (const auto& message : takeMessages(follower))
             leader.step(message, now);
     }
 
@@ -58,6 +67,108 @@
 };
 }
 
+namespace {
+/// A log of three replicas whose disks take the same time for each write. Messages take one step.
+class slow_disks {
+public:
+    slow_disks()
+    {
+        wire::replica_set voters;
+        for (int i = 1; i <= 3; ++i)
+            *voters.add_voters() = makeId("vm" + std::to_string(i));
+        for (std::uint64_t i = 1; i <= 3; ++i) {
+            replicas.push_back({ raft_core(makeId("vm" + std::to_string(i)), raft_settings {}, i, {}, now), {} });
+            replicas.back().core.bootstrap(voters);
+        }
+    }
+
+    void pass(duration time)
+    {
+        now += time;
+        auto delivered = std::exchange(m_messages, {});
+        for (auto& one : replicas) {
+            while (!one.writes.empty() && one.writes.front().dueAt <= now) {
+                auto done = std::move(one.writes.front());
+                one.writes.pop_front();
+                one.core.recordStored(done.hardState, done.end);
+                send(std::move(done.messages));
+            }
+            for (const auto& message : delivered)
+                one.core.step(message, now);
+            one.core.tick(now);
+            auto ready = one.core.takeReady();
+            if (!ready.write.isEmpty()) {
+                auto startsAt = one.writes.empty() ? now : one.writes.back().dueAt;
+                one.writes.push_back({ startsAt + writeTime, ready.write.hardState, ready.write.end(), {} });
+            }
+            send(std::move(ready.messages));
+            if (one.writes.empty())
+                send(std::move(ready.messagesAfterWrite));
+            else
+                std::move(ready.messagesAfterWrite.begin(), ready.messagesAfterWrite.end(), std::back_inserter(one.writes.back().messages));
+        }
+    }
+
+    raft_core* leader()
+    {
+        for (auto& one : replicas) {
+            if (one.core.hasCommittedInTerm())
+                return &one.core;
+        }
+        return nullptr;
+    }
+
+    struct pending_write {
+        time_point dueAt;
+        std::optional<wire::hard_state> hardState;
+        log_position end;
+        std::vector<wire::raft_message> messages;
+    };
+    struct replica {
+        raft_core core;
+        std::deque<pending_write> writes;
+    };
+    time_point now { std::chrono::hours(1) };
+    duration writeTime = milliseconds(5);
+    std::vector<replica> replicas;
+
+private:
+    void send(std::vector<wire::raft_message> messages) { std::move(messages.begin(), messages.end(), std::back_inserter(m_messages)); }
+
+    std::vector<wire::raft_message> m_messages;
+};
+}
+
+// Guards against a leader that loses its lead because it, or its followers, are silent while they wait for their disks, so that
+// replicas with slow disks elect one leader after the other and accept no command.
+TEST_CASE("A leader keeps its lead and commits while all disks are slower than an election", "[promise]")
+{
+    slow_disks cluster;
+    constexpr milliseconds step { 10 };
+    for (int i = 0; i < 1000 && !cluster.leader(); ++i)
+        cluster.pass(step);
+    auto* leader = cluster.leader();
+    REQUIRE(leader);
+    auto term = leader->term();
+    cluster.writeTime = std::chrono::seconds(4);
+    auto position = leader->propose("command");
+    REQUIRE(position);
+    int stepsWithoutLease = 0;
+    bool committedEarly = false;
+    auto proposedAt = cluster.now;
+    while (cluster.now < proposedAt + std::chrono::seconds(20)) {
+        cluster.pass(step);
+        stepsWithoutLease += leader->leaseValid(cluster.now) ? 0 : 1;
+        committedEarly = committedEarly || (leader->commitIndex() >= position->index && cluster.now < proposedAt + cluster.writeTime);
+        if (cluster.now < proposedAt + std::chrono::seconds(10))
+            leader->propose("another command");
+    }
+    CHECK(stepsWithoutLease == 0);
+    CHECK_FALSE(committedEarly);
+    CHECK(leader->term() == term);
+    CHECK(leader->commitIndex() >= position->index);
+}
+
 // Guards against a leader that steps down, although its followers reply in time, because commands arrive faster than
 // they do.
 TEST_CASE("A leader keeps its lease while commands arrive faster than acknowledgements", "[promise]")
--- a/Tests/Consensus/raft_simulation.cpp
+++ b/Tests/Consensus/raft_simulation.cpp
@@ -22,6 +22,10 @@
     }
     m_nodes[0].core->bootstrap();
     processReady(m_nodes[0]);
+    // A first replica that crashes before it has stored the log has to be bootstrapped again.
+    m_nodes[0].writes.front().due = m_now;
+    m_nodes[0].diskFreeAt = m_now;
+    processReady(m_nodes[0]);
 }
 
 void raft_simulation::fail(const std::string& description)
@@ -36,9 +40,14 @@
     // Small enough that most snapshots are sent in several pieces.
     settings.snapshotPieceBytes = 512;
     replica.core = std::make_unique<raft_core>(replica.id, settings, m_random(), raft_persistent_state { replica.stored.hardState, replica.stored.snapshot, replica.stored.entries }, m_now);
+    loadApplied(replica, replica.stored.snapshot);
+}
+
+void raft_simulation::loadApplied(node& replica, const wire::raft_snapshot& snapshot)
+{
     replica.applied.clear();
-    replica.appliedIndex = replica.stored.snapshot.index();
-    std::string state = replica.stored.snapshot.state();
+    replica.appliedIndex = snapshot.index();
+    const auto& state = snapshot.state();
     for (std::size_t begin = 0; begin < state.size();) {
         auto end = state.find('\n', begin);
         replica.applied.push_back(state.substr(begin, end - begin));
@@ -50,20 +59,39 @@
 {
     // A wiped replica returns with a new incarnation, as a diskless replica does at every start.
     replica.stored = {};
+    replica.writes.clear();
+    replica.diskFreeAt = m_now;
     replica.id.set_incarnation(replica.id.incarnation() + 1);
     ++m_wipes;
     restart(replica);
 }
 
-void raft_simulation::persist(node& replica, const raft_ready& ready)
+void raft_simulation::crash(node& replica)
 {
-    if (ready.hardState)
-        replica.stored.hardState = *ready.hardState;
-    if (ready.snapshot) {
-        replica.stored.snapshot = *ready.snapshot;
-        replica.stored.entries.clear();
+    // The disk may have completed some of the writes, but nothing that they promise was sent.
+    auto completed = randomBelow(replica.writes.size() + 1);
+    for (std::size_t i = 0; i < completed; ++i)
+        store(replica, replica.writes[i]);
+    if (completed < replica.writes.size()) {
+        auto torn = replica.writes[completed];
+        torn.write.append.resize(randomBelow(torn.write.append.size() + 1));
+        store(replica, torn);
     }
-    for (const auto& entry : ready.append) {
+    m_lostWrites += replica.writes.size() - completed;
+    replica.writes.clear();
+    restart(replica);
+}
+
+void raft_simulation::store(node& replica, const pending_write& pending)
+{
+    const auto& write = pending.write;
+    if (write.hardState)
+        replica.stored.hardState = *write.hardState;
+    if (write.snapshot) {
+        replica.stored.snapshot = *write.snapshot;
+        replica.stored.entries = pending.remaining;
+    }
+    for (const auto& entry : write.append) {
         auto& entries = replica.stored.entries;
         while (!entries.empty() && entries.back().index() >= entry.index())
             entries.pop_back();
@@ -71,6 +99,32 @@
     }
 }
 
+void raft_simulation::push(node& replica, pending_write pending)
+{
+    // Mostly faster than a heartbeat; now and then longer than an election takes.
+    auto steps = m_injectsFaults && randomBelow(40) == 0 ? randomBelow(150) : randomBelow(4);
+    replica.diskFreeAt = std::max(replica.diskFreeAt, m_now) + stepLength * steps;
+    pending.due = replica.diskFreeAt;
+    replica.writes.push_back(std::move(pending));
+}
+
+void raft_simulation::completeWrites(node& replica)
+{
+    while (!replica.writes.empty() && replica.writes.front().due <= m_now) {
+        auto done = std::move(replica.writes.front());
+        replica.writes.pop_front();
+        store(replica, done);
+        replica.core->recordStored(done.write.hardState, done.end);
+        sendAll(std::move(done.messages));
+    }
+}
+
+void raft_simulation::sendAll(std::vector<wire::raft_message> messages)
+{
+    for (auto& message : messages)
+        m_messages.push_back({ std::move(message), m_now + stepLength * randomBelow(6) });
+}
+
 void raft_simulation::apply(node& replica, const wire::log_entry& entry)
 {
     if (entry.index() != replica.appliedIndex + 1)
@@ -90,15 +144,17 @@
 void raft_simulation::processReady(node& replica)
 {
     for (int round = 0; round < 4; ++round) {
+        completeWrites(replica);
         auto ready = replica.core->takeReady();
-        persist(replica, ready);
-        if (ready.snapshot) {
-            auto core = std::move(replica.core);
-            restart(replica);
-            replica.core = std::move(core);
-        }
-        for (auto& message : ready.messages)
-            m_messages.push_back({ std::move(message), m_now + stepLength * randomBelow(6) });
+        if (ready.write.snapshot)
+            loadApplied(replica, *ready.write.snapshot);
+        if (auto end = ready.write.end(); !ready.write.isEmpty())
+            push(replica, { std::move(ready.write), {}, end, {}, {} });
+        sendAll(std::move(ready.messages));
+        if (replica.writes.empty())
+            sendAll(std::move(ready.messagesAfterWrite));
+        else
+            std::move(ready.messagesAfterWrite.begin(), ready.messagesAfterWrite.end(), std::back_inserter(replica.writes.back().messages));
         for (const auto& entry : ready.committed)
             apply(replica, entry);
     }
@@ -107,14 +163,23 @@
         if (known->second != keyOf(replica.id))
             fail("term " + std::to_string(replica.core->term()) + " has two leaders");
     }
-    if (replica.appliedIndex < replica.core->log().baseIndex() + snapshotInterval)
-        return;
+    if (replica.appliedIndex >= replica.core->log().baseIndex() + snapshotInterval)
+        compact(replica);
+}
+
+void raft_simulation::compact(node& replica)
+{
     std::string state;
     for (const auto& command : replica.applied)
         state += command + "\n";
     replica.core->compact(replica.appliedIndex, state);
-    replica.stored.snapshot = replica.core->snapshot();
-    std::erase_if(replica.stored.entries, [&](const auto& entry) { return entry.index() <= replica.appliedIndex; });
+    const auto& log = replica.core->log();
+    pending_write pending;
+    pending.write.snapshot = replica.core->snapshot();
+    pending.end = { log.lastIndex(), log.termAt(log.lastIndex()) };
+    for (auto i = log.firstIndex(); i <= log.lastIndex(); ++i)
+        pending.remaining.push_back(log.at(i));
+    push(replica, std::move(pending));
 }
 
 void raft_simulation::deliver()
@@ -175,11 +240,11 @@
 void raft_simulation::injectFault()
 {
     auto& victim = m_nodes[randomBelow(nodeCount)];
-    switch (randomBelow(6)) {
+    switch (randomBelow(7)) {
     case 0:
         // A crash. Replicas with a disk keep what they synced; those without one can only be wiped (next case).
         if (!victim.diskless)
-            restart(victim);
+            crash(victim);
         break;
     case 1:
         // Five replicas must survive the loss of one at a time, the next one right after the previous one is replaced.
@@ -198,6 +263,13 @@
             m_brokenLinks.insert({ victim.id.vm(), other.id.vm() });
         break;
     }
+    case 5:
+        // A power failure. All that was promised before must be on the disks.
+        for (auto& node : m_nodes) {
+            if (!node.diskless)
+                crash(node);
+        }
+        break;
     default:
         for (auto& node : m_nodes)
             node.isolated = false;
--- a/Tests/Consensus/raft_simulation.h
+++ b/Tests/Consensus/raft_simulation.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "consensus/consensus.h"
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -9,8 +10,8 @@
 
 namespace pistachiolatch::test {
 
-/// Runs several raft_cores deterministically from one seed while messages are lost, duplicated, delayed and reordered and
-/// replicas crash, are wiped, isolated and replaced. Checks the safety properties of Raft after every step.
+/// Runs several raft_cores deterministically from one seed while messages are lost, duplicated, delayed and reordered, disks are
+/// slow, and replicas crash, are wiped, isolated and replaced. Checks the safety properties of Raft after every step.
 class raft_simulation {
 public:
     explicit raft_simulation(std::uint64_t seed);
@@ -23,6 +24,8 @@
     std::size_t acknowledged() const { return m_acknowledged.size(); }
     std::size_t leaders() const { return m_leaderOfTerm.size(); }
     std::size_t wipes() const { return m_wipes; }
+    /// Writes that were under way when their replica crashed.
+    std::size_t lostWrites() const { return m_lostWrites; }
 
 private:
     struct disk {
@@ -30,12 +33,23 @@
         wire::raft_snapshot snapshot;
         std::vector<wire::log_entry> entries;
     };
+    /// A write that a node's disk has not completed.
+    struct pending_write {
+        raft_write write;
+        /// The entries after the snapshot that the write contains, if it compacts the log.
+        std::vector<wire::log_entry> remaining;
+        log_position end;
+        time_point due;
+        std::vector<wire::raft_message> messages;
+    };
     struct node {
         wire::replica_id id;
         disk stored;
         std::unique_ptr<raft_core> core;
         std::vector<std::string> applied;
         std::uint64_t appliedIndex = 0;
+        std::deque<pending_write> writes;
+        time_point diskFreeAt {};
         bool isolated = false;
         bool diskless = false;
     };
@@ -46,7 +60,13 @@
 
     void step();
     void processReady(node& replica);
-    void persist(node& replica, const raft_ready& ready);
+    static void store(node& replica, const pending_write& pending);
+    void push(node& replica, pending_write pending);
+    void completeWrites(node& replica);
+    void crash(node& replica);
+    void loadApplied(node& replica, const wire::raft_snapshot& snapshot);
+    void compact(node& replica);
+    void sendAll(std::vector<wire::raft_message> messages);
     void apply(node& replica, const wire::log_entry& entry);
     void restart(node& replica);
     void wipe(node& replica);
@@ -68,6 +88,7 @@
     std::map<std::pair<std::uint64_t, std::uint64_t>, std::string> m_proposed;
     std::uint64_t m_lastCommand = 0;
     std::size_t m_wipes = 0;
+    std::size_t m_lostWrites = 0;
     /// Sender and receiver VMs between which every message is lost.
     std::set<std::pair<std::string, std::string>> m_brokenLinks;
     bool m_injectsFaults = true;
--- a/Tests/Fuzz/FuzzTest.cpp
+++ b/Tests/Fuzz/FuzzTest.cpp
@@ -201,7 +201,7 @@
     {
         file_log_store store;
         REQUIRE(store.open(folder));
-        raft_ready ready;
+        raft_write ready;
         for (std::uint64_t index = 1; index <= 20; ++index) {
             wire::log_entry entry;
             entry.set_index(index);
--- a/Tests/Platform/StorageFaultTest.cpp
+++ b/Tests/Platform/StorageFaultTest.cpp
@@ -14,12 +14,13 @@
 /// The time within which a VM must recover after a fault ends.
 constexpr std::chrono::seconds recoveryTimeout { 12 };
 
-/// A fleet of three control processes and one endpoint for storage faults.
+/// A fleet of three control processes, whose syncs can be slowed down, and one endpoint for storage faults.
 class storage_fault_fleet {
 public:
     storage_fault_fleet()
         : app("app-1", fleet.endpointAddress(1), "app", "")
     {
+        fleet.makeControlsPartitionable();
         fleet.start();
         REQUIRE(fleet.submitConfiguration(exampleConfiguration(7)) == 200);
         REQUIRE(fleet.sendReport(app).status == 200);
@@ -121,3 +122,56 @@
     fleet.control(1).kill();
     CHECK(eventually([&] { return fault.submitChange(9, 3) == 200; }, recoveryTimeout));
 }
+
+// Guards against a leader that loses its lead because it is silent while it waits for its disk, so that control processes whose
+// disks are slow elect one leader after the other, and accept no change meanwhile.
+TEST_CASE("A leader keeps its lead and accepts changes while all disks take longer than an election")
+{
+    storage_fault_fleet fault;
+    auto& fleet = fault.fleet;
+    int leader = fleet.findLeader();
+    REQUIRE(leader > 0);
+    for (int n = 1; n <= 3; ++n)
+        fleet.delaySyncs(n, std::chrono::milliseconds(700));
+    int confirmed = 0;
+    for (std::uint64_t version = 20; version < 26; ++version) {
+        auto status = fault.submitChange(version, leader);
+        INFO("version " << version);
+        CHECK(status == 200);
+        confirmed += fleet.sendReport(fault.app, "ready", leader).status == 200 ? 1 : 0;
+    }
+    CHECK(confirmed == 6);
+    CHECK(fleet.findLeader() == leader);
+    for (int n = 1; n <= 3; ++n)
+        CHECK(readFile(fmt::format("{}/control-{}.out", fleet.folder(), n)).find("event=leadership_lost") == std::string::npos);
+    CHECK(readFile(fmt::format("{}/control-{}.out", fleet.folder(), leader)).find("event=storage_slow") != std::string::npos);
+    // The changes are on a majority of the disks.
+    for (int n = 1; n <= 3; ++n)
+        fleet.delaySyncs(n, std::chrono::milliseconds(0));
+    for (int n = 1; n <= 3; ++n)
+        fleet.control(n).kill();
+    for (int n = 1; n <= 3; ++n)
+        fleet.startControl(n, false);
+    CHECK(eventually([&] { return fault.readConfiguration(leader) == exampleConfiguration(25); }, recoveryTimeout));
+}
+
+// Guards against a control process that answers nobody while its disk stands still.
+TEST_CASE("A control process whose disk stands still for seconds still confirms reports and changes")
+{
+    storage_fault_fleet fault;
+    auto& fleet = fault.fleet;
+    int leader = fleet.findLeader();
+    REQUIRE(leader > 0);
+    fleet.delaySyncs(leader, std::chrono::milliseconds(6000));
+    for (std::uint64_t version = 20; version < 23; ++version) {
+        auto startedAt = std::chrono::steady_clock::now();
+        CHECK(fault.submitChange(version, leader) == 200);
+        CHECK(fleet.sendReport(fault.app, "ready", leader).status == 200);
+        CHECK(std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(2));
+    }
+    CHECK(fleet.findLeader() == leader);
+    fleet.delaySyncs(leader, std::chrono::milliseconds(0));
+    fleet.control(leader % 3 + 1).kill();
+    // With another process down, a change needs this process's disk, which catches up first.
+    CHECK(eventually([&] { return fault.submitChange(23, leader) == 200; }, recoveryTimeout));
+}
--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -88,7 +88,7 @@
     const auto* program = m_controlsPartitionable ? PISTACHIOLATCH_BUILD_FOLDER "/partitioned-control" : PISTACHIOLATCH_BUILD_FOLDER "/pistachiolatch-platform-control";
     child_process::environment variables;
     if (m_controlsPartitionable)
-        variables = { { "PARTITION_FILE", partitionFile(fmt::format("control-{}", n)) }, { "CONNECT_FROM", controlIp(n) } };
+        variables = { { "PARTITION_FILE", partitionFile(fmt::format("control-{}", n)) }, { "CONNECT_FROM", controlIp(n) }, { "SYNC_DELAY_FILE", syncDelayFile(n) } };
     m_controls[n] = child_process(program, { "--settings", path }, fmt::format("{}/control-{}", m_folder, n), variables);
 }
 
@@ -172,6 +172,11 @@
     partition(fmt::format("control-{}", n), mode, addresses);
 }
 
+void platform_fleet::delaySyncs(int n, milliseconds delay) const
+{
+    std::ofstream(syncDelayFile(n)) << delay.count();
+}
+
 void platform_fleet::start()
 {
     for (int n = 1; n <= m_controlCount; ++n)
--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -46,7 +46,8 @@
     void setMemory(int megabytes) { m_memoryMb = megabytes; }
     /// Has entries that are started from now on run with sockets that partitionEntry() can cut.
     void makePartitionable() { m_partitionable = true; }
-    /// Has control processes that are started from now on run with sockets that partitionControl() can cut.
+    /// Has control processes that are started from now on run with sockets that partitionControl() can cut and disks that
+    /// delaySyncs() can slow down.
     void makeControlsPartitionable() { m_controlsPartitionable = true; }
     /// Has an entry that is started from now on share one link of this many bytes a second in each direction among its callers,
     /// the endpoints and control. Callers then use callerAddress(). Precondition: the proxy outlives the fleet's processes.
@@ -60,6 +61,9 @@
     /// were opened there count too, if their processes are partitionable. Precondition: makeControlsPartitionable() was called
     /// before it was started.
     void partitionControl(int n, const std::string& mode, const std::vector<std::string>& addresses = {}) const;
+    /// Has each sync of a control process take this much longer. Precondition: makeControlsPartitionable() was called before it was
+    /// started.
+    void delaySyncs(int n, milliseconds delay) const;
     /// Deletes the data of a control process. Precondition: it is not running.
     void eraseControlData(int n) const;
     /// Sends a request and reads the response, which is marked as broken if it is incomplete.
@@ -95,6 +99,7 @@
     /// An address of the proxy that is an entry's link: the endpoints', those of control processes behind them, and the callers'.
     std::string linkIp(int n, int host) const { return fmt::format("{}.{}.{}", m_subnet, 10 + n, host); }
     std::string partitionFile(const std::string& process) const;
+    std::string syncDelayFile(int n) const { return fmt::format("{}/control-{}.sync-delay", m_folder, n); }
     void partition(const std::string& process, const std::string& mode, const std::vector<std::string>& addresses) const;
     std::string writeSettings(const std::string& role, const std::string& ip, int n, bool firstStart) const;
 
--- a/Tests/Promises/ControlStorageTest.cpp
+++ b/Tests/Promises/ControlStorageTest.cpp
@@ -70,3 +70,32 @@
     testFleet.startControl(other);
     CHECK(testFleet.command({ "get", "limit", "alpha" }).out.find("rate = 510002") != std::string::npos);
 }
+
+// Guards against a leader that loses its lead because it is silent while it waits for its disk, so that a change that was accepted
+// is in force nowhere as long as the disks are slow.
+TEST_CASE("Changes are in force, and the leader stays, while all disks take longer than an election", "[promise]")
+{
+    fleet_options options;
+    options.slowDisks = true;
+    fleet testFleet(options);
+    testFleet.start();
+    int leader = testFleet.leader();
+    REQUIRE(leader > 0);
+    for (int n = 1; n <= 3; ++n)
+        testFleet.delaySyncs(n, std::chrono::milliseconds(1500));
+    for (int version = 1; version <= 3; ++version) {
+        auto applied = testFleet.command({ "apply", writeLimitFile(testFleet, version) });
+        INFO(applied.out << applied.err << testFleet.controlLogLines({ "change_unconfirmed", "control_paused", "leadership_", "storage_" }));
+        CHECK(applied.code == 0);
+    }
+    CHECK(testFleet.leader() == leader);
+    CHECK(testFleet.controlLogLines({ "leadership_lost" }).empty());
+    CHECK_FALSE(testFleet.controlLogLines({ "storage_slow" }).empty());
+    for (int n = 1; n <= 3; ++n)
+        testFleet.delaySyncs(n, std::chrono::milliseconds(0));
+    for (int n = 1; n <= 3; ++n)
+        testFleet.control(n).kill();
+    for (int n = 1; n <= 3; ++n)
+        testFleet.startControl(n);
+    CHECK(testFleet.command({ "get", "limit", "alpha" }).out.find("rate = 510003") != std::string::npos);
+}
--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -161,7 +161,13 @@
     std::vector<std::string> arguments { "--settings", path };
     if (bootstrap)
         arguments.push_back("--bootstrap");
-    m_controls[n] = child_process(buildFolder + "/pistachiolatch-control", arguments, fmt::format("{}/control{}", m_folder, n));
+    const auto* program = m_options.slowDisks ? "/slow-disk-control" : "/pistachiolatch-control";
+    m_controls[n] = child_process(buildFolder + program, arguments, fmt::format("{}/control{}", m_folder, n), { { "SYNC_DELAY_FILE", syncDelayFile(n) } });
+}
+
+void fleet::delaySyncs(int n, milliseconds delay) const
+{
+    std::ofstream(syncDelayFile(n)) << delay.count();
 }
 
 void fleet::addEndpoint(const std::string& id, const std::string& role, const std::string& model, int number, std::string& text)
--- a/Tests/Support/fleet.h
+++ b/Tests/Support/fleet.h
@@ -23,6 +23,8 @@
     std::string endpointLines;
     /// Routes the messages between processes through the fault proxy.
     bool proxied = false;
+    /// Has delaySyncs() slow down the disks of control processes.
+    bool slowDisks = false;
     /// Routes the calls to endpoints through the fault proxy.
     bool proxiedEndpoints = false;
     /// The records to apply as TOML; empty means the default ones.
@@ -51,6 +53,8 @@
     void startEntry(int n);
     void startScheduler(int n);
     void startControl(int n, bool bootstrap = false);
+    /// Has each sync of a control process take this much longer. Precondition: fleet_options::slowDisks.
+    void delaySyncs(int n, milliseconds delay) const;
     /// Runs the pistachiolatch command with the operator's settings.
     command_output command(std::vector<std::string> arguments);
     /// Writes a file into the fleet's folder. Returns its path.
@@ -96,6 +100,7 @@
 
 private:
     std::string commonSettings(int vm, int port) const;
+    std::string syncDelayFile(int n) const { return fmt::format("{}/control{}.sync-delay", m_folder, n); }
     void writeStandInSettings();
     void addEndpoint(const std::string& id, const std::string& role, const std::string& model, int number, std::string& text);
 
