HTTP: Refuse requests whose framing is unclear before they are parsed

What callers saw: a request whose end two readers find at different places was taken if the HTTP library took it: folded lines, and a message without a hint.

Cause: the library unfolds lines and ignores codings that it doesn't know; each server looked at one header after it.

Why the fix works: both servers read the whole head and check its bytes (findFramingFault) before the library sees it. Lines that end in a bare line feed or carriage return, folded lines, blanks before a colon, lines without a name, repeated, listed, signed or missing lengths, a length beside a coding and repeated codings get 400, codings other than chunked 501, as the callers' interface asks; the message names the header. A response of an endpoint with an unknown coding counts as broken off.

--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -73,6 +73,7 @@
     /// Ends callers that hold most of a buffer budget that is used up.
     void endStalled();
     task_of<void> sendParseError(const caller_ptr& caller, boost::system::error_code error);
+    task_of<void> refuseUnreadable(const caller_ptr& caller, reason cause, const std::string& error);
     /// Whether the shutdown is so advanced that a new call might not complete before the process ends.
     bool rejectsNewCalls() const { return m_shared.draining && m_shared.clock.now() - m_drainStartedAt > m_settings.acceptWhileDraining; }
     void closeExpired();
@@ -274,10 +275,16 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(bounds.headerBytes);
     parser.body_limit(bounds.bodyBytes);
-    auto [headError, headBytes] = co_await http::async_read_header(connection.socket(), connection.buffer(), parser, gateway_detail::asTuple);
-    auto error = headError;
-    if (!error && hasUnknownTransferCoding(parser.get()))
-        error = http::error::bad_transfer_encoding;
+    auto error = co_await readHead(connection.socket(), connection.buffer(), bounds.headerBytes);
+    if (!error) {
+        auto fault = findFramingFault({ static_cast<const char*>(connection.buffer().data().data()), connection.buffer().size() });
+        if (fault) {
+            co_await refuseUnreadable(caller, *fault, "");
+            co_return std::nullopt;
+        }
+        auto [headError, headBytes] = co_await http::async_read_header(connection.socket(), connection.buffer(), parser, gateway_detail::asTuple);
+        error = headError;
+    }
     startPhase(*caller, true);
     if (!error && !m_shared.bufferBudget.takesNewCalls()) {
         co_await refuseForBuffers(caller, parser);
@@ -338,8 +345,14 @@
         co_return;
     auto cause = error == http::error::header_limit ? reason::HeaderTooLarge : error == http::error::body_limit ? reason::BodyTooLarge
                                                                                                                 : reason::BadRequest;
+    co_await refuseUnreadable(caller, cause, error.message());
+}
+
+template <call_codec Codec>
+task_of<void> call_gateway<Codec>::refuseUnreadable(const caller_ptr& caller, reason cause, const std::string& error)
+{
     m_shared.counters.countRefusal(cause);
-    logEvent("request_unreadable", { { "why", reasonName(cause) }, { "error", error.message() } });
+    logEvent("request_unreadable", { { "why", reasonName(cause) }, { "error", error.empty() ? std::string(reasonAdvice(cause)) : error } });
     error_response response { cause, httpStatus(cause), std::nullopt };
     request_metadata unknown;
     co_await refuseUnread(caller, response, unknown);
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -127,7 +127,7 @@
             continue;
         m_interrupted = false;
         m_insideHead = false;
-        if (error)
+        if (error || hasUnknownTransferCoding(m_parser->get()))
             co_return head_result::Failed;
         if (status() >= firstFinalStatus)
             co_return head_result::Received;
--- a/Source/http/http.h
+++ b/Source/http/http.h
@@ -6,6 +6,7 @@
 #include "http/http_client.h"
 #include "http/http_exchange.h"
 #include "http/http_server.h"
+#include "http/message_head.h"
 #include "http/pending_reply.h"
 #include "http/percent_encoding.h"
 #include "http/response_body.h"
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client.h"
 
 #include "http/http_server.h"
+#include "http/transfer_coding.h"
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 
@@ -56,6 +57,8 @@
     m_parser->body_limit(maxResponseBytes);
     m_stream.expires_after(timeout);
     auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, asTuple);
+    if (!error && hasUnknownTransferCoding(m_parser->get()))
+        co_return toCallFailure(http::error::bad_transfer_encoding);
     co_return error ? toCallFailure(error) : call_failure::None;
 }
 
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -1,6 +1,6 @@
 #include "http/http_server.h"
 
-#include "http/transfer_coding.h"
+#include "http/message_head.h"
 #include <boost/asio.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/beast/http.hpp>
@@ -183,12 +183,16 @@
         if (buffer.size() == 0 && !co_await waitForRequest(stream, limits.idleTimeout, state->draining))
             co_return;
         stream.expires_after(limits.readTimeout);
-        auto [headError, headBytes] = co_await http::async_read_header(stream, buffer, parser, asTuple);
-        auto error = headError;
-        if (!error && hasUnknownTransferCoding(parser.get()))
-            error = http::error::bad_transfer_encoding;
-        bool started = buffer.size() > 0 || headBytes > 0;
-        if (!error) {
+        beast::error_code error = co_await readHead(stream, buffer, limits.headerBytes);
+        bool started = buffer.size() > 0;
+        std::optional<reason> fault;
+        if (!error)
+            fault = findFramingFault({ static_cast<const char*>(buffer.data().data()), buffer.size() });
+        if (!error && !fault) {
+            auto [headError, headBytes] = co_await http::async_read_header(stream, buffer, parser, asTuple);
+            error = headError;
+        }
+        if (!error && !fault) {
             if (parser.get()[http::field::expect] == "100-continue") {
                 std::string continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
                 co_await asio::async_write(stream, asio::buffer(continueResponse), asTuple);
@@ -198,9 +202,9 @@
             error = bodyError;
             started = true;
         }
-        if (error) {
-            if (shouldRespond(error, started)) {
-                auto response = state->formatError(toReason(error));
+        if (error || fault) {
+            if (fault || shouldRespond(error, started)) {
+                auto response = state->formatError(fault.value_or(toReason(error)));
                 co_await sendErrorResponse(stream, response, limits.writeTimeout);
                 co_await discardInput(stream);
             }
--- a/Source/http/transfer_coding.h
+++ b/Source/http/transfer_coding.h
@@ -3,8 +3,8 @@
 
 namespace pistachiolatch {
 
-/// Whether the header of a request names a transfer coding other than chunked. Where its body ends is unknown then: the parser takes it for
-/// empty, and its body for the next request. Thread safety: any thread.
+/// Whether the header of a response names a transfer coding other than chunked, so that its body can't be read.
+/// Thread safety: any thread.
 bool hasUnknownTransferCoding(const boost::beast::http::fields& header);
 
 } // namespace pistachiolatch
--- a/Source/kernel/reason.cpp
+++ b/Source/kernel/reason.cpp
@@ -14,6 +14,9 @@
 
     constexpr std::array rows {
         reason_row { reason::BadRequest, "bad_request", 400, "Correct the request and send it again." },
+        reason_row { reason::MalformedHead, "malformed_head", 400, "End each line of the head in CR LF, and send each header as NAME:VALUE in one line." },
+        reason_row { reason::UnclearLength, "unclear_length", 400, "Send one Content-Length in digits, or one Transfer-Encoding: chunked, not both." },
+        reason_row { reason::UnknownTransferCoding, "unknown_transfer_coding", 501, "Send Transfer-Encoding: chunked, without other codings, or Content-Length." },
         reason_row { reason::BodyTooLarge, "body_too_large", 413, "Send a smaller body." },
         reason_row { reason::HeaderTooLarge, "header_too_large", 431, "Send fewer or shorter headers." },
         reason_row { reason::RequestTimeout, "request_timeout", 408, "Send the whole request without long pauses." },
--- a/Source/kernel/reason.h
+++ b/Source/kernel/reason.h
@@ -8,6 +8,9 @@
 /// this list.
 enum class reason {
     BadRequest,
+    MalformedHead,
+    UnclearLength,
+    UnknownTransferCoding,
     BodyTooLarge,
     HeaderTooLarge,
     RequestTimeout,
