HTTP: Limit trailers and chunk headers

What callers saw: a request, or a response of an endpoint, with a trailer of more than 64 KB ended the process that read it, with all its calls. A chunk header of 8 MB was held whole.

Cause: the HTTP library throws in a handler of the event loop if a field is longer than 16 bits count, and has no limit for trailers and chunk headers.

Evidence: FieldLengthTest on the programs before: the entry isn't running after the first trailer of a request, nor after that of a response; the long chunk header is answered with 200.

Why the fix works: the library parses a trailer or chunk header when its buffer holds all of it. The buffer of a body ends at 60 KB, so that no field reaches the length at which it throws. Heads may be configured to be longer, so a single line of one is limited as well.

Measured: FieldLengthTest, 33 checks, none fails.

--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -318,6 +318,7 @@
     auto& connection = *caller->connection;
     boost::asio::steady_timer timer(m_shared.context);
     caller->request = buffer_charge(m_shared.bufferBudget, connection.holder(), buffer_budget::wait_for::Caller);
+    connection.buffer().max_size(maxFieldBytes);
     parser.eager(true);
     while (!parser.is_done()) {
         while (!m_shared.bufferBudget.mayGrow(connection.holder(), m_shared.clock.now()) && !connection.isClosed() && !caller->isRefused) {
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -89,7 +89,7 @@
     body_end bodyEnd() const;
 
     endpoint_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { maxFieldBytes };
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     std::string m_sendBuffer;
     std::size_t m_bytesSent = 0;
--- a/Source/http/http_client.h
+++ b/Source/http/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 #include "http/http_exchange.h"
+#include "http/message_head.h"
 #include "http/response_body.h"
 #include <boost/beast/http/parser.hpp>
 #include <optional>
@@ -61,7 +62,7 @@
 
 private:
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { maxFieldBytes };
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     bool m_readFailed = false;
 };
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -198,6 +198,7 @@
                 co_await asio::async_write(stream, asio::buffer(continueResponse), asTuple);
             }
             stream.expires_after(limits.readTimeout);
+            buffer.max_size(maxFieldBytes);
             auto [bodyError, bodyBytes] = co_await http::async_read(stream, buffer, parser, asTuple);
             error = bodyError;
             started = true;
--- a/Source/http/message_head.cpp
+++ b/Source/http/message_head.cpp
@@ -86,12 +86,16 @@
     auto head = bytes.substr(0, bytes.find(headEnd));
     if (findBareLineEnd(head) != std::string_view::npos)
         return reason::MalformedHead;
+    if (std::min(head.find(lineEnd), head.size()) > maxFieldBytes)
+        return reason::HeaderTooLarge;
     body_length_headers headers;
     for (auto begin = head.find(lineEnd); begin != std::string_view::npos;) {
         begin += lineEnd.size();
         auto end = head.find(lineEnd, begin);
         auto line = head.substr(begin, end == std::string_view::npos ? end : end - begin);
         begin = end;
+        if (line.size() > maxFieldBytes)
+            return reason::HeaderTooLarge;
         auto colon = line.find(':');
         bool isField = colon != std::string_view::npos && colon > 0 && std::none_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), isBlank);
         if (!isField)
