Forwarding: Keep requests at endpoints that don't read them

What callers saw: a request of 12 MB that may be repeated, whose endpoint stands still for 3 s of a deadline of 6 s, got 502 after 2.7 s to 3.3 s if no other endpoint took it, although its endpoint would have answered.

Cause: the check of late responses closed the connection of a request that wasn't sent completely once the tolerated pause had passed since its start. It couldn't move the call as it moves others: the wait for the response was interrupted by cancelling everything on the socket, which ends the write too.

Evidence: attempt_failed with stalled=1, which only that timer sets. New and kept connections behaved alike.

Why the fix works: the read of a response and the wait for a sign of life have cancellation slots of their own, so a write goes on beside them. A request that isn't read is then offered to others like one that isn't answered: the first endpoint keeps it until another one has it, and only where it may be repeated. The pause counts from the last part that was taken. A second copy is made only while the buffers have room for it without turns. Hosts that acknowledge nothing are given up as before, by the acknowledgement watch.

--- a/Source/forwarding/buffer_budget.h
+++ b/Source/forwarding/buffer_budget.h
@@ -62,6 +62,8 @@
     /// Whether the holder may take in more, for which a large one takes the turn if it is free. If not, its source should not be read
     /// until it asks again. The turn ends once the holder frees bytes, or after its time.
     bool mayGrow(holder_id holder, time_point now);
+    /// Whether so many bytes more would leave large holders without the need to take turns.
+    bool hasRoom(std::size_t bytes) const { return m_limit == 0 || m_held + bytes < shareOfLimit(sharedShare); }
     /// Whether new connections and requests may be taken in.
     bool takesNewCalls() const { return m_limit == 0 || m_held < m_limit; }
     /// Returns the largest holder that made no progress for as long as it may and doesn't have the turn, while large holders have to
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -240,6 +240,8 @@
     void scheduleStallCheck(const selected_endpoint& endpoint, milliseconds delay);
     /// How long an endpoint may take for a response that another endpoint could give before that one is asked.
     milliseconds responseTimeout() const;
+    /// How long it takes until the response is late, or the request if the endpoint doesn't read it; not positive if it is.
+    milliseconds timeUntilLate() const;
     /// Interrupts the read of the response after a delay, and again if it goes on, if another endpoint may give the response. Gives
     /// the attempt up shortly before the deadline if another response can be sent instead.
     void scheduleResponseCheck(milliseconds delay);
--- a/Source/forwarding/call_forwarder_moves.h
+++ b/Source/forwarding/call_forwarder_moves.h
@@ -54,6 +54,17 @@
     return std::max(m_route->latencyTarget * forwarding_detail::responseTimeoutTargets, forwarding_detail::minResponseTimeout);
 }
 
+template <call_codec Codec>
+milliseconds call_forwarder<Codec>::timeUntilLate() const
+{
+    auto now = m_shared.clock.now();
+    // A body that goes on arriving isn't late, and neither is an answer to a request that the endpoint goes on reading.
+    auto lateAt = m_waitingSince + responseTimeout();
+    if (!m_attempt.connection->isRequestSent())
+        lateAt = std::max(lateAt, m_attempt.connection->lastSendProgress() + maxToleratedPause(m_route->latencyTarget, m_route->gapTarget));
+    return std::chrono::ceil<milliseconds>(lateAt - now);
+}
+
 template <call_codec Codec>
 void call_forwarder<Codec>::scheduleResponseCheck(milliseconds delay)
 {
@@ -66,22 +77,22 @@
     m_attemptTimer.async_wait([this, attempt = m_attemptNumber, alive = m_alive](boost::system::error_code error) {
         if (error || !*alive || attempt != m_attemptNumber || isAborted() || !m_attempt.connection)
             return;
-        bool isSent = m_attempt.connection->isRequestSent();
-        // An endpoint that doesn't read the request isn't going to answer it.
-        bool isUnread = !isSent && m_shared.clock.now() - m_attempt.sentAt >= maxToleratedPause(m_route->latencyTarget, m_route->gapTarget);
+        auto remaining = timeUntilLate();
+        // The endpoint that was asked gives way to a third one if it doesn't read the request. The first one goes on with the call.
+        bool isUnread = remaining <= milliseconds(0) && !m_attempt.connection->isRequestSent() && m_source && !m_source->attempt.connection->isClosed();
         bool needsFallback = !m_fallbackResponse.empty() && timeLeft() <= forwarding_detail::fallbackTime;
         if (isUnread || needsFallback) {
             m_attemptExpired = true;
             closeAttemptConnection();
             return;
         }
-        auto remaining = responseTimeout() - std::chrono::duration_cast<milliseconds>(m_shared.clock.now() - m_waitingSince);
         if (remaining > milliseconds(0)) {
-            // A body that goes on arriving isn't late.
             scheduleResponseCheck(remaining);
             return;
         }
-        if (isSent && !m_source && mayAskOthers())
+        // While a request isn't sent, each of its endpoints needs a copy.
+        bool hasRoom = m_attempt.connection->isRequestSent() || m_shared.bufferBudget.hasRoom(m_request.body().size());
+        if (!m_source && mayAskOthers() && hasRoom)
             m_attempt.connection->interruptRead();
         scheduleResponseCheck(forwarding_detail::moveRetryInterval);
     });
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -66,6 +66,7 @@
     m_sendCharge.resize(bytes.size(), clock.now());
     m_sendBuffer = std::move(bytes);
     m_bytesSent = 0;
+    m_sendProgressAt = clock.now();
     m_sendComplete = false;
     m_interrupted = false;
     m_insideHead = false;
@@ -99,8 +100,10 @@
             self->m_sending = false;
             self->m_bytesSent += count;
             self->m_sendComplete = !error && self->m_bytesSent == self->m_sendBuffer.size();
-            if (count > 0)
-                self->m_sendCharge.recordProgress(clock.now());
+            if (count > 0) {
+                self->m_sendProgressAt = clock.now();
+                self->m_sendCharge.recordProgress(self->m_sendProgressAt);
+            }
             if (self->m_closed || self->m_sendComplete)
                 self->dropSendBuffer();
             else if (!error)
@@ -122,7 +125,8 @@
         }
         if (std::exchange(m_interrupted, false))
             co_return head_result::Interrupted;
-        auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, asTuple);
+        auto interruptible = asio::bind_cancellation_slot(m_readInterruption.slot(), asTuple);
+        auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, interruptible);
         if (error == asio::error::operation_aborted && m_interrupted && !m_closed)
             continue;
         m_interrupted = false;
@@ -141,7 +145,8 @@
     while (body.empty() && !m_parser->is_done()) {
         if (std::exchange(m_interrupted, false))
             co_return body_end::Open;
-        auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, asTuple);
+        auto interruptible = asio::bind_cancellation_slot(m_readInterruption.slot(), asTuple);
+        auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, interruptible);
         if (error == asio::error::operation_aborted && m_interrupted && !m_closed)
             continue;
         if (error || m_closed) {
@@ -156,18 +161,16 @@
 
 void endpoint_connection::interruptRead()
 {
-    // Cancelling also ends a write that is in progress.
-    if (m_sending || m_closed)
+    if (m_closed)
         return;
     m_interrupted = true;
-    beast::error_code ignored;
-    m_stream.socket().cancel(ignored);
+    m_readInterruption.emit(asio::cancellation_type::terminal);
 }
 
 void endpoint_connection::watchReadable(std::function<void()> onReadable)
 {
     auto watchId = ++m_watchId;
-    m_stream.socket().async_wait(asio::socket_base::wait_read, [self = shared_from_this(), watchId, onReadable = std::move(onReadable)](beast::error_code error) {
+    auto handler = [self = shared_from_this(), watchId, onReadable = std::move(onReadable)](beast::error_code error) {
         if (error || self->m_closed || watchId != self->m_watchId)
             return;
         std::array<unsigned char, frameLengthBytes> bytes {};
@@ -175,7 +178,14 @@
         bool isEmptyFrame = self->m_stream.isBetweenFrames() && received == static_cast<ssize_t>(bytes.size()) && decodeFrameLength(bytes) == 0;
         if (received > 0 && !isEmptyFrame)
             onReadable();
-    });
+    };
+    m_stream.socket().async_wait(asio::socket_base::wait_read, asio::bind_cancellation_slot(m_watchInterruption.slot(), std::move(handler)));
+}
+
+void endpoint_connection::stopWatching()
+{
+    ++m_watchId;
+    m_watchInterruption.emit(asio::cancellation_type::terminal);
 }
 
 task_of<body_end> endpoint_connection::readRemainingBody(std::string& body, std::size_t maxBytes)
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -6,6 +6,7 @@
 #include "forwarding/send_window.h"
 #include "http/http.h"
 #include "wire/generated/pistachiolatch.pb.h"
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -42,6 +43,8 @@
     void startSend(std::string bytes, send_window& window, const clock_source& clock, buffer_charge charge = {});
     /// Whether the last request was sent completely.
     bool isRequestSent() const { return m_sendComplete; }
+    /// When the endpoint's host last took a part of the request, or when the request was begun.
+    time_point lastSendProgress() const { return m_sendProgressAt; }
     /// Reads a response head and skips interim responses. Returns Interrupted if interruptRead() ends the wait; the next call
     /// reads the rest of the head. Precondition: startSend() was called since the last response.
     task_of<head_result> readResponseHead(bool noBody);
@@ -52,11 +55,11 @@
     /// Precondition: readResponseHead() returned Received.
     task_of<body_end> readBodyChunk(std::string& chunk);
     /// Has the readResponseHead() or readBodyChunk() that waits for data, or else the next one, return Interrupted, or Open without
-    /// any data. The rest of the response can still be read. Does nothing while a part of the request is being sent.
+    /// any data. The rest of the response can still be read, and the rest of the request is still sent.
     void interruptRead();
     /// Calls a handler once data has arrived, not the end of it, unless stopWatching() is called before. Precondition: nothing is read meanwhile.
     void watchReadable(std::function<void()> onReadable);
-    void stopWatching() { ++m_watchId; }
+    void stopWatching();
     /// Reads the rest of the body; never returns Open. A body of more than maxBytes is given up, which is a Reset, and so is one whose
     /// read is interrupted.
     task_of<body_end> readRemainingBody(std::string& body, std::size_t maxBytes);
@@ -72,6 +75,7 @@
     /// Whether one of the last requests had this id. A late copy of its response would be taken for that to a later one of the same id.
     bool hasCarried(const std::string& requestId) const;
     void close();
+    bool isClosed() const { return m_closed; }
     /// Address of the entry that relays the connection; empty if it is direct.
     const std::string& relayAddress() const { return m_relayAddress; }
 
@@ -93,6 +97,7 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     std::string m_sendBuffer;
     std::size_t m_bytesSent = 0;
+    time_point m_sendProgressAt {};
     /// Whether a part of the buffer is being written.
     bool m_sending = false;
     buffer_charge m_sendCharge;
@@ -101,6 +106,9 @@
     bool m_sendComplete = false;
     bool m_readFailed = false;
     bool m_interrupted = false;
+    /// End single operations: to cancel all of the socket would also end a write in progress, after which nothing can be sent.
+    boost::asio::cancellation_signal m_readInterruption;
+    boost::asio::cancellation_signal m_watchInterruption;
     /// Whether a part of a response head may have been read.
     bool m_insideHead = false;
     /// Identifies the handler that waits for data.
--- a/Tests/Forwarding/BufferBudgetTest.cpp
+++ b/Tests/Forwarding/BufferBudgetTest.cpp
@@ -43,6 +43,16 @@
     CHECK_FALSE(test.budget.endStalled(test.clock.now()));
 }
 
+TEST_CASE("A copy has room only as long as it makes no large holder wait for its turn")
+{
+    budget_case test;
+    auto charge = test.charge(test.budget.addHolder(), 15 * megabyte);
+    CHECK(test.budget.hasRoom(4 * megabyte));
+    CHECK_FALSE(test.budget.hasRoom(5 * megabyte));
+    test.budget.setMemory(0);
+    CHECK(test.budget.hasRoom(4000 * megabyte));
+}
+
 TEST_CASE("Large holders wait before small ones and new calls do")
 {
     budget_case test;
