Forwarding: Answer calls that are given up for full buffers

What callers saw: a request of 6 MB whose endpoint stands still lost its connection without an answer once the entry's buffers were three quarters full and the endpoint had taken nothing for 2.5 s.

Cause: the gateway closed the caller's connection to give the call up, although nothing of a response had been sent.

Evidence: stalled_holder_ended for both requests of the new test, then both connections broken.

Why the fix works: the call is aborted as at its deadline, which closes its endpoints' connections and so frees their copies, and it then sends its error: 502 if an endpoint may have run it, else 503 with Retry-After. A response that has begun is still cut off by closing the connection.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -59,7 +59,8 @@
     /// Rejects the call because the entry may stop before the response is complete. The caller's next attempt reaches
     /// another entry.
     task_of<void> rejectForShutdown();
-    /// Gives the call up, because the buffer budget needs what it holds. Precondition: its connection is closed.
+    /// Gives the call up, because the buffer budget needs what it holds. The caller gets an error, or loses its connection if the
+    /// response has begun.
     void end();
     const std::string& requestId() const { return m_metadata.id; }
     /// Logs the end of a call that is interrupted because the process stops.
@@ -308,7 +309,7 @@
 
     bool closesConnections() const { return m_shared.draining || m_shared.crowded; }
     /// Whether the current attempt is to be given up.
-    bool isAborted() const { return m_callerGone || m_deadlinePassed || (m_source && m_source->resumed); }
+    bool isAborted() const { return m_callerGone || m_deadlinePassed || m_ended || (m_source && m_source->resumed); }
     bool isIdempotent() const { return m_route->kind == call_kind::Idempotent || isResumable(); }
     /// The software version that the next endpoint must have; empty if any will do.
     std::string requiredVersion() const { return m_origin ? m_origin->softwareVersion : std::string(); }
@@ -347,6 +348,8 @@
     bool m_attemptExpired = false;
     bool m_callerGone = false;
     bool m_deadlinePassed = false;
+    /// Whether end() was called.
+    bool m_ended = false;
     bool m_responseStarted = false;
     bool m_keepAlive = true;
     unsigned m_sendCount = 0;
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -476,6 +476,8 @@
     if (m_noRetryReason == no_retry_reason::RetryBudgetSpent)
         failureCause = reason::RetryBudgetSpent;
     auto cause = m_deadlinePassed ? reason::DeadlineUnreachable : failureCause;
+    if (m_ended)
+        cause = reason::BuffersFull;
     auto retryAfter = m_retryAfter > milliseconds(0) ? m_retryAfter : forwarding_detail::defaultRetryAfter;
     if (cause == reason::Evacuated)
         retryAfter = forwarding_detail::evacuatedRetryAfter;
@@ -527,7 +529,12 @@
 template <call_codec Codec>
 void call_forwarder<Codec>::end()
 {
-    m_callerGone = true;
+    m_ended = true;
+    // A caller that doesn't read its response holds the write up for as long as the connection is open.
+    if (m_responseStarted) {
+        m_callerGone = true;
+        m_caller->close();
+    }
     closeConnections();
 }
 
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -465,9 +465,10 @@
             caller->isRefused = true;
             continue;
         }
-        caller->connection->close();
         if (caller->call)
             caller->call->end();
+        else
+            caller->connection->close();
     }
 }
 
--- a/Tests/Platform/SilenceBesideChangesTest.cpp
+++ b/Tests/Platform/SilenceBesideChangesTest.cpp
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <regex>
 #include <thread>
 
 using namespace pistachiolatch;
@@ -291,13 +292,13 @@
 /// Callers that send long requests side by side, each in pieces with a pause after each.
 class long_senders {
 public:
-    long_senders(const std::string& address, int count, std::size_t pieceBytes, milliseconds pause)
+    long_senders(const std::string& address, int count, std::size_t pieceBytes, milliseconds pause, std::size_t bodyBytes = 3 * megabyte)
         : m_answers(count)
     {
         for (int i = 0; i < count; ++i) {
-            m_callers.emplace_back([this, address, i, pieceBytes, pause] {
+            m_callers.emplace_back([this, address, i, pieceBytes, pause, bodyBytes] {
                 raw_connection connection(address);
-                auto request = makeRequest("POST", "/book/1", fmt::format("long-{}", i), std::string(3 * megabyte, 'x'));
+                auto request = makeRequest("POST", "/book/1", fmt::format("long-{}", i), std::string(bodyBytes, 'x'));
                 for (std::size_t sent = 0; sent < request.size(); sent += pieceBytes) {
                     connection.send(std::string_view(request).substr(sent, pieceBytes));
                     std::this_thread::sleep_for(pause);
@@ -384,6 +385,32 @@
     }
 }
 
+// Guards against callers that lose their connections instead of getting an error once the buffers need what their requests hold.
+TEST_CASE("Long requests that are given up for full buffers are answered", "[promise]")
+{
+    auto options = longRequestOptions();
+    options.maxBodyBytes = 12 * megabyte;
+    changing_fleet fleet({ plain }, options, fewMemoryMb);
+    fleet.endpoint(1).pause();
+    long_senders whole(fleet.platform.entryAddress(1), 2, 4 * megabyte, milliseconds(0), 6 * megabyte);
+    // Fills the rest of the buffers until the others have waited for their endpoint too long, so that they are ended first.
+    long_senders slow(fleet.platform.entryAddress(1), 1, 64UL * 1024, milliseconds(30), 12 * megabyte);
+    auto answers = whole.answers();
+    fleet.endpoint(1).resume();
+    INFO(fleet.log());
+    CHECK(std::regex_search(fleet.log(), std::regex("event=stalled_holder_ended request=long-")));
+    std::size_t failed = 0;
+    for (const auto& answer : answers) {
+        INFO(answer.status);
+        CHECK_FALSE(answer.broken);
+        // It isn't known whether the endpoint has run what was sent to it. The other request may get its answer.
+        CHECK((answer.status == 502 || answer.status == 200));
+        failed += answer.status == 502 ? 1 : 0;
+    }
+    CHECK(failed > 0);
+    slow.answers();
+}
+
 // Guards against bodies that are read in part, fill the buffers together and keep each other from becoming whole.
 TEST_CASE("Long requests that arrive side by side are read whole one after another", "[promise]")
 {
