--- a/Tests/Platform/platform_fleet.cpp
+++ b/Tests/Platform/platform_fleet.cpp
@@ -74,8 +74,12 @@
     json::object fields { { "nodeName", name }, { "ip", ip }, { "zone", "a" }, { "seeds", seeds }, { "bootstrap", firstStart }, { "heartbeatMs", 1200 },
         { "internalPorts", json::array { 7500, 7515 } }, { "bounds", makeBounds() }, { "dataDir", m_folder + "/" + name } };
     fields["listen"] = json::object { { "front", ip + ":8360" }, { "readyAddress", ip + ":8365" }, { "control", ip + ":8367" } };
+    json::object limits;
     if (m_memoryMb > 0)
-        fields["limits"] = json::object { { "memoryMb", m_memoryMb } };
+        limits["memoryMb"] = m_memoryMb;
+    if (m_maxDescriptors > 0)
+        limits["maxFds"] = m_maxDescriptors;
+    fields["limits"] = limits;
     auto path = fmt::format("{}/{}.toml", m_folder, name);
     std::ofstream(path) << renderTemplate(readFile(fmt::format("{}/../platform/{}.settings", PISTACHIOLATCH_TESTS_FOLDER, role)), fields);
     return path;
--- a/Tests/Platform/platform_fleet.h
+++ b/Tests/Platform/platform_fleet.h
@@ -42,8 +42,10 @@
     void restartEntry(int n);
     /// Kills the leader and starts it again once another control process leads. Returns whether there was one and is one.
     bool replaceLeader();
-    /// States the memory of VMs, in MB, to entries that are started from now on; 0 states none.
+    /// States the memory of VMs, in MB, to processes that are started from now on; 0 states none.
     void setMemory(int megabytes) { m_memoryMb = megabytes; }
+    /// States the descriptors that processes may have to those that are started from now on; 0 states none.
+    void setMaxDescriptors(int count) { m_maxDescriptors = count; }
     /// Has entries that are started from now on run with sockets that partitionEntry() can cut.
     void makePartitionable() { m_partitionable = true; }
     /// Has control processes that are started from now on run with sockets that partitionControl() can cut and disks that
@@ -108,6 +110,7 @@
     bool m_partitionable = false;
     bool m_controlsPartitionable = false;
     int m_memoryMb = 0;
+    int m_maxDescriptors = 0;
     std::set<int> m_narrowed;
     mutable std::mutex m_partitionMutex;
     loopback_subnet m_reservedSubnet;
--- a/Tests/Platform/scripted_endpoint.cpp
+++ b/Tests/Platform/scripted_endpoint.cpp
@@ -77,10 +77,15 @@
     auto from = socket.remote_endpoint().address().to_string();
     std::string lateCopy;
     while (true) {
-        http_exchange::request request;
-        auto [readError, readBytes] = co_await http::async_read(socket, buffer, request, asTuple);
+        constexpr std::uint32_t maxHeadBytes = 64 * 1024;
+        constexpr std::uint64_t maxBodyBytes = 16ULL * 1024 * 1024;
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(maxHeadBytes);
+        parser.body_limit(maxBodyBytes);
+        auto [readError, readBytes] = co_await http::async_read(socket, buffer, parser, asTuple);
         if (readError)
             co_return;
+        auto request = parser.release();
         if (request.target() == platform_names::reportPath) {
             {
                 std::lock_guard lock(m_mutex);
