--- a/Tests/Platform/CallerCrowdTest.cpp
+++ b/Tests/Platform/CallerCrowdTest.cpp
@@ -159,6 +159,13 @@
     checkBeside<TestType>(fleet, 900, {});
 }
 
+TEMPLATE_TEST_CASE("Whole documents of many small values", "[crowd]", control_door)
+{
+    crowd_fleet fleet;
+    constexpr std::size_t values = 3 * megabyte;
+    checkBeside<TestType>(fleet, 3, { TestType::head(fmt::format("Content-Length: {}\r\n", 2 * values + 3)) + "[", "0,", values, "0]" });
+}
+
 TEMPLATE_TEST_CASE("Relay messages without their last byte", "[crowd]", relay_door)
 {
     crowd_fleet fleet;
