--- a/Source/control/main.cpp
+++ b/Source/control/main.cpp
@@ -45,7 +45,7 @@
             m_node = std::make_unique<control_node>(control_node::dependencies { loop, clock, counters, settings.wire, std::move(opened), [this](bool afterFailure) { return openStorage(afterFailure); }, bootstrap });
             loop.onMessage([this](const wire::envelope& message) { m_node->onMessage(message); });
             loop.onTick([this] { m_node->tick(); });
-            m_operators = std::make_unique<operator_api>(registry.find<traffic_threads>(trafficService), loop, *m_node, counters, settings.operators);
+            m_operators = std::make_unique<operator_api>(registry.find<traffic_threads>(trafficService), loop, *m_node, counters, settings.operators, buffers);
             addListener("operators", *m_operators, settings.operatorListen, true);
             addAdmin(settings.adminListen, { [this] { return std::string(m_stopping ? "shutting down" : ""); }, {} });
             return registry.startAll();
--- a/Source/control/operator_api.cpp
+++ b/Source/control/operator_api.cpp
@@ -51,13 +51,13 @@
     }
 }
 
-operator_api::operator_api(traffic_threads& threads, control_loop& loop, control_node& node, metrics& counters, std::vector<operator_credential> operators)
+operator_api::operator_api(traffic_threads& threads, control_loop& loop, control_node& node, metrics& counters, std::vector<operator_credential> operators, buffer_budget& buffers)
     : m_loop(loop)
     , m_node(node)
     , m_metrics(counters)
     , m_operators(std::move(operators))
     , m_server(
-          threads, {}, [this](http_exchange& exchange) { return handle(exchange); }, makeErrorResponse)
+          threads, {}, [this](http_exchange& exchange) { return handle(exchange); }, makeErrorResponse, &buffers)
 {
 }
 
--- a/Source/control/operator_api.h
+++ b/Source/control/operator_api.h
@@ -16,7 +16,7 @@
 /// Thread safety: handlers run on traffic threads and access the node by posting to the control loop.
 class operator_api {
 public:
-    operator_api(traffic_threads& threads, control_loop& loop, control_node& node, metrics& counters, std::vector<operator_credential> operators);
+    operator_api(traffic_threads& threads, control_loop& loop, control_node& node, metrics& counters, std::vector<operator_credential> operators, buffer_budget& buffers);
     /// Errors: a description, such as address in use.
     result<void> listen(const std::string& address) { return m_server.listen(address); }
     void stopAccepting() { m_server.stopAccepting(); }
--- a/Source/entry/main.cpp
+++ b/Source/entry/main.cpp
@@ -40,9 +40,11 @@
             auto& threads = registry.find<traffic_threads>(trafficService);
             auto refuse = [this](reason cause) { return m_api->makeRefusal(cause); };
             m_callers = std::make_unique<http_server>(
-                threads, settings.callerLimits, [this](http_exchange& exchange) { return m_api->handleCallerRequest(exchange); }, refuse);
+                threads, settings.callerLimits, [this](http_exchange& exchange) { return m_api->handleCallerRequest(exchange); }, refuse, &buffers);
             m_endpoints = std::make_unique<http_server>(
-                threads, http_limits {}, [this](http_exchange& exchange) { return m_api->handleEndpointRequest(exchange); }, refuse);
+                threads, http_limits {}, [this](http_exchange& exchange) { return m_api->handleEndpointRequest(exchange); }, refuse, &buffers);
+            m_callers->setMetrics(counters);
+            m_endpoints->setMetrics(counters);
             addListener("callers", *m_callers, settings.callersListen, false);
             addListener("endpoints", *m_endpoints, settings.endpointsListen, true);
             addAdmin(settings.adminListen, { [this] { return notReadyReason(); }, [this] { updateGauges(); } });
--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -1,6 +1,6 @@
 #pragma once
 #include "coordination/coordination.h"
-#include "forwarding/buffer_budget.h"
+#include "forwarding/call_admission.h"
 #include "forwarding/call_arrivals.h"
 #include "forwarding/caller_connection.h"
 #include "forwarding/connection_pool.h"
@@ -277,6 +277,8 @@
     task_of<attempt_outcome> forwardCompleteResponse(const selected_endpoint& endpoint, const response_metadata& response);
     /// Reads the rest of a response's body, accounted to the call, and no more of it while the buffer budget has no room. Asks another
     /// endpoint if it takes too long.
+    /// Whether the budget lets a response grow of which so much was read.
+    bool mayReadMore(std::size_t bytesRead) const;
     task_of<whole_body> readWholeBody(const selected_endpoint& endpoint, buffer_charge& charge);
     task_of<head_result> readMatchingHead(response_metadata& response);
     /// Returns a connection on which a request may be sent; null if there is none or the endpoint was evacuated.
@@ -322,6 +324,8 @@
     std::shared_ptr<caller_connection> m_caller;
     caller_request m_request;
     buffer_charge m_requestCharge;
+    /// The part of it that is for the head.
+    std::size_t m_headCharge = 0;
     request_metadata m_metadata;
     time_point m_receivedAt;
     time_point m_deadlineAt;
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -61,6 +61,7 @@
     , m_overlapTimer(shared.context)
 {
     m_keepAlive = m_request.keep_alive();
+    m_headCharge = m_requestCharge.bytes() - std::min(m_requestCharge.bytes(), 2 * m_request.body().size());
 }
 
 template <call_codec Codec>
@@ -158,18 +159,11 @@
     // An entry without a current configuration must not use the old one: a key may have been withdrawn meanwhile.
     if (!m_shared.link.hasCurrentConfiguration())
         return reject(reason::NoConfig, forwarding_detail::defaultRetryAfter);
-    std::string_view host(m_request[boost::beast::http::field::host].data(), m_request[boost::beast::http::field::host].size());
-    std::string_view target(m_request.target().data(), m_request.target().size());
-    m_route = m_table->find(host, target);
-    if (!m_route)
-        return reject(reason::NotFound);
-    if (m_table->requiresKeys() && !m_route->isPublic) {
-        if (m_metadata.key.empty())
-            return reject(reason::MissingKey);
-        m_organisation = m_table->findOrganisation(m_metadata.key);
-        if (!m_organisation)
-            return reject(reason::UnknownKey);
-    }
+    auto admission = admitCall(*m_table, m_request, m_metadata);
+    m_route = admission.route;
+    m_organisation = admission.organisation;
+    if (admission.refusal)
+        return reject(*admission.refusal);
     if (auto refused = checkPoisonBlock())
         return refused;
     m_deadlineAt = std::min(m_deadlineAt, m_receivedAt + m_route->timeout);
@@ -280,7 +274,7 @@
 {
     m_bytesToSend.spend(m_request.body().size());
     // The connection accounts for the copy from now on.
-    m_requestCharge.resize(m_request.body().size(), m_shared.clock.now());
+    m_requestCharge.resize(m_headCharge + m_request.body().size(), m_shared.clock.now());
     m_attempt.connection->recordRequest(m_metadata.id);
     m_attempt.connection->startSend(Codec::encodeRequest(m_request, options), m_shared.sendWindow, m_shared.clock, buffer_charge(m_shared.bufferBudget, m_caller->holder()));
 }
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -97,6 +97,14 @@
     co_return co_await forwardCompleteResponse(endpoint, response);
 }
 
+template <call_codec Codec>
+bool call_forwarder<Codec>::mayReadMore(std::size_t bytesRead) const
+{
+    auto& budget = m_shared.bufferBudget;
+    // A short response frees what its request holds, also while requests take turns.
+    return bytesRead < buffer_budget::smallHolderBytes ? budget.takesNewCalls() : budget.mayGrow(m_caller->holder(), m_shared.clock.now());
+}
+
 template <call_codec Codec>
 task_of<typename call_forwarder<Codec>::whole_body> call_forwarder<Codec>::readWholeBody(const selected_endpoint& endpoint, buffer_charge& charge)
 {
@@ -104,7 +112,7 @@
     boost::asio::steady_timer timer(m_shared.context);
     whole_body body;
     while (body.end == body_end::Open) {
-        while (!m_shared.bufferBudget.mayGrow(m_caller->holder(), m_shared.clock.now()) && !isAborted() && !m_attemptExpired) {
+        while (!mayReadMore(body.bytes.size()) && !isAborted() && !m_attemptExpired) {
             timer.expires_after(forwarding_detail::bufferRetryInterval);
             co_await timer.async_wait(forwarding_detail::asTuple);
         }
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -1,8 +1,10 @@
 #pragma once
+#include "forwarding/call_admission.h"
 #include "forwarding/call_forwarder.h"
 #include "forwarding/intake_gate.h"
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 #include <set>
 
 namespace pistachiolatch {
@@ -32,6 +34,7 @@
 private:
     struct caller_state {
         std::shared_ptr<caller_connection> connection;
+        std::optional<request_reader> reader;
         /// When the connection started to wait for a request, or to receive a head or a body.
         time_point phaseStartedAt;
         /// The longest times that were in force since then. Callers rely on the configuration that they know.
@@ -40,11 +43,8 @@
         /// Whether a request has begun to arrive that is not complete.
         bool receiving = false;
         bool inCall = false;
-        /// Whether the rest of a request stays unread for lack of room, and whether to refuse it.
-        bool awaitsRoom = false;
+        /// Whether a request on it was refused, so that what still arrives is dropped.
         bool isRefused = false;
-        /// The request that is being read, and the copy that will be sent to an endpoint.
-        buffer_charge request;
         /// Whether a request was read on the connection.
         bool open = false;
         /// What its first request will probably send, until that is known.
@@ -64,16 +64,14 @@
     /// Starts to measure how long the connection waits for a request, or takes to receive a part of it.
     void startPhase(caller_state& caller, bool receiving) const;
     task_of<std::optional<caller_request>> readRequest(caller_ptr caller);
-    /// Reads the body, accounted to the caller, and no more of it while the buffer budget has no room.
-    task_of<boost::system::error_code> readBody(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser);
-    /// Refuses a request because the buffers are full.
-    task_of<void> refuseForBuffers(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser);
+    /// Why a request whose body has not arrived should be refused without reading it, if so.
+    std::optional<reason> findEarlyRefusal(const caller_request& head, const request_metadata& metadata) const;
     /// Answers a request whose rest is not read, and lets the caller read the answer.
-    task_of<void> refuseUnread(const caller_ptr& caller, const error_response& error, const request_metadata& metadata);
+    task_of<void> refuseUnread(const caller_ptr& caller, reason cause, const std::string& error, const request_metadata& metadata);
     /// Ends callers that hold most of a buffer budget that is used up.
     void endStalled();
-    task_of<void> sendParseError(const caller_ptr& caller, boost::system::error_code error);
-    task_of<void> refuseUnreadable(const caller_ptr& caller, reason cause, const std::string& error);
+    /// Ends a caller, or the call on its connection, because the budget needs what it holds.
+    void endHolder(const caller_ptr& caller, const buffer_budget::stalled_holder& stalled);
     /// Whether the shutdown is so advanced that a new call might not complete before the process ends.
     bool rejectsNewCalls() const { return m_shared.draining && m_shared.clock.now() - m_drainStartedAt > m_settings.acceptWhileDraining; }
     void closeExpired();
@@ -93,6 +91,9 @@
     bool m_measuringLoop = false;
     unsigned m_turnedAway = 0;
     unsigned m_takenIn = 0;
+    /// By cause, so that many refusals for one don't hide others.
+    std::map<reason, log_limiter> m_refusalLogs;
+    log_limiter m_stalledLog;
     std::set<caller_ptr> m_callers;
     time_point m_drainStartedAt {};
     unsigned m_active = 0;
@@ -164,7 +165,9 @@
 void call_gateway<Codec>::handleAccepted(boost::asio::ip::tcp::socket socket)
 {
     measureLoopDelay();
-    if (!m_gate.admit(m_shared.sendWindow.backlog(), m_shared.clock.now()) || !m_shared.bufferBudget.takesNewCalls()) {
+    auto& budget = m_shared.bufferBudget;
+    bool hasRoom = budget.fits(request_reader::connectionBytes) || budget.makeRoom(0, request_reader::connectionBytes, m_shared.clock.now()) > 0;
+    if (!hasRoom || !m_gate.admit(m_shared.sendWindow.backlog(), m_shared.clock.now())) {
         // Closed without having been read, so that the caller may send any request again.
         ++m_turnedAway;
         m_shared.counters.count("connections_turned_away");
@@ -172,7 +175,16 @@
     }
     ++m_takenIn;
     auto caller = std::make_shared<caller_state>();
-    caller->connection = std::make_shared<caller_connection>(std::move(socket), m_shared.clock, m_shared.bufferBudget);
+    auto onEnd = [this, weak = std::weak_ptr<caller_state>(caller)](const buffer_budget::stalled_holder& stalled) {
+        boost::asio::post(m_shared.context, [this, weak, stalled] {
+            auto ended = weak.lock();
+            if (ended && !m_stopped)
+                endHolder(ended, stalled);
+        });
+    };
+    caller->connection = std::make_shared<caller_connection>(std::move(socket), m_shared.clock, budget, std::move(onEnd));
+    caller->reader.emplace(caller->connection->socket(), budget, caller->connection->holder(), m_shared.clock);
+    caller->phaseStartedAt = m_shared.clock.now();
     caller->expectedBytes = send_commitment(m_shared.sendWindow, m_shared.sendWindow.meanCallBytes());
     m_callers.insert(caller);
     boost::asio::co_spawn(m_shared.context, serveConnection(caller), boost::asio::detached);
@@ -202,6 +214,11 @@
     auto toMs = [](duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
     auto turnedAway = std::exchange(m_turnedAway, 0);
     auto takenIn = std::exchange(m_takenIn, 0);
+    auto suppressed = m_stalledLog.takeSuppressed();
+    for (auto& [cause, limiter] : m_refusalLogs)
+        suppressed += limiter.takeSuppressed();
+    if (suppressed > 0)
+        logEvent("refusals_not_logged", { { "lines", suppressed } });
     const auto& window = m_shared.sendWindow;
     if (turnedAway > 0 || window.isLimited())
         logEvent("entry_crowded", { { "turned_away", turnedAway }, { "taken_in", takenIn }, { "sheds_open", m_shared.crowded ? 1 : 0 }, { "connections", m_callers.size() }, { "calls", m_active }, { "loop_delay_ms", toMs(m_gate.loopDelay()) }, { "rate", fmt::format("{:.1f}", m_gate.rate().value_or(0)) }, { "link_backlog_ms", toMs(window.backlog()) }, { "link_delay_ms", toMs(window.delay()) }, { "link_bytes_per_s", std::lround(window.bytesPerSecond()) }, { "link_window", window.window() } });
@@ -229,7 +246,7 @@
         bool keepAlive = false;
         bool reject = rejectsNewCalls();
         {
-            call_forwarder<Codec> call(m_shared, caller->connection, std::move(*request), std::move(caller->request));
+            call_forwarder<Codec> call(m_shared, caller->connection, std::move(*request), caller->reader->takeCharge());
             if (reject) {
                 co_await call.rejectForShutdown();
             } else {
@@ -243,7 +260,6 @@
         if (!keepAlive)
             break;
     }
-    caller->request.clear();
     caller->connection->close();
     m_callers.erase(caller);
 }
@@ -262,132 +278,77 @@
 task_of<std::optional<caller_request>> call_gateway<Codec>::readRequest(caller_ptr caller)
 {
     namespace http = boost::beast::http;
-    auto& connection = *caller->connection;
+    auto& reader = *caller->reader;
     startPhase(*caller, false);
-    if (connection.buffer().size() == 0) {
-        auto [waitError] = co_await connection.socket().async_wait(boost::asio::socket_base::wait_read, gateway_detail::asTuple);
-        if (waitError)
-            co_return std::nullopt;
-    }
+    auto outcome = co_await reader.waitForRequest();
+    if (!outcome.isReceived())
+        co_return std::nullopt;
     startPhase(*caller, true);
     // The configuration may have changed while the connection was idle.
     auto bounds = limits();
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(bounds.headerBytes);
-    parser.body_limit(bounds.bodyBytes);
-    auto error = co_await readHead(connection.socket(), connection.buffer(), bounds.headerBytes);
-    if (!error) {
-        auto fault = findFramingFault({ static_cast<const char*>(connection.buffer().data().data()), connection.buffer().size() });
-        if (fault) {
-            co_await refuseUnreadable(caller, *fault, "");
-            co_return std::nullopt;
-        }
-        auto [headError, headBytes] = co_await http::async_read_header(connection.socket(), connection.buffer(), parser, gateway_detail::asTuple);
-        error = headError;
-    }
+    outcome = co_await reader.readHead(bounds.headerBytes);
     startPhase(*caller, true);
-    if (!error && !m_shared.bufferBudget.takesNewCalls()) {
-        co_await refuseForBuffers(caller, parser);
-        co_return std::nullopt;
-    }
-    if (!error && parser.get()[http::field::expect] == "100-continue") {
-        std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-        bool written = co_await connection.write(std::move(interim));
-        if (!written)
-            co_return std::nullopt;
-    }
-    if (!error && !parser.is_done()) {
-        error = co_await readBody(caller, parser);
-    }
-    if (caller->isRefused) {
-        co_await refuseForBuffers(caller, parser);
-        co_return std::nullopt;
+    request_metadata metadata;
+    if (outcome.isReceived()) {
+        metadata = Codec::parseRequest(reader.head());
+        if (!m_shared.bufferBudget.takesNewCalls())
+            outcome = { read_outcome::status::Refused, reason::BuffersFull, {} };
     }
-    if (!error) {
-        caller->request.setWait(buffer_budget::wait_for::Turn, m_shared.clock.now());
-        co_return parser.release();
+    if (outcome.isReceived() && reader.hasUnreadBody()) {
+        if (auto refusal = findEarlyRefusal(reader.head(), metadata))
+            outcome = { read_outcome::status::Refused, *refusal, {} };
     }
-    co_await sendParseError(caller, error);
-    co_return std::nullopt;
-}
-
-template <call_codec Codec>
-task_of<boost::system::error_code> call_gateway<Codec>::readBody(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser)
-{
-    namespace http = boost::beast::http;
-    auto& connection = *caller->connection;
-    boost::asio::steady_timer timer(m_shared.context);
-    caller->request = buffer_charge(m_shared.bufferBudget, connection.holder(), buffer_budget::wait_for::Caller);
-    connection.buffer().max_size(maxFieldBytes);
-    parser.eager(true);
-    while (!parser.is_done()) {
-        while (!m_shared.bufferBudget.mayGrow(connection.holder(), m_shared.clock.now()) && !connection.isClosed() && !caller->isRefused) {
-            caller->awaitsRoom = true;
-            timer.expires_after(forwarding_detail::bufferRetryInterval);
-            co_await timer.async_wait(gateway_detail::asTuple);
+    if (outcome.isReceived() && reader.hasUnreadBody()) {
+        if (reader.head()[http::field::expect] == "100-continue") {
+            std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+            bool written = co_await caller->connection->write(std::move(interim));
+            if (!written)
+                co_return std::nullopt;
         }
-        caller->awaitsRoom = false;
-        if (caller->isRefused)
-            co_return boost::system::error_code();
-        auto [error, bytes] = co_await http::async_read_some(connection.socket(), connection.buffer(), parser, gateway_detail::asTuple);
-        caller->request.resize(parser.get().body().size() * 2, m_shared.clock.now());
-        if (error)
-            co_return error;
+        outcome = co_await reader.readBody(bounds.bodyBytes);
     }
-    co_return boost::system::error_code();
+    if (outcome.isReceived())
+        co_return reader.release();
+    if (outcome.end == read_outcome::status::Refused)
+        co_await refuseUnread(caller, outcome.cause, outcome.error, metadata);
+    co_return std::nullopt;
 }
 
 template <call_codec Codec>
-task_of<void> call_gateway<Codec>::sendParseError(const caller_ptr& caller, boost::system::error_code error)
+std::optional<reason> call_gateway<Codec>::findEarlyRefusal(const caller_request& head, const request_metadata& metadata) const
 {
-    namespace http = boost::beast::http;
-    bool isMalformed = error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message;
-    if (!isMalformed || caller->connection->isClosed())
-        co_return;
-    auto cause = error == http::error::header_limit ? reason::HeaderTooLarge : error == http::error::body_limit ? reason::BodyTooLarge
-                                                                                                                : reason::BadRequest;
-    co_await refuseUnreadable(caller, cause, error.message());
+    // Calls that come before the first configuration wait for it.
+    if (!m_shared.link.hasCurrentConfiguration() || !m_shared.link.routeTable())
+        return std::nullopt;
+    return admitCall(*m_shared.link.routeTable(), head, metadata).refusal;
 }
 
 template <call_codec Codec>
-task_of<void> call_gateway<Codec>::refuseUnreadable(const caller_ptr& caller, reason cause, const std::string& error)
+task_of<void> call_gateway<Codec>::refuseUnread(const caller_ptr& caller, reason cause, const std::string& error, const request_metadata& metadata)
 {
+    caller->reader->drop();
+    caller->isRefused = true;
     m_shared.counters.countRefusal(cause);
-    logEvent("request_unreadable", { { "why", reasonName(cause) }, { "error", error.empty() ? std::string(reasonAdvice(cause)) : error } });
-    error_response response { cause, httpStatus(cause), std::nullopt };
-    request_metadata unknown;
-    co_await refuseUnread(caller, response, unknown);
-}
-
-template <call_codec Codec>
-task_of<void> call_gateway<Codec>::refuseForBuffers(const caller_ptr& caller, boost::beast::http::request_parser<boost::beast::http::string_body>& parser)
-{
-    auto metadata = Codec::parseRequest(parser.get());
-    caller->request.clear();
-    std::string().swap(parser.get().body());
-    m_shared.counters.countRefusal(reason::BuffersFull);
-    logEvent("request_refused_unread", { { "request", metadata.id }, { "why", reasonName(reason::BuffersFull) }, { "held", m_shared.bufferBudget.held() }, { "limit", m_shared.bufferBudget.limit() } });
-    error_response full { reason::BuffersFull, httpStatus(reason::BuffersFull), gateway_detail::buffersRetryAfter };
-    co_await refuseUnread(caller, full, metadata);
-}
-
-template <call_codec Codec>
-task_of<void> call_gateway<Codec>::refuseUnread(const caller_ptr& caller, const error_response& error, const request_metadata& metadata)
-{
-    auto bytes = Codec::encodeErrorResponse(metadata, error, true);
+    const auto& budget = m_shared.bufferBudget;
+    // What names any other request may be what can't be read.
+    constexpr std::array soundRequests { reason::BuffersFull, reason::NotFound, reason::MissingKey, reason::UnknownKey };
+    bool isReadable = std::find(soundRequests.begin(), soundRequests.end(), cause) != soundRequests.end();
+    if (m_refusalLogs[cause].admit(m_shared.clock.now())) {
+        if (isReadable)
+            logEvent("request_refused_unread", { { "request", metadata.id }, { "why", reasonName(cause) }, { "held", budget.held() }, { "limit", budget.limit() } });
+        else
+            logEvent("request_unreadable", { { "why", reasonName(cause) }, { "error", error.empty() ? std::string(reasonAdvice(cause)) : error } });
+    }
+    error_response response { cause, httpStatus(cause), cause == reason::BuffersFull ? std::optional(gateway_detail::buffersRetryAfter) : std::nullopt };
+    auto bytes = Codec::encodeErrorResponse(isReadable ? metadata : request_metadata(), response, true);
     bool written = co_await caller->connection->write(std::move(bytes));
     if (!written)
         co_return;
     // Closing with unread data would reset the connection before the caller has received the response.
     boost::system::error_code ignored;
     caller->connection->socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    std::array<char, 4096> discarded {};
     startPhase(*caller, true);
-    while (true) {
-        auto [readError, bytes] = co_await caller->connection->socket().async_read_some(boost::asio::buffer(discarded), gateway_detail::asTuple);
-        if (readError)
-            co_return;
-    }
+    co_await caller->reader->discardInput();
 }
 
 template <call_codec Codec>
@@ -454,22 +415,22 @@
     auto& budget = m_shared.bufferBudget;
     m_shared.counters.gauge("buffered_bytes", static_cast<double>(budget.held()));
     auto now = m_shared.clock.now();
-    while (auto stalled = budget.endStalled(now)) {
-        auto found = std::find_if(m_callers.begin(), m_callers.end(), [&](const auto& caller) { return caller->connection->holder() == stalled->id; });
-        if (found == m_callers.end())
-            continue;
-        const auto& caller = *found;
+    while (budget.endStalled(now))
         m_shared.counters.count("stalled_holders_ended");
-        logEvent("stalled_holder_ended", { { "request", caller->call ? caller->call->requestId() : std::string() }, { "bytes", stalled->bytes }, { "idle_ms", std::chrono::duration_cast<milliseconds>(stalled->idleTime).count() }, { "held", budget.held() }, { "limit", budget.limit() } });
-        if (caller->awaitsRoom) {
-            caller->isRefused = true;
-            continue;
-        }
-        if (caller->call)
-            caller->call->end();
-        else
-            caller->connection->close();
-    }
+}
+
+template <call_codec Codec>
+void call_gateway<Codec>::endHolder(const caller_ptr& caller, const buffer_budget::stalled_holder& stalled)
+{
+    const auto& budget = m_shared.bufferBudget;
+    if (m_stalledLog.admit(m_shared.clock.now()))
+        logEvent("stalled_holder_ended", { { "request", caller->call ? caller->call->requestId() : std::string() }, { "bytes", stalled.bytes }, { "idle_ms", std::chrono::duration_cast<milliseconds>(stalled.idleTime).count() }, { "held", budget.held() }, { "limit", budget.limit() } });
+    if (caller->call)
+        caller->call->end();
+    else if (caller->receiving && !caller->isRefused)
+        caller->reader->refuse();
+    else
+        caller->connection->close();
 }
 
 template <call_codec Codec>
--- a/Source/forwarding/caller_connection.cpp
+++ b/Source/forwarding/caller_connection.cpp
@@ -15,11 +15,11 @@
     constexpr std::size_t maxWriteBytes = 64UL * 1024;
 }
 
-caller_connection::caller_connection(asio::ip::tcp::socket socket, const clock_source& clock, buffer_budget& budget)
+caller_connection::caller_connection(asio::ip::tcp::socket socket, const clock_source& clock, buffer_budget& budget, buffer_budget::end_handler onEnd)
     : m_socket(std::move(socket))
     , m_clock(clock)
     , m_budget(budget)
-    , m_holder(budget.addHolder())
+    , m_holder(budget.addHolder(std::move(onEnd)))
 {
     boost::system::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -39,7 +39,7 @@
         written += count;
         m_writtenBytes += count;
         if (count > 0)
-            charge.recordProgress(m_clock.now());
+            charge.recordProgress(m_clock.now(), count);
     }
     m_isWriting = false;
     co_return !error && !m_closed;
--- a/Source/forwarding/caller_connection.h
+++ b/Source/forwarding/caller_connection.h
@@ -1,8 +1,7 @@
 #pragma once
-#include "forwarding/buffer_budget.h"
+#include "http/buffer_budget.h"
 #include "http/http.h"
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <functional>
 #include <memory>
 
@@ -11,11 +10,14 @@
 /// The connection to a caller: writes responses and detects that the caller has disconnected. Used on one thread.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
-    /// Precondition: the clock and the budget outlive the connection.
-    caller_connection(boost::asio::ip::tcp::socket socket, const clock_source& clock, buffer_budget& budget);
+    /// The handler ends the connection, or the call on it, if the budget needs what it holds. Precondition: the clock and the budget
+    /// outlive the connection.
+    caller_connection(boost::asio::ip::tcp::socket socket, const clock_source& clock, buffer_budget& budget, buffer_budget::end_handler onEnd = {});
+    ~caller_connection() { m_budget.removeHolder(m_holder); }
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
 
     boost::asio::ip::tcp::socket& socket() { return m_socket; }
-    boost::beast::flat_buffer& buffer() { return m_buffer; }
     /// Writes bytes; returns false if the caller has disconnected. Completes only when all bytes are written, so a slow
     /// caller exerts backpressure on the endpoint's stream and memory use stays bounded. The bytes are accounted to holder() until then.
     task_of<bool> write(std::string bytes);
@@ -32,7 +34,6 @@
 
 private:
     boost::asio::ip::tcp::socket m_socket;
-    boost::beast::flat_buffer m_buffer;
     const clock_source& m_clock;
     buffer_budget& m_budget;
     buffer_budget::holder_id m_holder;
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -1,9 +1,9 @@
 #pragma once
 #include "forwarding/acknowledgement_watch.h"
-#include "forwarding/buffer_budget.h"
 #include "forwarding/call_types.h"
 #include "forwarding/endpoint_stream.h"
 #include "forwarding/send_window.h"
+#include "http/buffer_budget.h"
 #include "http/http.h"
 #include "wire/generated/pistachiolatch.pb.h"
 #include <boost/asio/cancellation_signal.hpp>
--- a/Source/http/admin_server.cpp
+++ b/Source/http/admin_server.cpp
@@ -11,12 +11,24 @@
     }
 }
 
-admin_server::admin_server(traffic_threads& threads, metrics& counters, admin_hooks hooks)
+http_limits questionLimits()
+{
+    constexpr milliseconds readTimeout { 5000 };
+    constexpr milliseconds writeTimeout { 10000 };
+    http_limits limits;
+    limits.bodyBytes = 0;
+    limits.readTimeout = readTimeout;
+    limits.writeTimeout = writeTimeout;
+    return limits;
+}
+
+admin_server::admin_server(traffic_threads& threads, metrics& counters, admin_hooks hooks, buffer_budget* budget)
     : m_metrics(counters)
     , m_hooks(std::move(hooks))
     , m_server(
-          threads, {}, [this](http_exchange& exchange) { return handle(exchange); }, plainErrorResponse)
+          threads, questionLimits(), [this](http_exchange& exchange) { return handle(exchange); }, plainErrorResponse, budget)
 {
+    m_server.setMetrics(counters);
 }
 
 task_of<void> admin_server::handle(http_exchange& exchange)
--- a/Source/http/http_exchange.cpp
+++ b/Source/http/http_exchange.cpp
@@ -1,5 +1,6 @@
 #include "http/http_exchange.h"
 
+#include "http/request_reader.h"
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <poll.h>
@@ -22,6 +23,28 @@
     }
 }
 
+http_exchange::http_exchange(beast::tcp_stream& stream, request message, milliseconds writeTimeout, exchange_account account)
+    : m_stream(stream)
+    , m_request(std::move(message))
+    , m_writeTimeout(writeTimeout)
+    , m_account(account)
+{
+    if (!account.budget)
+        return;
+    m_reserved = buffer_charge(*account.budget, account.holder, buffer_budget::wait_for::Turn);
+    m_responseCharge = buffer_charge(*account.budget, account.holder, buffer_budget::wait_for::Caller);
+}
+
+task_of<bool> http_exchange::reserve(std::size_t bytes)
+{
+    if (!m_account.budget)
+        co_return true;
+    bool hasRoom = co_await awaitRoomFor(*m_account.budget, m_account.holder, bytes, *m_account.clock);
+    if (hasRoom)
+        m_reserved.resize(m_reserved.bytes() + bytes, m_account.clock->now());
+    co_return hasRoom;
+}
+
 std::string http_exchange::path() const
 {
     std::string target(m_request.target());
@@ -48,8 +71,19 @@
     response.keep_alive(m_keepAlive);
     response.body() = std::move(body);
     response.prepare_payload();
+    if (m_account.budget)
+        m_responseCharge.resize(response.body().size(), m_account.clock->now());
+    http::response_serializer<http::string_body> serializer(response);
     m_stream.expires_after(m_writeTimeout);
-    auto [error, bytes] = co_await http::async_write(m_stream, response, asTuple);
+    beast::error_code error;
+    while (!error && !serializer.is_done()) {
+        auto [partError, bytes] = co_await http::async_write_some(m_stream, serializer, asTuple);
+        error = partError;
+        if (m_account.budget)
+            m_responseCharge.recordProgress(m_account.clock->now(), bytes);
+    }
+    m_responseCharge.clear();
+    m_stream.expires_never();
     if (error)
         m_keepAlive = false;
     co_return !error;
--- a/Source/http/http_exchange.h
+++ b/Source/http/http_exchange.h
@@ -1,4 +1,5 @@
 #pragma once
+#include "http/buffer_budget.h"
 #include "kernel/kernel.h"
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -15,17 +16,20 @@
 template <typename T>
 using task_of = boost::asio::awaitable<T>;
 
+/// Where what an exchange holds is accounted. Precondition: the budget and the clock outlive the exchange.
+struct exchange_account {
+    buffer_budget* budget = nullptr;
+    buffer_budget::holder_id holder = 0;
+    const clock_source* clock = nullptr;
+};
+
 /// A request and its response. At most one response is sent. Used only on the connection's thread.
 class http_exchange {
 public:
     using request = boost::beast::http::request<boost::beast::http::string_body>;
 
-    http_exchange(boost::beast::tcp_stream& stream, request message, milliseconds writeTimeout)
-        : m_stream(stream)
-        , m_request(std::move(message))
-        , m_writeTimeout(writeTimeout)
-    {
-    }
+    /// Without an account, what it holds isn't accounted.
+    http_exchange(boost::beast::tcp_stream& stream, request message, milliseconds writeTimeout, exchange_account account = {});
 
     const request& message() const { return m_request; }
     std::string_view method() const { return { m_request.method_string().data(), m_request.method_string().size() }; }
@@ -40,6 +44,9 @@
     /// Closes the connection after this response.
     void closeAfterResponse() { m_keepAlive = false; }
 
+    /// Accounts memory that the handler needs until the exchange ends. Returns false if there is no room for it; the request should be
+    /// refused then.
+    task_of<bool> reserve(std::size_t bytes);
     /// Sends a whole response. Returns false if it could not be sent.
     task_of<bool> respond(unsigned status, const std::string& contentType, std::string body, const http_headers& headers = {});
     /// Starts a chunked response. Each write waits until the caller's connection accepts it: backpressure keeps memory
@@ -60,6 +67,9 @@
     boost::beast::tcp_stream& m_stream;
     request m_request;
     milliseconds m_writeTimeout;
+    exchange_account m_account;
+    buffer_charge m_reserved;
+    buffer_charge m_responseCharge;
     bool m_responseStarted = false;
     bool m_keepAlive = true;
 };
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -2,7 +2,6 @@
 
 #include "http/message_head.h"
 #include <boost/asio.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/beast/http.hpp>
 
 namespace pistachiolatch {
@@ -13,83 +12,122 @@
 
 namespace {
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr milliseconds watchInterval { 500 };
+    /// How long a caller whose request was refused may go on sending before the connection is closed.
+    constexpr milliseconds discardTimeout { 2000 };
 
-    reason toReason(const beast::error_code& error)
+    struct scoped_count {
+        std::atomic<unsigned>& counter;
+        explicit scoped_count(std::atomic<unsigned>& c)
+            : counter(c)
+        {
+            ++counter;
+        }
+        ~scoped_count() { --counter; }
+        scoped_count(const scoped_count&) = delete;
+        scoped_count& operator=(const scoped_count&) = delete;
+    };
+}
+
+/// A connection, and what it waits for. Used on its thread, except for what says otherwise.
+class http_server::connection : public std::enable_shared_from_this<connection> {
+public:
+    enum class phase {
+        /// Waits for a request.
+        Idle,
+        Receiving,
+        Serving,
+        /// Its request was refused; what still arrives is dropped.
+        Discarding,
+    };
+
+    connection(asio::ip::tcp::socket socket, std::shared_ptr<shared_resources> resources)
+        : m_resources(std::move(resources))
+        , m_stream(std::move(socket))
+        , m_timer(m_stream.get_executor())
     {
-        if (error == http::error::header_limit)
-            return reason::HeaderTooLarge;
-        if (error == http::error::body_limit)
-            return reason::BodyTooLarge;
-        if (error == beast::error::timeout)
-            return reason::RequestTimeout;
-        return reason::BadRequest;
+        beast::error_code ignored;
+        m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
+    ~connection() { m_resources->budget->removeHolder(m_holder); }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
 
-    /// Whether a read error was caused by the request itself and should be reported to the caller.
-    bool shouldRespond(const beast::error_code& error, bool started)
+    /// Adds it to the budget. Must be called once, before all else.
+    void open()
     {
-        if (error == http::error::end_of_stream || error == http::error::partial_message)
-            return false;
-        if (error == beast::error::timeout)
-            return started;
-        return error.category() == make_error_code(http::error::bad_method).category();
+        m_holder = m_resources->budget->addHolder([weak = weak_from_this()](const buffer_budget::stalled_holder&) {
+            if (auto self = weak.lock())
+                asio::post(self->m_stream.get_executor(), [self] { self->end(); });
+        });
+        m_reader.emplace(m_stream.socket(), *m_resources->budget, m_holder, m_resources->clock);
+        m_phaseStartedAt = m_resources->now();
     }
 
-    task_of<void> sendErrorResponse(beast::tcp_stream& stream, const http_error_response& error, milliseconds timeout)
+    beast::tcp_stream& stream() { return m_stream; }
+    request_reader& reader() { return *m_reader; }
+    buffer_budget::holder_id holder() const { return m_holder; }
+    /// Whether the time of the phase has passed.
+    bool isTimedOut() const { return m_timedOut; }
+    /// Thread safety: any thread.
+    phase currentPhase() const { return m_phase; }
+    time_point phaseStartedAt() const { return m_phaseStartedAt; }
+
+    /// Has reading fail once the time has passed, unless another phase begins. Zero means no limit.
+    void begin(phase next, milliseconds timeout)
     {
-        http_exchange exchange(stream, {}, timeout);
-        exchange.closeAfterResponse();
-        co_await exchange.respond(error.status, error.contentType, error.body, error.headers);
+        m_phase = next;
+        m_phaseStartedAt = m_resources->now();
+        m_timedOut = false;
+        m_timer.cancel();
+        if (timeout.count() == 0)
+            return;
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([weak = weak_from_this()](beast::error_code error) {
+            if (auto self = weak.lock(); self && !error)
+                self->expire();
+        });
     }
 
-    /// Discards the rest of a request. Closing the connection while the caller still sends would reset it before the
-    /// caller has read the error response.
-    task_of<void> discardInput(beast::tcp_stream& stream)
+    /// Closes it if nothing of a request has arrived.
+    void closeIfIdle()
     {
         beast::error_code ignored;
-        stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        constexpr std::size_t blockSize = 64UL * 1024;
-        constexpr int maxBlocks = 1024;
-        constexpr milliseconds timeout { 2000 };
-        std::vector<char> block(blockSize);
-        for (int i = 0; i < maxBlocks; ++i) {
-            stream.expires_after(timeout);
-            auto [error, bytes] = co_await stream.async_read_some(asio::buffer(block), asTuple);
-            if (error)
-                co_return;
-        }
+        if (m_phase == phase::Idle && m_stream.socket().available(ignored) == 0)
+            close();
     }
 
-    /// Waits for the first byte of the next request. Returns false if the connection should be closed instead: it was
-    /// idle too long, the caller closed it, or the server is draining and no request has arrived.
-    task_of<bool> waitForRequest(beast::tcp_stream& stream, milliseconds idleTimeout, const std::atomic<bool>& draining)
+    void close()
     {
-        using namespace asio::experimental::awaitable_operators;
-        constexpr milliseconds slice { 500 };
-        asio::steady_timer timer(co_await asio::this_coro::executor);
-        for (milliseconds waited { 0 }; waited < idleTimeout; waited += slice) {
-            timer.expires_after(slice);
-            auto outcome = co_await (stream.socket().async_wait(asio::socket_base::wait_read, asTuple) || timer.async_wait(asTuple));
-            if (outcome.index() == 0)
-                co_return !std::get<0>(std::get<0>(outcome));
-            if (draining)
-                co_return false;
-        }
-        co_return false;
+        m_timer.cancel();
+        beast::error_code ignored;
+        m_stream.socket().close(ignored);
     }
 
-    struct scoped_count {
-        std::atomic<unsigned>& counter;
-        explicit scoped_count(std::atomic<unsigned>& c)
-            : counter(c)
-        {
-            ++counter;
-        }
-        ~scoped_count() { --counter; }
-        scoped_count(const scoped_count&) = delete;
-        scoped_count& operator=(const scoped_count&) = delete;
-    };
-}
+private:
+    void expire()
+    {
+        m_timedOut = true;
+        m_reader->refuse();
+    }
+
+    void end()
+    {
+        if (m_phase == phase::Receiving)
+            m_reader->refuse();
+        else
+            close();
+    }
+
+    std::shared_ptr<shared_resources> m_resources;
+    beast::tcp_stream m_stream;
+    buffer_budget::holder_id m_holder = 0;
+    std::optional<request_reader> m_reader;
+    asio::steady_timer m_timer;
+    std::atomic<phase> m_phase { phase::Idle };
+    std::atomic<time_point> m_phaseStartedAt { time_point {} };
+    bool m_timedOut = false;
+};
 
 asio::ip::tcp::endpoint parseAddress(const std::string& address)
 {
@@ -111,7 +149,13 @@
     return ok();
 }
 
-http_server::http_server(traffic_threads& threads, http_limits limits, http_handler handler, http_error_formatter formatError)
+void http_server::shared_state::count(const char* event) const
+{
+    if (counters)
+        counters->count(event);
+}
+
+http_server::http_server(traffic_threads& threads, http_limits limits, http_handler handler, http_error_formatter formatError, buffer_budget* budget)
     : m_threads(threads)
     , m_state(std::make_shared<shared_state>())
     , m_acceptor(threads.first())
@@ -119,6 +163,9 @@
     m_state->limits = limits;
     m_state->handler = std::move(handler);
     m_state->formatError = std::move(formatError);
+    m_state->resources = std::make_shared<shared_resources>();
+    if (budget)
+        m_state->resources->budget = budget;
 }
 
 http_server::~http_server() = default;
@@ -128,6 +175,7 @@
     BOOST_OUTCOME_TRYV(listenOn(m_acceptor, address));
     m_port = m_acceptor.local_endpoint().port();
     asio::co_spawn(m_threads.first(), acceptConnections(), asio::detached);
+    asio::co_spawn(m_threads.first(), watchConnections(m_state, m_threads.first()), asio::detached);
     return ok();
 }
 
@@ -153,71 +201,116 @@
             co_await pause.async_wait(asTuple);
             continue;
         }
-        asio::co_spawn(context, serveConnection(m_state, std::move(socket)), asio::detached);
+        auto served = std::make_shared<connection>(std::move(socket), m_state->resources);
+        {
+            std::lock_guard lock(m_state->mutex);
+            m_state->open.insert(served);
+        }
+        asio::co_spawn(context, serveConnection(m_state, served), asio::detached);
     }
 }
 
-task_of<void> http_server::serveConnection(std::shared_ptr<shared_state> state, asio::ip::tcp::socket socket)
+task_of<void> http_server::watchConnections(std::weak_ptr<shared_state> weak, asio::io_context& context)
 {
-    beast::tcp_stream stream(std::move(socket));
-    scoped_count connection(state->connections);
-    beast::error_code ignored;
-    stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    if (state->connections > state->limits.connections) {
-        auto response = state->formatError(reason::TooManyConnections);
-        co_await sendErrorResponse(stream, response, state->limits.writeTimeout);
-        co_return;
+    asio::steady_timer timer(context);
+    while (true) {
+        timer.expires_after(watchInterval);
+        co_await timer.async_wait(asTuple);
+        auto state = weak.lock();
+        if (!state)
+            co_return;
+        while (auto stalled = state->resources->budget->endStalled(state->resources->now()))
+            state->count("stalled_holders_ended");
+        if (!state->draining)
+            continue;
+        std::lock_guard lock(state->mutex);
+        for (const auto& idle : state->open)
+            asio::post(idle->stream().get_executor(), [idle] { idle->closeIfIdle(); });
     }
-    co_await serveRequests(state, stream);
-    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
-task_of<void> http_server::serveRequests(std::shared_ptr<shared_state> state, beast::tcp_stream& stream)
+task_of<void> http_server::serveConnection(std::shared_ptr<shared_state> state, connection_ptr served)
 {
-    const auto& limits = state->limits;
-    beast::flat_buffer buffer;
-    while (true) {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
-        if (buffer.size() == 0 && !co_await waitForRequest(stream, limits.idleTimeout, state->draining))
-            co_return;
-        stream.expires_after(limits.readTimeout);
-        beast::error_code error = co_await readHead(stream, buffer, limits.headerBytes);
-        bool started = buffer.size() > 0;
-        std::optional<reason> fault;
-        if (!error)
-            fault = findFramingFault({ static_cast<const char*>(buffer.data().data()), buffer.size() });
-        if (!error && !fault) {
-            auto [headError, headBytes] = co_await http::async_read_header(stream, buffer, parser, asTuple);
-            error = headError;
-        }
-        if (!error && !fault) {
-            if (parser.get()[http::field::expect] == "100-continue") {
-                std::string continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-                co_await asio::async_write(stream, asio::buffer(continueResponse), asTuple);
+    scoped_count connections(state->connections);
+    served->open();
+    if (state->connections > state->limits.connections)
+        co_await refuse(*state, *served, reason::TooManyConnections);
+    else
+        co_await serveRequests(*state, *served);
+    served->close();
+    std::lock_guard lock(state->mutex);
+    state->open.erase(served);
+}
+
+task_of<void> http_server::refuse(shared_state& state, connection& served, reason cause)
+{
+    if (state.counters)
+        state.counters->countRefusal(cause);
+    served.begin(connection::phase::Discarding, discardTimeout);
+    served.reader().drop();
+    auto error = state.formatError(cause);
+    {
+        http_exchange exchange(served.stream(), {}, discardTimeout);
+        exchange.closeAfterResponse();
+        co_await exchange.respond(error.status, error.contentType, error.body, error.headers);
+    }
+    beast::error_code ignored;
+    served.stream().socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (!served.isTimedOut())
+        co_await served.reader().discardInput();
+}
+
+task_of<bool> http_server::readRequest(shared_state& state, connection& served)
+{
+    const auto& limits = state.limits;
+    auto& reader = served.reader();
+    served.begin(connection::phase::Idle, limits.idleTimeout);
+    auto outcome = co_await reader.waitForRequest();
+    if (!outcome.isReceived())
+        co_return false;
+    served.begin(connection::phase::Receiving, limits.readTimeout);
+    outcome = co_await reader.readHead(limits.headerBytes);
+    bool isBodyRead = false;
+    if (outcome.isReceived()) {
+        auto maxBodyBytes = state.bodyLimit ? std::min(limits.bodyBytes, state.bodyLimit(reader.head())) : limits.bodyBytes;
+        isBodyRead = maxBodyBytes > 0 || !reader.hasUnreadBody();
+        if (isBodyRead && reader.hasUnreadBody()) {
+            if (reader.head()[http::field::expect] == "100-continue") {
+                const std::string continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+                co_await asio::async_write(served.stream(), asio::buffer(continueResponse), asTuple);
             }
-            stream.expires_after(limits.readTimeout);
-            buffer.max_size(maxFieldBytes);
-            auto [bodyError, bodyBytes] = co_await http::async_read(stream, buffer, parser, asTuple);
-            error = bodyError;
-            started = true;
+            served.begin(connection::phase::Receiving, limits.readTimeout);
+            outcome = co_await reader.readBody(maxBodyBytes);
         }
-        if (error || fault) {
-            if (fault || shouldRespond(error, started)) {
-                auto response = state->formatError(fault.value_or(toReason(error)));
-                co_await sendErrorResponse(stream, response, limits.writeTimeout);
-                co_await discardInput(stream);
-            }
+    }
+    if (served.isTimedOut())
+        outcome = { read_outcome::status::Refused, reason::RequestTimeout, {} };
+    if (outcome.end == read_outcome::status::Refused)
+        co_await refuse(state, served, outcome.cause);
+    co_return outcome.isReceived();
+}
+
+task_of<void> http_server::serveRequests(shared_state& state, connection& served)
+{
+    while (true) {
+        bool hasRequest = co_await readRequest(state, served);
+        if (!hasRequest)
             co_return;
-        }
-        scoped_count active(state->active);
-        stream.expires_never();
-        http_exchange exchange(stream, parser.release(), limits.writeTimeout);
-        if (state->draining)
+        bool hasUnreadBody = served.reader().hasUnreadBody();
+        scoped_count active(state.active);
+        served.begin(connection::phase::Serving, milliseconds(0));
+        auto charge = served.reader().takeCharge();
+        http_exchange exchange(served.stream(), served.reader().release(), state.limits.writeTimeout, { state.resources->budget, served.holder(), &state.resources->clock });
+        if (state.draining || hasUnreadBody)
             exchange.closeAfterResponse();
-        co_await state->handler(exchange);
-        if (!exchange.responseStarted() || !exchange.keepAlive() || state->draining)
+        co_await state.handler(exchange);
+        if (hasUnreadBody && exchange.responseStarted()) {
+            beast::error_code ignored;
+            served.stream().socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+            served.begin(connection::phase::Discarding, discardTimeout);
+            co_await served.reader().discardInput();
+        }
+        if (!exchange.responseStarted() || !exchange.keepAlive() || state.draining)
             co_return;
     }
 }
--- a/Source/http/http_server.h
+++ b/Source/http/http_server.h
@@ -1,10 +1,13 @@
 #pragma once
 #include "http/http_exchange.h"
+#include "http/request_reader.h"
 #include "http/traffic_threads.h"
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 namespace pistachiolatch {
@@ -28,17 +31,24 @@
 };
 
 using http_handler = std::function<task_of<void>(http_exchange&)>;
+/// The longest body that a request may have, at most http_limits::bodyBytes. A body is not read if this is 0.
+using http_body_limit = std::function<std::uint64_t(const http_exchange::request& head)>;
 using http_error_formatter = std::function<http_error_response(reason cause)>;
 
 /// Accepts connections on one address and passes each request to the handler. Each connection stays on one thread.
 class http_server {
 public:
-    /// Precondition: the threads outlive the server.
-    http_server(traffic_threads& threads, http_limits limits, http_handler handler, http_error_formatter formatError);
+    /// What it reads and sends is accounted in the budget; without one, nothing limits it in sum. Precondition: the threads outlive the
+    /// server, and the budget outlives the threads.
+    http_server(traffic_threads& threads, http_limits limits, http_handler handler, http_error_formatter formatError, buffer_budget* budget = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
+    /// Limits bodies by request. Precondition: called before listen().
+    void setBodyLimit(http_body_limit limit) { m_state->bodyLimit = std::move(limit); }
+    /// Counts what it refuses and closes. Precondition: called before listen(); the metrics outlive the server.
+    void setMetrics(metrics& counters) { m_state->counters = &counters; }
     /// Starts accepting connections. Errors: the address can't be bound. Thread safety: the starting thread.
     result<void> listen(const std::string& address);
     /// Returns the bound port.
@@ -50,17 +60,41 @@
     unsigned connections() const { return m_state->connections.load(); }
 
 private:
+    class connection;
+    using connection_ptr = std::shared_ptr<connection>;
+
+    /// What connections use, which may outlive the server's state.
+    struct shared_resources {
+        buffer_budget ownBudget;
+        buffer_budget* budget = &ownBudget;
+        boottime_clock_source clock;
+
+        time_point now() const { return clock.now(); }
+    };
+
     struct shared_state {
         http_limits limits;
         http_handler handler;
         http_error_formatter formatError;
+        http_body_limit bodyLimit;
+        metrics* counters = nullptr;
+        std::shared_ptr<shared_resources> resources;
         std::atomic<unsigned> active { 0 };
         std::atomic<unsigned> connections { 0 };
         std::atomic<bool> draining { false };
+        std::mutex mutex;
+        std::set<connection_ptr> open;
+
+        void count(const char* event) const;
     };
     task_of<void> acceptConnections();
-    static task_of<void> serveConnection(std::shared_ptr<shared_state> state, boost::asio::ip::tcp::socket socket);
-    static task_of<void> serveRequests(std::shared_ptr<shared_state> state, boost::beast::tcp_stream& stream);
+    /// Looks at all connections at intervals: ends those that hold what others need, and idle ones during a shutdown.
+    static task_of<void> watchConnections(std::weak_ptr<shared_state> state, boost::asio::io_context& context);
+    static task_of<void> serveConnection(std::shared_ptr<shared_state> state, connection_ptr served);
+    static task_of<void> serveRequests(shared_state& state, connection& served);
+    /// Reads a request, or refuses it. Returns whether there is one to handle.
+    static task_of<bool> readRequest(shared_state& state, connection& served);
+    static task_of<void> refuse(shared_state& state, connection& served, reason cause);
 
     traffic_threads& m_threads;
     std::shared_ptr<shared_state> m_state;
--- a/Source/program/server_process.cpp
+++ b/Source/program/server_process.cpp
@@ -7,6 +7,9 @@
 void server_process::addCore(const char* program, const wire_settings& settings, unsigned trafficThreads)
 {
     setLogProcess(program, settings.vm);
+    limitRetainedMemory();
+    questionBuffers.setLimit(questionBufferBytes);
+    buffers.setMemory(completeLimits({ settings.memoryMb, 0 }).memoryMb);
     m_wire.emplace(settings, generateIncarnation(), counters);
     registry.add(wireService, *m_wire, { {}, [this] { return m_wire->open(); }, {} });
     m_loop.emplace(registry.find<transport>(wireService), clock);
@@ -25,7 +28,7 @@
 
 void server_process::addAdmin(const std::string& address, admin_hooks hooks)
 {
-    m_admin = std::make_unique<admin_server>(registry.find<traffic_threads>(trafficService), counters, std::move(hooks));
+    m_admin = std::make_unique<admin_server>(registry.find<traffic_threads>(trafficService), counters, std::move(hooks), &questionBuffers);
     addListener(adminService, *m_admin, address, true);
 }
 
--- a/Source/program/server_process.h
+++ b/Source/program/server_process.h
@@ -43,6 +43,9 @@
 
     steady_clock_source clock;
     metrics counters;
+    /// What all servers of the process hold for their callers.
+    buffer_budget buffers;
+    buffer_budget questionBuffers;
     service_registry registry;
 
 private:
--- a/Source/wire/wire_settings.cpp
+++ b/Source/wire/wire_settings.cpp
@@ -9,6 +9,8 @@
     wire_settings settings;
     settings.vm = reader.text("vm.name");
     settings.dataCentre = reader.text("vm.data_centre");
+    constexpr std::int64_t maxMemoryMb = 1024 * 1024;
+    settings.memoryMb = static_cast<std::size_t>(reader.integer("vm.memory_mb", 0, 0, maxMemoryMb));
     settings.listen = reader.address("wire.listen");
     settings.advertise = reader.address("wire.advertise", settings.listen);
     settings.publicKey = reader.text("wire.public_key");
--- a/Source/wire/wire_settings.h
+++ b/Source/wire/wire_settings.h
@@ -9,6 +9,8 @@
 struct wire_settings {
     std::string vm;
     std::string dataCentre;
+    /// The memory that the process may use, in MB; 0 stands for the VM's.
+    std::size_t memoryMb = 0;
     std::string listen;
     /// Address that peers connect to; differs from listen only behind NAT.
     std::string advertise;
--- a/Tests/Forwarding/BufferBudgetTest.cpp
+++ b/Tests/Forwarding/BufferBudgetTest.cpp
@@ -1,5 +1,6 @@
 // Guards against entries that buffer more for slow callers and endpoints than their VMs have, or end callers without need.
-#include "forwarding/buffer_budget.h"
+#include "http/buffer_budget.h"
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <vector>
 
@@ -168,6 +169,15 @@
     CHECK_FALSE(test.budget.mayGrow(test.slow, test.clock.now()));
 }
 
+// Guards against a turn that ends with each piece that is read, so that no request becomes whole.
+TEST_CASE("A charge that stays the same doesn't end the turn")
+{
+    turn_case test;
+    REQUIRE(test.budget.mayGrow(test.slow, test.clock.now()));
+    test.slowCharge.resize(test.slowCharge.bytes(), test.clock.now());
+    CHECK_FALSE(test.budget.mayGrow(test.other, test.clock.now()));
+}
+
 // Guards against a caller that sends little, asks after each piece and so is always the first after its own turn.
 TEST_CASE("A holder that asks more often than others doesn't keep the turn")
 {
@@ -246,3 +256,108 @@
     }
     CHECK(test.budget.held() == 0);
 }
+
+namespace {
+/// A budget of 40 MB that callers with incomplete requests of 1 MB each have filled.
+struct upload_case : budget_case {
+    std::vector<buffer_budget::holder_id> ended;
+    std::vector<buffer_budget::holder_id> holders;
+    std::vector<buffer_charge> charges;
+
+    void addUpload(std::size_t bytes)
+    {
+        auto next = holders.size();
+        holders.push_back(budget.addHolder([this, next](const buffer_budget::stalled_holder& stalled) {
+            CHECK(stalled.id == holders[next]);
+            ended.push_back(holders[next]);
+        }));
+        charges.push_back(charge(holders[next], bytes, buffer_budget::wait_for::Upload));
+    }
+
+    upload_case()
+    {
+        for (int i = 0; i < 40; ++i)
+            addUpload(megabyte);
+    }
+};
+}
+
+// Guards against callers that send most of a request and stop, and so keep all others out.
+TEST_CASE("Incomplete requests that make no progress give way to others at once")
+{
+    upload_case test;
+    auto newcomer = test.budget.addHolder();
+    REQUIRE_FALSE(test.budget.fits(1000));
+    CHECK(test.budget.makeRoom(newcomer, 1000, test.clock.now()) == 0);
+    test.clock.advance(buffer_budget::maxUploadIdleTime);
+    CHECK(test.budget.makeRoom(newcomer, 1000, test.clock.now()) == 1);
+    REQUIRE(test.ended.size() == 1);
+    // What it held is about to be freed, which is enough.
+    CHECK(test.budget.makeRoom(newcomer, 1000, test.clock.now()) == 0);
+    CHECK(test.budget.makeRoom(newcomer, 2 * megabyte, test.clock.now()) == 2);
+    CHECK(test.ended.size() == 3);
+}
+
+// Guards against small sound callers that are ended in place of those that fill the memory.
+TEST_CASE("Who holds most and has moved least is ended first")
+{
+    upload_case test;
+    test.charges[7].resize(3 * megabyte, test.clock.now());
+    test.charges[8].resize(2 * megabyte, test.clock.now());
+    test.addUpload(1000);
+    test.clock.advance(milliseconds(1000));
+    test.charges[7].recordProgress(test.clock.now());
+    CHECK(test.budget.makeRoom(0, megabyte, test.clock.now()) == 4);
+    // The largest has made progress, and the smallest holds next to nothing.
+    CHECK(test.ended.front() == test.holders[8]);
+    CHECK(std::find(test.ended.begin(), test.ended.end(), test.holders[7]) == test.ended.end());
+    CHECK(std::find(test.ended.begin(), test.ended.end(), test.holders.back()) == test.ended.end());
+}
+
+// Guards against callers that send a byte now and then to keep what they hold.
+TEST_CASE("A few bytes are no progress")
+{
+    upload_case test;
+    for (int i = 0; i < 10; ++i) {
+        test.clock.advance(milliseconds(100));
+        for (auto& charge : test.charges)
+            charge.recordProgress(test.clock.now(), 10);
+    }
+    CHECK(test.budget.makeRoom(0, 1000, test.clock.now()) == 1);
+}
+
+// Guards against requests that are sent just fast enough to be kept for ever.
+TEST_CASE("A request that takes long gives way although it makes progress")
+{
+    upload_case test;
+    for (int i = 0; i < 30; ++i) {
+        CHECK(test.budget.makeRoom(0, 1000, test.clock.now()) == 0);
+        test.clock.advance(milliseconds(100));
+        for (auto& charge : test.charges)
+            charge.recordProgress(test.clock.now());
+    }
+    CHECK(test.budget.makeRoom(0, 1000, test.clock.now()) == 1);
+}
+
+// Guards against answers that are cut off for the sake of new callers.
+TEST_CASE("Room is never made by ending calls that are being answered")
+{
+    upload_case test;
+    for (auto& charge : test.charges)
+        charge.setWait(buffer_budget::wait_for::Turn, test.clock.now());
+    test.charges.front().setWait(buffer_budget::wait_for::Caller, test.clock.now());
+    test.charges.back().setWait(buffer_budget::wait_for::Endpoint, test.clock.now());
+    test.clock.advance(std::chrono::seconds(60));
+    CHECK(test.budget.makeRoom(0, 1000, test.clock.now()) == 0);
+    CHECK(test.ended.empty());
+}
+
+TEST_CASE("A holder that was removed is not told of its end")
+{
+    upload_case test;
+    for (auto holder : test.holders)
+        test.budget.removeHolder(holder);
+    test.clock.advance(buffer_budget::maxUploadIdleTime);
+    CHECK(test.budget.makeRoom(0, 1000, test.clock.now()) == 1);
+    CHECK(test.ended.empty());
+}
--- a/Tests/Platform/CallerCrowdTest.cpp
+++ b/Tests/Platform/CallerCrowdTest.cpp
@@ -66,7 +66,7 @@
 
 /// Checks that both processes are sound while the crowd is there.
 template <typename Door>
-void checkBeside(crowd_fleet& fleet, std::size_t members, const crowd_request& request)
+void checkBeside(crowd_fleet& fleet, std::size_t members, const repeated_request& request)
 {
     request_crowd crowd(Door::address(fleet), members, request);
     crowd.waitUntilStill();
@@ -85,14 +85,14 @@
 TEMPLATE_TEST_CASE("Whole bodies without their last byte", "[crowd]", routed_calls, calls_without_route, ready_door, unknown_path_at_ready, metrics_door, control_door, control_reports)
 {
     crowd_fleet fleet;
-    crowd_request request { TestType::head(fmt::format("Content-Length: {}\r\n", maxBodyBytes)), std::string(maxBodyBytes - 1, 'x'), 1, "" };
+    repeated_request request { TestType::head(fmt::format("Content-Length: {}\r\n", maxBodyBytes)), std::string(maxBodyBytes - 1, 'x'), 1, "" };
     checkBeside<TestType>(fleet, 40, request);
 }
 
 TEMPLATE_TEST_CASE("Bodies in small pieces without their last byte", "[crowd]", routed_calls, calls_without_route, ready_door, metrics_door, control_door)
 {
     crowd_fleet fleet;
-    crowd_request request { TestType::head(fmt::format("Content-Length: {}\r\n", maxBodyBytes)), std::string(maxBodyBytes - 1, 'x'), 1, "" };
+    repeated_request request { TestType::head(fmt::format("Content-Length: {}\r\n", maxBodyBytes)), std::string(maxBodyBytes - 1, 'x'), 1, "" };
     request.pieceBytes = 8 * kilobyte;
     checkBeside<TestType>(fleet, 40, request);
 }
@@ -101,7 +101,7 @@
 {
     crowd_fleet fleet;
     constexpr std::size_t chunkBytes = 1000;
-    crowd_request request { TestType::head("Transfer-Encoding: chunked\r\n"), fmt::format("{:x}\r\n{}\r\n", chunkBytes, std::string(chunkBytes, 'x')), maxBodyBytes / chunkBytes - 1, "" };
+    repeated_request request { TestType::head("Transfer-Encoding: chunked\r\n"), fmt::format("{:x}\r\n{}\r\n", chunkBytes, std::string(chunkBytes, 'x')), maxBodyBytes / chunkBytes - 1, "" };
     checkBeside<TestType>(fleet, 40, request);
 }
 
@@ -109,7 +109,7 @@
 {
     crowd_fleet fleet;
     constexpr std::size_t chunkBytes = 64 * kilobyte;
-    crowd_request request { TestType::head("Transfer-Encoding: chunked\r\n"), fmt::format("{:x}\r\n{}\r\n", chunkBytes, std::string(chunkBytes, 'x')), 10 * maxBodyBytes / chunkBytes, "" };
+    repeated_request request { TestType::head("Transfer-Encoding: chunked\r\n"), fmt::format("{:x}\r\n{}\r\n", chunkBytes, std::string(chunkBytes, 'x')), 10 * maxBodyBytes / chunkBytes, "" };
     checkBeside<TestType>(fleet, 20, request);
 }
 
@@ -147,7 +147,7 @@
 {
     crowd_fleet fleet;
     constexpr std::size_t bytesSent = 100;
-    crowd_request request { TestType::question().substr(0, bytesSent), "", 0, "" };
+    repeated_request request { TestType::question().substr(0, bytesSent), "", 0, "" };
     request.pieceBytes = 1;
     request.pause = milliseconds(20);
     checkBeside<TestType>(fleet, 900, request);
--- a/Tests/Platform/request_crowd.cpp
+++ b/Tests/Platform/request_crowd.cpp
@@ -26,7 +26,7 @@
     }
 }
 
-request_crowd::request_crowd(const std::string& address, std::size_t members, crowd_request request)
+request_crowd::request_crowd(const std::string& address, std::size_t members, repeated_request request)
     : m_request(std::move(request))
 {
     m_bytes = m_request.head;
--- a/Tests/Platform/request_crowd.h
+++ b/Tests/Platform/request_crowd.h
@@ -9,7 +9,7 @@
 namespace pistachiolatch::test {
 
 /// What each member of a crowd sends.
-struct crowd_request {
+struct repeated_request {
     std::string head;
     /// Sent after the head, this often.
     std::string repeated;
@@ -26,7 +26,7 @@
 /// Callers that send the same and keep their connections open without reading until the crowd is destroyed.
 class request_crowd {
 public:
-    request_crowd(const std::string& address, std::size_t members, crowd_request request);
+    request_crowd(const std::string& address, std::size_t members, repeated_request request);
     ~request_crowd();
     request_crowd(const request_crowd&) = delete;
     request_crowd& operator=(const request_crowd&) = delete;
@@ -47,7 +47,7 @@
     /// Sends a piece. Returns whether the peer took something.
     bool sendPiece(member& sender);
 
-    crowd_request m_request;
+    repeated_request m_request;
     std::string m_bytes;
     std::vector<member> m_members;
     std::atomic<std::size_t> m_connected { 0 };
