HTTP, forwarding: Limit connections of callers, and close the longest waiting

What callers saw: 900 connections with half a head, one sent byte by byte, or nothing at all, took all 600 descriptors of an entry or control process, so that none were left for endpoints, peers and files; a question whether the entry is ready, or a report at the control process, was not answered while idle connections stayed. 500 callers who sent requests ahead held 58 MB of unread data.

Cause: the entry's gateway took any number of connections, the other servers 4,096 each.

Callers get two fifths of the descriptors now, or as many connections as may hold 64 KB of unread data in a quarter of the memory; the servers for readiness and metrics have 64. At the limit the connection goes that has waited longest for a request or for the rest of one. Connections that are never idle close after their calls while others need the place, and answers that nobody reads are given up at servers that answer at once. A caller that has sent requests ahead gets a small receive buffer.

Tried and dropped: a small receive buffer for all connections. Data beyond it was dropped and sent again after 200 ms, so that long requests of sound callers took seconds.

--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -14,6 +14,8 @@
     /// How long new connections are accepted after a shutdown was requested: load balancers need time to notice that
     /// this entry is no longer ready.
     milliseconds acceptWhileDraining { 2500 };
+    /// If there are more connections, those are closed that have waited longest for a request, or for the rest of one.
+    std::size_t maxConnections = 4096;
 };
 
 /// The HTTP server of an entry: reads callers' requests and serves each with a call_forwarder.
@@ -72,6 +74,8 @@
     void endStalled();
     /// Ends a caller, or the call on its connection, because the budget needs what it holds.
     void endHolder(const caller_ptr& caller, const buffer_budget::stalled_holder& stalled);
+    /// Closes the connection that has waited longest for its caller. Returns whether there was one.
+    bool displaceCaller();
     /// Whether the shutdown is so advanced that a new call might not complete before the process ends.
     bool rejectsNewCalls() const { return m_shared.draining && m_shared.clock.now() - m_drainStartedAt > m_settings.acceptWhileDraining; }
     void closeExpired();
@@ -91,6 +95,7 @@
     bool m_measuringLoop = false;
     unsigned m_turnedAway = 0;
     unsigned m_takenIn = 0;
+    unsigned m_displaced = 0;
     /// By cause, so that many refusals for one don't hide others.
     std::map<reason, log_limiter> m_refusalLogs;
     log_limiter m_stalledLog;
@@ -167,6 +172,7 @@
     measureLoopDelay();
     auto& budget = m_shared.bufferBudget;
     bool hasRoom = budget.fits(request_reader::connectionBytes) || budget.makeRoom(0, request_reader::connectionBytes, m_shared.clock.now()) > 0;
+    hasRoom = hasRoom && (m_callers.size() < m_settings.maxConnections || displaceCaller());
     if (!hasRoom || !m_gate.admit(m_shared.sendWindow.backlog(), m_shared.clock.now())) {
         // Closed without having been read, so that the caller may send any request again.
         ++m_turnedAway;
@@ -190,6 +196,25 @@
     boost::asio::co_spawn(m_shared.context, serveConnection(caller), boost::asio::detached);
 }
 
+template <call_codec Codec>
+bool call_gateway<Codec>::displaceCaller()
+{
+    caller_ptr longest;
+    // One whose request was refused has its answer; then those go that have waited longest.
+    auto isBefore = [](const caller_state& a, const caller_state& b) { return std::pair(!a.isRefused, a.phaseStartedAt) < std::pair(!b.isRefused, b.phaseStartedAt); };
+    for (const auto& caller : m_callers) {
+        bool isWaiting = !caller->inCall && !caller->connection->isClosed();
+        if (isWaiting && (!longest || isBefore(*caller, *longest)))
+            longest = caller;
+    }
+    if (!longest)
+        return false;
+    longest->connection->close();
+    ++m_displaced;
+    m_shared.counters.count("connections_displaced");
+    return true;
+}
+
 template <call_codec Codec>
 void call_gateway<Codec>::measureLoopDelay()
 {
@@ -214,6 +239,8 @@
     auto toMs = [](duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
     auto turnedAway = std::exchange(m_turnedAway, 0);
     auto takenIn = std::exchange(m_takenIn, 0);
+    if (auto displaced = std::exchange(m_displaced, 0); displaced > 0)
+        logEvent("connections_displaced", { { "address", m_settings.listen }, { "count", displaced }, { "connections", m_callers.size() }, { "limit", m_settings.maxConnections } });
     auto suppressed = m_stalledLog.takeSuppressed();
     for (auto& [cause, limiter] : m_refusalLogs)
         suppressed += limiter.takeSuppressed();
@@ -239,7 +266,9 @@
         if (!request)
             break;
         m_gate.recordRead(std::exchange(caller->open, true), m_shared.clock.now());
-        m_shared.crowded = m_gate.shedsOpenConnections(m_shared.sendWindow.backlog());
+        // Connections that are never idle can't be displaced; they close after their calls while new ones need the place.
+        bool isFull = m_callers.size() >= m_settings.maxConnections;
+        m_shared.crowded = isFull || m_gate.shedsOpenConnections(m_shared.sendWindow.backlog());
         caller->expectedBytes = {};
         caller->inCall = true;
         ++m_active;
--- a/Source/http/admin_server.cpp
+++ b/Source/http/admin_server.cpp
@@ -13,12 +13,16 @@
 
 http_limits questionLimits()
 {
+    constexpr unsigned maxConnections = 64;
     constexpr milliseconds readTimeout { 5000 };
     constexpr milliseconds writeTimeout { 10000 };
+    constexpr milliseconds longestService { 1000 };
     http_limits limits;
     limits.bodyBytes = 0;
+    limits.connections = maxConnections;
     limits.readTimeout = readTimeout;
     limits.writeTimeout = writeTimeout;
+    limits.longestService = longestService;
     return limits;
 }
 
--- /dev/null
+++ b/Source/http/connection_capacity.cpp
@@ -0,0 +1,35 @@
+#include "http/connection_capacity.h"
+
+#include "http/request_reader.h"
+#include <algorithm>
+
+namespace pistachiolatch {
+
+namespace {
+    constexpr std::size_t bytesPerMegabyte = 1024UL * 1024;
+    /// Each call needs a connection to an endpoint too.
+    constexpr double callerDescriptorShare = 0.4;
+    constexpr double relaySessionShare = 0.05;
+    /// What connections may have received without being read, which the buffer budget doesn't account for.
+    constexpr double unreadMemoryShare = 0.25;
+    /// An entry carries far fewer calls of its own.
+    constexpr std::size_t mostRelaySessions = 512;
+
+    std::size_t shareOf(std::size_t whole, double share)
+    {
+        return static_cast<std::size_t>(static_cast<double>(whole) * share);
+    }
+}
+
+std::size_t maxCallerConnections(const process_limits& limits)
+{
+    auto byMemory = shareOf(limits.memoryMb * bytesPerMegabyte, unreadMemoryShare) / request_reader::maxUnreadBytes;
+    return std::max<std::size_t>(1, std::min(byMemory, shareOf(limits.descriptors, callerDescriptorShare)));
+}
+
+std::size_t maxRelaySessions(const process_limits& limits)
+{
+    return std::max<std::size_t>(1, std::min(mostRelaySessions, shareOf(limits.descriptors, relaySessionShare)));
+}
+
+} // namespace pistachiolatch
--- a/Source/http/http.h
+++ b/Source/http/http.h
@@ -3,6 +3,7 @@
 /// This is the library's only public header.
 #include "http/admin_server.h"
 #include "http/buffer_budget.h"
+#include "http/connection_capacity.h"
 #include "http/event_scanner.h"
 #include "http/http_client.h"
 #include "http/http_exchange.h"
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -201,6 +201,8 @@
             co_await pause.async_wait(asTuple);
             continue;
         }
+        if (m_state->connections >= m_state->limits.connections)
+            closeLongestWaiting(*m_state);
         auto served = std::make_shared<connection>(std::move(socket), m_state->resources);
         {
             std::lock_guard lock(m_state->mutex);
@@ -210,6 +212,31 @@
     }
 }
 
+void http_server::closeLongestWaiting(shared_state& state)
+{
+    connection_ptr longest;
+    auto now = state.resources->now();
+    auto isUnread = [&](const connection& served) { return state.limits.longestService.count() > 0 && now - served.phaseStartedAt() >= state.limits.longestService; };
+    {
+        std::lock_guard lock(state.mutex);
+        for (const auto& candidate : state.open) {
+            bool isWaiting = candidate->currentPhase() != connection::phase::Serving || isUnread(*candidate);
+            if (isWaiting && (!longest || candidate->phaseStartedAt() < longest->phaseStartedAt()))
+                longest = candidate;
+        }
+        // Closed once, also if others are accepted before it is gone.
+        state.open.erase(longest);
+    }
+    if (!longest)
+        return;
+    state.count("connections_displaced");
+    bool mayCutService = isUnread(*longest);
+    asio::post(longest->stream().get_executor(), [longest, mayCutService] {
+        if (mayCutService || longest->currentPhase() != connection::phase::Serving)
+            longest->close();
+    });
+}
+
 task_of<void> http_server::watchConnections(std::weak_ptr<shared_state> weak, asio::io_context& context)
 {
     asio::steady_timer timer(context);
@@ -233,7 +260,8 @@
 {
     scoped_count connections(state->connections);
     served->open();
-    if (state->connections > state->limits.connections)
+    // Those that are displaced still count until they are gone.
+    if (state->connections > state->limits.connections + state->limits.connections / 2 + 1)
         co_await refuse(*state, *served, reason::TooManyConnections);
     else
         co_await serveRequests(*state, *served);
@@ -301,7 +329,8 @@
         served.begin(connection::phase::Serving, milliseconds(0));
         auto charge = served.reader().takeCharge();
         http_exchange exchange(served.stream(), served.reader().release(), state.limits.writeTimeout, { state.resources->budget, served.holder(), &state.resources->clock });
-        if (state.draining || hasUnreadBody)
+        bool isFull = state.connections >= state.limits.connections;
+        if (state.draining || hasUnreadBody || isFull)
             exchange.closeAfterResponse();
         co_await state.handler(exchange);
         if (hasUnreadBody && exchange.responseStarted()) {
--- a/Source/http/http_server.h
+++ b/Source/http/http_server.h
@@ -16,10 +16,14 @@
 struct http_limits {
     std::uint32_t headerBytes = 16 * 1024;
     std::uint64_t bodyBytes = 16ULL * 1024 * 1024;
+    /// If there are more, those are closed that have waited longest for a request, or for the rest of one.
     unsigned connections = 4096;
     milliseconds idleTimeout { 60000 };
     milliseconds readTimeout { 30000 };
     milliseconds writeTimeout { 30000 };
+    /// How long a request may be served before its connection can be closed for others: for servers that answer at once, whose
+    /// callers don't read the answer then. Zero means that it can't.
+    milliseconds longestService { 0 };
 };
 
 /// Response to a request that could not be read, in the error format of the API served at this address.
@@ -90,6 +94,8 @@
     task_of<void> acceptConnections();
     /// Looks at all connections at intervals: ends those that hold what others need, and idle ones during a shutdown.
     static task_of<void> watchConnections(std::weak_ptr<shared_state> state, boost::asio::io_context& context);
+    /// Closes the connection that has waited longest for its caller, if there is one.
+    static void closeLongestWaiting(shared_state& state);
     static task_of<void> serveConnection(std::shared_ptr<shared_state> state, connection_ptr served);
     static task_of<void> serveRequests(shared_state& state, connection& served);
     /// Reads a request, or refuses it. Returns whether there is one to handle.
--- a/Source/http/request_reader.cpp
+++ b/Source/http/request_reader.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 namespace pistachiolatch {
 
@@ -17,6 +18,10 @@
     constexpr std::size_t bodyBlockBytes = 32UL * 1024;
     /// Data is read into one block a thread, so that connections that wait for data hold no buffers.
     thread_local std::array<char, bodyBlockBytes> readBlock;
+    /// The kernel doubles it.
+    constexpr int receiveBufferBytes = 64 * 1024;
+    /// For a caller that sends requests ahead, which it keeps sending while it gets no answer.
+    constexpr int narrowReceiveBufferBytes = 16 * 1024;
     /// What the HTTP library takes for a field besides its text.
     constexpr std::size_t fieldCost = 112;
     /// Heads that cost no more are parsed in any case, so that their refusal can name the request.
@@ -27,6 +32,11 @@
     constexpr milliseconds releaseTime { 5 };
     constexpr int maxReleaseWaits = 3;
 
+    void setReceiveBuffer(int socket, int bytes)
+    {
+        ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    }
+
     reason toReason(const boost::system::error_code& error)
     {
         if (error == http::error::header_limit)
@@ -105,6 +115,8 @@
     m_bufferCharge.setWait(buffer_budget::wait_for::Upload, m_clock.now());
     if (hasBegun())
         co_return read_outcome {};
+    if (std::exchange(m_isNarrow, false))
+        setReceiveBuffer(m_socket.native_handle(), receiveBufferBytes);
     auto error = co_await awaitData();
     co_return error ? read_outcome { read_outcome::status::Closed, reason::BadRequest, {} } : read_outcome {};
 }
@@ -235,6 +247,8 @@
     m_parser.reset();
     m_buffer.shrink_to_fit();
     m_bufferCharge.resize(m_buffer.capacity(), m_clock.now());
+    if (hasBegun() && !std::exchange(m_isNarrow, true))
+        setReceiveBuffer(m_socket.native_handle(), narrowReceiveBufferBytes);
     return message;
 }
 
--- a/Source/http/request_reader.h
+++ b/Source/http/request_reader.h
@@ -26,13 +26,16 @@
 };
 
 /// Reads the requests on one connection for the servers of a process. All that it reads into is accounted to the connection's holder
-/// in the budget: it looks for room before it takes data from the socket, and never reads ahead of that. Used on the socket's thread.
+/// in the budget: it looks for room before it takes data from the socket, and never reads ahead of that. Callers that send
+/// requests ahead get a small receive buffer meanwhile. Used on the socket's thread.
 class request_reader {
 public:
     using request = boost::beast::http::request<boost::beast::http::string_body>;
 
     /// What a connection costs besides the data that it carries.
     static constexpr std::size_t connectionBytes = 10UL * 1024;
+    /// The most that a connection can have received without being read, on which the number of connections is based.
+    static constexpr std::size_t maxUnreadBytes = 64UL * 1024;
 
     /// Precondition: the socket, the budget and the clock outlive the reader.
     request_reader(boost::asio::ip::tcp::socket& socket, buffer_budget& budget, buffer_budget::holder_id holder, const clock_source& clock);
@@ -90,6 +93,7 @@
     /// The head with its fields, and the body with the copy that may be made of it.
     buffer_charge m_requestCharge;
     std::size_t m_headCost = 0;
+    bool m_isNarrow = false;
     bool m_refused = false;
 };
 
--- /dev/null
+++ b/Tests/Http/ConnectionCapacityTest.cpp
@@ -0,0 +1,35 @@
+#include "http/http.h"
+#include <catch2/catch.hpp>
+
+using namespace pistachiolatch;
+
+// Guards against connections of callers that leave no descriptors for endpoints, or no memory for requests.
+TEST_CASE("Connections of callers are limited by descriptors and by memory")
+{
+    CHECK(maxCallerConnections({ 4096, 4100 }) == 1640);
+    auto byMemory = maxCallerConnections({ 110, 1'000'000 });
+    CHECK(byMemory * request_reader::maxUnreadBytes <= 110UL * 1024 * 1024 / 4);
+    CHECK((byMemory + 1) * request_reader::maxUnreadBytes > 110UL * 1024 * 1024 / 4);
+    CHECK(maxCallerConnections({ 0, 0 }) == 1);
+    CHECK(maxRelaySessions({ 4096, 4100 }) == 205);
+    CHECK(maxRelaySessions({ 4096, 1'000'000 }) == 512);
+}
+
+TEST_CASE("Limits that the settings don't state are those of the system")
+{
+    auto limits = completeLimits({ 0, 0 });
+    CHECK(limits.memoryMb > 0);
+    CHECK(limits.descriptors > 0);
+    CHECK(completeLimits({ 64, 10 }).memoryMb == 64);
+    CHECK(completeLimits({ 64, 10 }).descriptors == 10);
+    CHECK(completeLimits({ 64, limits.descriptors + 1 }).descriptors == limits.descriptors);
+}
+
+// Guards against heads of many short fields that take many times their length unaccounted.
+TEST_CASE("The estimate of a head covers its fields")
+{
+    std::string head = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 4000; ++i)
+        head += "a:\r\n";
+    CHECK(estimateHeadCost(head) >= 4000 * 100 + head.size());
+}
