Forwarding: Limit connections to the relay that show no token

What was seen: 900 connections that sent a relay message short of its last byte took all 600 descriptors of an entry.

Cause: connections counted only once they had shown the token; until then each stayed for a second, in any number.

At most 64 may be open without it, of which the oldest is closed for the next one: entries identify themselves within a round trip.

--- a/Source/forwarding/relay_server.cpp
+++ b/Source/forwarding/relay_server.cpp
@@ -18,9 +18,11 @@
     constexpr milliseconds connectTimeout { 250 };
     /// After the endpoint's data has ended, the other entry closes within a round trip.
     constexpr milliseconds closeTimeout { 1000 };
-    /// Bounds memory and descriptors. An entry carries far fewer calls of its own.
-    constexpr std::size_t maxSessions = 512;
+    /// Entries identify themselves within a round trip. If more connections are open that have not, the oldest are closed.
+    constexpr std::size_t maxUnidentified = 64;
     constexpr std::size_t copyBufferBytes = 16UL * 1024;
+    /// A buffer for each direction, and the connections.
+    constexpr std::size_t sessionBytes = 2 * copyBufferBytes + request_reader::connectionBytes;
     constexpr milliseconds acceptRetryDelay { 20 };
 
     std::string generateToken()
@@ -40,6 +42,7 @@
     acknowledgement_watch entryAcknowledgements;
     acknowledgement_watch endpointAcknowledgements;
     asio::steady_timer acknowledgementTimer;
+    buffer_charge charge;
 
     explicit session(tcp::socket accepted)
         : entry(std::move(accepted))
@@ -84,12 +87,14 @@
     }
 };
 
-relay_server::relay_server(asio::io_context& context, metrics& counters, endpoint_registry& endpoints, endpoint_paths& paths, std::string listenAddress, unreachable_handler onUnreachable)
+relay_server::relay_server(asio::io_context& context, const clock_source& clock, metrics& counters, buffer_budget& budget, endpoint_registry& endpoints, endpoint_paths& paths, relay_settings settings, unreachable_handler onUnreachable)
     : m_context(context)
+    , m_clock(clock)
     , m_metrics(counters)
+    , m_budget(budget)
     , m_endpoints(endpoints)
     , m_paths(paths)
-    , m_listenAddress(std::move(listenAddress))
+    , m_settings(std::move(settings))
     , m_onUnreachable(std::move(onUnreachable))
     , m_token(generateToken())
     , m_acceptor(context)
@@ -98,9 +103,9 @@
 
 result<void> relay_server::listen()
 {
-    if (m_listenAddress.empty())
+    if (m_settings.listen.empty())
         return ok();
-    BOOST_OUTCOME_TRYV(listenOn(m_acceptor, m_listenAddress));
+    BOOST_OUTCOME_TRYV(listenOn(m_acceptor, m_settings.listen));
     accept();
     return ok();
 }
@@ -117,9 +122,9 @@
 wire::relay_offer relay_server::offer(const std::string& dataCentre) const
 {
     wire::relay_offer offer;
-    if (m_listenAddress.empty() || m_draining)
+    if (m_settings.listen.empty() || m_draining)
         return offer;
-    offer.set_address(m_listenAddress);
+    offer.set_address(m_settings.listen);
     offer.set_token(m_token);
     offer.set_data_centre(dataCentre);
     offer.set_cut_off(m_paths.isCutOff());
@@ -142,21 +147,37 @@
             timer->async_wait([this, timer](boost::system::error_code) { accept(); });
             return;
         }
-        asio::co_spawn(m_context, serve(std::make_shared<session>(std::move(socket))), asio::detached);
+        if (m_unidentified.size() >= maxUnidentified) {
+            m_unidentified.front()->close();
+            m_unidentified.pop_front();
+            m_metrics.count("relay_unidentified_closed");
+        }
+        m_unidentified.push_back(std::make_shared<session>(std::move(socket)));
+        asio::co_spawn(m_context, serve(m_unidentified.back()), asio::detached);
         accept();
     });
 }
 
-task_of<void> relay_server::serve(session_ptr relayed)
+task_of<bool> relay_server::readRequest(session_ptr relayed, wire::relay_open& request)
 {
-    configureEndpointSocket(relayed->entry);
     session::startTimer(relayed, requestTimeout);
-    wire::relay_open request;
     bool received = co_await readRelayMessage(relayed->entry, request);
     relayed->timer.cancel();
-    if (!received || !isAuthorised(request.token())) {
-        m_metrics.count("relay_unauthorised");
-        logEvent("relay_refused", { { "why", received ? "token" : "malformed" }, { "endpoint", request.endpoint() } });
+    std::erase(m_unidentified, relayed);
+    if (received && isAuthorised(request.token()))
+        co_return true;
+    m_metrics.count("relay_unauthorised");
+    if (m_refusalLog.admit(m_clock.now()))
+        logEvent("relay_refused", { { "why", received ? "token" : "malformed" }, { "endpoint", request.endpoint() }, { "not_logged", m_refusalLog.takeSuppressed() } });
+    co_return false;
+}
+
+task_of<void> relay_server::serve(session_ptr relayed)
+{
+    configureEndpointSocket(relayed->entry);
+    wire::relay_open request;
+    bool isEntry = co_await readRequest(relayed, request);
+    if (!isEntry) {
         relayed->close();
         co_return;
     }
@@ -191,10 +212,14 @@
         co_return wire::RELAY_ENDPOINT_BLOCKED;
     auto endpoint = m_endpoints.find(request.endpoint());
     bool isKnown = endpoint && endpoint->incarnation == request.born_ms();
-    if (m_draining || m_stopped || m_sessions.size() > maxSessions || !isKnown || m_paths.isCutOff())
+    if (m_draining || m_stopped || m_sessions.size() > m_settings.maxSessions || !isKnown || m_paths.isCutOff())
         co_return wire::RELAY_UNAVAILABLE;
     if (m_paths.isBlocked(request.endpoint()))
         co_return wire::RELAY_ENDPOINT_BLOCKED;
+    if (!m_budget.fits(sessionBytes))
+        co_return wire::RELAY_UNAVAILABLE;
+    relayed->charge = buffer_charge(m_budget, m_budget.addHolder(), buffer_budget::wait_for::Turn);
+    relayed->charge.resize(sessionBytes, m_clock.now());
     asio::steady_timer timer(m_context, connectTimeout);
     timer.async_wait([relayed](boost::system::error_code expired) {
         boost::system::error_code ignored;
