Forwarding: Refuse responses that announce more than memory holds

What was seen: a response with a Content-Length of 10^18 ended the entry that read it, with all its calls.

Cause: the HTTP library reserves memory for the whole length as it begins to read the body, and throws out of its event handler if it can't. A review had found it by reading.

A response that announces more than 1 GB fails like any other that can't be read.

--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -15,6 +15,7 @@
 namespace {
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
+    constexpr std::uint64_t maxAnnouncedBytes = 1ULL << 30;
     constexpr unsigned firstFinalStatus = 200;
     /// Requests are sent in parts of this size, so that no long one keeps others, and messages to control, waiting.
     constexpr std::size_t sendPartBytes = 8UL * 1024;
@@ -131,7 +132,9 @@
             continue;
         m_interrupted = false;
         m_insideHead = false;
-        if (error || hasUnknownTransferCoding(m_parser->get()))
+        // The HTTP library reserves memory for the whole length, and throws out of its event handler if it can't.
+        bool isTooLong = !error && m_parser->content_length().value_or(0) > maxAnnouncedBytes;
+        if (error || isTooLong || hasUnknownTransferCoding(m_parser->get()))
             co_return head_result::Failed;
         if (status() >= firstFinalStatus)
             co_return head_result::Received;
--- a/Tests/Platform/FieldLengthTest.cpp
+++ b/Tests/Platform/FieldLengthTest.cpp
@@ -94,3 +94,33 @@
     }
     CHECK(eventually([&] { return call(soundBody).starts_with("HTTP/1.1 200 "); }));
 }
+
+// Guards against responses that announce such a length that the entry ends as it reserves memory for it.
+TEST_CASE("An entry goes on after a response that announces a length beyond all memory", "[promise]")
+{
+    platform_fleet fleet;
+    fleet.start();
+    std::atomic<const char*> length { "4" };
+    scripted_endpoint app(fleet.endpointAddress(1), [&](const http_exchange::request&) {
+        scripted_response response;
+        response.headers = { { "Content-Length", length.load() }, { platform_names::responseSeal, "seal" } };
+        response.body = "kits";
+        return response;
+    });
+    // The fake endpoint only writes the reports.
+    fake_endpoint reported("app-1", fleet.endpointAddress(101), "app", "");
+    reported.setReportedAddress(fleet.endpointAddress(1));
+    REQUIRE(fleet.submitConfiguration(exampleConfiguration(7)) == 200);
+    endpoint_reporter reporter(fleet, { &reported });
+    REQUIRE(eventually([&] { return fleet.isEntryReady(1); }));
+    auto call = [&] { return exchangeBytes(fleet.entryAddress(1), makeRequest("POST", "/book/any", fmt::format("{}: 4000\r\nContent-Length: 0\r\nConnection: close\r\n", platform_names::deadlineMs), "")); };
+    REQUIRE(eventually([&] { return call().starts_with("HTTP/1.1 200 "); }));
+    for (const auto* announced : { "1000000000000000000", "9223372036854775807", "100000000000" }) {
+        INFO(announced);
+        length = announced;
+        CHECK_FALSE(call().starts_with("HTTP/1.1 200 "));
+        REQUIRE(fleet.entry(1).isRunning());
+    }
+    length = "4";
+    CHECK(eventually([&] { return call().starts_with("HTTP/1.1 200 "); }));
+}
