--- a/Tests/Soak/soak_main.cpp
+++ b/Tests/Soak/soak_main.cpp
@@ -1,5 +1,6 @@
 #include "Platform/crowd_callers.h"
 #include "Platform/platform_fleet.h"
+#include "Platform/request_crowd.h"
 #include "Platform/retry_accounting.h"
 #include "platform_names.h"
 #include "Soak/kept_connection.h"
@@ -39,6 +40,9 @@
     constexpr std::array idleTimes { 2000, 5000, 15000 };
     constexpr milliseconds maxReuseTime { 1600 };
     constexpr milliseconds operatorInterval { 150 };
+    constexpr int crowdedMemoryMb = 64;
+    constexpr int crowdedDescriptors = 600;
+    constexpr std::size_t crowdMembers = 100;
 
     /// Returns a configuration with or without the second key.
     std::string makeConfiguration(std::uint64_t version, bool withSecondKey)
@@ -64,6 +68,8 @@
         bool resting = false;
         /// Whether endpoints stand still and go on, beside changes of the configuration's times and faults of control only.
         bool pauses = false;
+        /// Whether crowds of misbehaving callers come to entries and control processes with little memory and few descriptors.
+        bool misbehaving = false;
 
         bool hasExtraEngines() const { return versions || crashingParts; }
     };
@@ -94,6 +100,10 @@
                 m_fleet.makePartitionable();
             for (int n = 1; m_options.crowded && n <= m_entryCount; ++n)
                 m_fleet.narrowLink(n, m_proxy, narrowLink);
+            if (m_options.misbehaving) {
+                m_fleet.setMemory(crowdedMemoryMb);
+                m_fleet.setMaxDescriptors(crowdedDescriptors);
+            }
             m_fleet.start();
             if (m_fleet.submitConfiguration(makeConfiguration(1, true)) != 200)
                 m_checks.addFailure("the first configuration was not accepted");
@@ -109,6 +119,8 @@
                 threads.emplace_back([this] { askForRests(); });
             if (m_options.crowded)
                 threads.emplace_back([this] { crowdEntries(); });
+            if (m_options.misbehaving)
+                threads.emplace_back([this] { sendCrowds(); });
             auto end = steady::now() + length;
             // A full disk and another fault overlap already.
             int injectorCount = m_options.fullDisks ? 1 : concurrentFaults;
@@ -323,6 +335,54 @@
                 m_checks.addFailure(fmt::format("of the {} first attempts that a crowded entry read, {} were served", outcomes.read, outcomes.served));
         }
 
+        /// Sends crowds of callers that don't read and hold back the end of their requests, to one process after the other, and checks
+        /// that the process stays within its memory.
+        void sendCrowds()
+        {
+            random_engine random(m_seed + 7);
+            while (!m_stopClients) {
+                bool toControl = randomUpTo(random, 4) == 1;
+                int n = randomUpTo(random, toControl ? controls : m_entryCount);
+                auto address = toControl ? m_fleet.controlAddress(n) : randomUpTo(random, 3) == 1 ? m_fleet.readyAddress(n)
+                                                                                                  : m_fleet.entryAddress(n);
+                {
+                    request_crowd crowd(address, crowdMembers, makeCrowdRequest(random, toControl ? "PUT /-/config" : "POST /book/crowd"));
+                    sleepRandomly(random, 500, 2000);
+                    checkMemory(toControl ? m_fleet.control(n) : m_fleet.entry(n), toControl ? m_controlFaults[static_cast<std::size_t>(n)] : m_entryFaults[static_cast<std::size_t>(n)], address);
+                }
+                sleepRandomly(random, 0, 300);
+            }
+        }
+
+        static repeated_request makeCrowdRequest(random_engine& random, const std::string& line)
+        {
+            auto head = fmt::format("{} HTTP/1.1\r\nHost: h.example\r\n{}: Token key-1\r\n{}: crowd\r\n{}: 3000\r\n", line, platform_names::authorization, platform_names::requestId, platform_names::deadlineMs);
+            constexpr std::size_t bodyBytes = 90000;
+            switch (randomUpTo(random, 4)) {
+            case 1:
+                return { fmt::format("{}Content-Length: {}\r\n\r\n", head, bodyBytes), "x", bodyBytes - 1, "" };
+            case 2:
+                return { head + "Transfer-Encoding: chunked\r\n\r\n", "64\r\n" + std::string(100, 'x') + "\r\n", bodyBytes / 100, "" };
+            case 3:
+                return { head + "Content-Length: 10\r\n", "a:\r\n", 3800, "\r\nshort" };
+            default:
+                return { head, "X-More: y\r\n", 500, "" };
+            }
+        }
+
+        void checkMemory(child_process& process, std::recursive_mutex& faults, const std::string& address)
+        {
+            // A process that a fault has stopped or killed isn't looked at.
+            std::unique_lock lock(faults, std::try_to_lock);
+            if (!lock)
+                return;
+            m_checks.count("crowds checked");
+            if (!process.isRunning())
+                m_checks.addFailure(fmt::format("the process at {} ended beside a crowd", address));
+            else if (auto bytes = process.residentBytes(); bytes > crowdedMemoryMb * 1024UL * 1024)
+                m_checks.addFailure(fmt::format("the process at {} used {} MB beside a crowd", address, bytes >> 20));
+        }
+
         /// Checks that no entry sent an endpoint more than two requests within a rest that it was asked for, but for rests during
         /// which the entry or the way to the endpoint had a fault.
         void checkRests(const fake_endpoint& endpoint, int number)
@@ -808,6 +868,7 @@
     app.add_flag("--even", options.even, "with --crowded, let the same callers choose among all entries evenly, to compare with")->needs(crowdedFlag);
     app.add_flag("--resting", options.resting, "let endpoints ask for rest");
     app.add_flag("--pauses", options.pauses, "let endpoints stand still for about a second beside changes of the configuration, with no other faults of endpoints and entries");
+    app.add_flag("--misbehaving", options.misbehaving, "send crowds of callers that never complete their requests to processes with little memory");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     int failedSeeds = 0;
