HTTP: Date connections from when they are accepted

At a server's limit, a connection that was accepted by one thread and not yet begun by another would have counted as the one that has waited longest, and been closed in place of an older one. Found by reading; processes with one traffic thread, as on the platform, can't meet it. No test shows it.

--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -45,6 +45,7 @@
         : m_resources(std::move(resources))
         , m_stream(std::move(socket))
         , m_timer(m_stream.get_executor())
+        , m_phaseStartedAt(m_resources->now())
     {
         beast::error_code ignored;
         m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -61,7 +62,6 @@
                 asio::post(self->m_stream.get_executor(), [self] { self->end(); });
         });
         m_reader.emplace(m_stream.socket(), *m_resources->budget, m_holder, m_resources->clock);
-        m_phaseStartedAt = m_resources->now();
     }
 
     beast::tcp_stream& stream() { return m_stream; }
@@ -125,7 +125,7 @@
     std::optional<request_reader> m_reader;
     asio::steady_timer m_timer;
     std::atomic<phase> m_phase { phase::Idle };
-    std::atomic<time_point> m_phaseStartedAt { time_point {} };
+    std::atomic<time_point> m_phaseStartedAt;
     bool m_timedOut = false;
 };
 
