HTTP: Leave descriptors for the endpoints of all calls

Cause: callers got two fifths of all descriptors, those for files among them. With 600 that is 240 connections, and as many calls at the same time need as many connections to endpoints: 480.

The share is taken of what is left beside the 200 for files now, and twice that with the relayed connections fits into it, which the unit test checks.

--- a/Source/http/connection_capacity.cpp
+++ b/Source/http/connection_capacity.cpp
@@ -8,7 +8,9 @@
 namespace {
     constexpr std::size_t bytesPerMegabyte = 1024UL * 1024;
     /// Each call needs a connection to an endpoint too.
-    constexpr double callerDescriptorShare = 0.4;
+    constexpr double callerDescriptorShare = 0.42;
+    /// What the platform keeps for files.
+    constexpr std::size_t fileDescriptors = 200;
     constexpr double relaySessionShare = 0.05;
     /// What connections may have received without being read, which the buffer budget doesn't account for.
     constexpr double unreadMemoryShare = 0.25;
@@ -21,15 +23,21 @@
     }
 }
 
+/// The descriptors for connections: all but those for files, or half of very few.
+static std::size_t connectionDescriptors(const process_limits& limits)
+{
+    return std::max(limits.descriptors - std::min(limits.descriptors, fileDescriptors), limits.descriptors / 2);
+}
+
 std::size_t maxCallerConnections(const process_limits& limits)
 {
     auto byMemory = shareOf(limits.memoryMb * bytesPerMegabyte, unreadMemoryShare) / request_reader::maxUnreadBytes;
-    return std::max<std::size_t>(1, std::min(byMemory, shareOf(limits.descriptors, callerDescriptorShare)));
+    return std::max<std::size_t>(1, std::min(byMemory, shareOf(connectionDescriptors(limits), callerDescriptorShare)));
 }
 
 std::size_t maxRelaySessions(const process_limits& limits)
 {
-    return std::max<std::size_t>(1, std::min(mostRelaySessions, shareOf(limits.descriptors, relaySessionShare)));
+    return std::max<std::size_t>(1, std::min(mostRelaySessions, shareOf(connectionDescriptors(limits), relaySessionShare)));
 }
 
 } // namespace pistachiolatch
--- a/Tests/Http/ConnectionCapacityTest.cpp
+++ b/Tests/Http/ConnectionCapacityTest.cpp
@@ -6,12 +6,15 @@
 // Guards against connections of callers that leave no descriptors for endpoints, or no memory for requests.
 TEST_CASE("Connections of callers are limited by descriptors and by memory")
 {
-    CHECK(maxCallerConnections({ 4096, 4100 }) == 1640);
+    CHECK(maxCallerConnections({ 4096, 4100 }) == 1638);
     auto byMemory = maxCallerConnections({ 110, 1'000'000 });
     CHECK(byMemory * request_reader::maxUnreadBytes <= 110UL * 1024 * 1024 / 4);
     CHECK((byMemory + 1) * request_reader::maxUnreadBytes > 110UL * 1024 * 1024 / 4);
+    // As many connections to endpoints, and two for each relayed one, fit beside them.
+    for (std::size_t descriptors : { 600UL, 1024UL, 4100UL })
+        CHECK(2 * maxCallerConnections({ 4096, descriptors }) + 2 * maxRelaySessions({ 4096, descriptors }) <= descriptors - 200);
     CHECK(maxCallerConnections({ 0, 0 }) == 1);
-    CHECK(maxRelaySessions({ 4096, 4100 }) == 205);
+    CHECK(maxRelaySessions({ 4096, 4100 }) == 195);
     CHECK(maxRelaySessions({ 4096, 1'000'000 }) == 512);
 }
 
