--- a/Source/http/connection_capacity.cpp
+++ b/Source/http/connection_capacity.cpp
@@ -21,12 +21,12 @@
     {
         return static_cast<std::size_t>(static_cast<double>(whole) * share);
     }
-}
 
-/// The descriptors for connections: all but those for files, or half of very few.
-static std::size_t connectionDescriptors(const process_limits& limits)
-{
-    return std::max(limits.descriptors - std::min(limits.descriptors, fileDescriptors), limits.descriptors / 2);
+    /// The descriptors for connections: all but those for files, or half of very few.
+    std::size_t connectionDescriptors(const process_limits& limits)
+    {
+        return std::max(limits.descriptors - std::min(limits.descriptors, fileDescriptors), limits.descriptors / 2);
+    }
 }
 
 std::size_t maxCallerConnections(const process_limits& limits)
