--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -511,9 +511,17 @@
     }
     std::string peersSection(int proxied = 0, const std::string& proxy = {}) const
     {
+        // The seeds name three machines.
+        std::vector<std::string> named;
+        if (proxied > 0)
+            named.push_back(proxy);
+        for (int n = 1; n <= m_controls && named.size() < 3; ++n) {
+            if (n != proxied)
+                named.push_back(controlAddress(n));
+        }
         std::string seeds;
-        for (int n = 1; n <= std::min(3, m_controls); ++n)
-            seeds += (n > 1 ? "," : "") + ("\"" + (n == proxied ? proxy : controlAddress(n)) + "\"");
+        for (const auto& address : named)
+            seeds += (seeds.empty() ? "" : ",") + ("\"" + address + "\"");
         return "[peers]\nport = 7500\ncontrols = [" + seeds + "]\n";
     }
     static std::string commonBounds() { return "retry_ratio = 0.2\nretry_slack = 54\nretry_window_s = 10\nlimit_slack = 73000\nlimit_overshoot = 0.1\nlimit_window_s = 8\n"; }
