--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -22,6 +22,7 @@
 #include <poll.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -542,6 +543,8 @@
         std::array<char*, 2> environment { variable.empty() ? nullptr : variable.data(), nullptr };
         auto process = ::fork();
         if (process == 0) {
+            // No process of a case outlives it.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(out, 1);
             ::dup2(out, 2);
