--- a/review/standins-2/denied_case.cpp
+++ b/review/standins-2/denied_case.cpp
@@ -12,7 +12,7 @@
 constexpr int workMs = 250;
 constexpr int pauseMs = 150;
 /// Two of eight runners are down at a time.
-constexpr int waves = 10;
+constexpr int waves = 14;
 constexpr int waveMs = 4000;
 constexpr int secondCrashMs = 200;
 constexpr int downMs = 2000;
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -399,8 +399,9 @@
         for (int attempt = 0; attempt < 200; ++attempt) {
             m_subnet = "127." + std::to_string(16 + (static_cast<int>(::getpid()) + attempt * 7) % 200);
             m_reserved = listenOn(m_subnet + ".9.9:8999");
-            if (m_reserved >= 0)
+            if (m_reserved >= 0 && areAddressesFree())
                 break;
+            ::close(m_reserved);
         }
     }
     ~deployment()
@@ -506,6 +507,22 @@
     }
 
 private:
+    bool areAddressesFree() const
+    {
+        auto isFree = [](const std::string& address) {
+            int descriptor = listenOn(address);
+            ::close(descriptor);
+            return descriptor >= 0;
+        };
+        for (int n = 1; n <= 8; ++n) {
+            auto host = "." + std::to_string(n) + ":";
+            bool isRangeFree = isFree(controlAddress(n)) && isFree(entryAddress(n)) && isFree(runnerAddress(n)) && isFree(m_subnet + ".1" + host + "7500") && isFree(m_subnet + ".1" + host + "9464")
+                && isFree(m_subnet + ".2" + host + "7515") && isFree(m_subnet + ".2" + host + "8365") && isFree(m_subnet + ".2" + host + "9464");
+            if (!isRangeFree)
+                return false;
+        }
+        return true;
+    }
     std::string vmSection(const std::string& name, const std::string& ip, int memoryMb) const
     {
         return "[vm]\nname = \"" + name + "\"\naddress = \"" + ip + "\"\ndata_centre = \"a\"\nmemory_mb = " + std::to_string(memoryMb) + "\nmax_descriptors = 4100\n";
