--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -394,8 +394,8 @@
         : m_controls(controls)
         , m_entries(entries)
     {
-        char folder[] = "/tmp/pistachiolatch-review-XXXXXX";
-        m_folder = ::mkdtemp(folder);
+        auto folder = (std::filesystem::temp_directory_path() / "pistachiolatch-review-XXXXXX").string();
+        m_folder = ::mkdtemp(folder.data());
         for (int attempt = 0; attempt < 200; ++attempt) {
             m_subnet = "127." + std::to_string(16 + (static_cast<int>(::getpid()) + attempt * 7) % 200);
             m_reserved = listenOn(m_subnet + ".9.9:8999");
