HTTP: Decide in one place which response belongs to a request

Cause: the status request took the next response on its connection, whatever request that named, and a response without id was taken for any request's. A late copy of an earlier response shifted all that followed by one.

response_reader now decides for all that read responses: calls, prefills and their releases, status requests, and http_client with its users (stage orders of control, the own interface, the command). It knows the request's id, limits heads, interim and skipped responses and bodies, and reserves no memory for announced lengths. Skipped bodies are dropped as they are read; before, up to 16 MB of each were kept beside the budget. http_client's fetch bounds the time for a whole body and its size, which control's client did not.

Connections that carried HEAD aren't reused, and a late copy with a body in front of the response to HEAD is skipped whole.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -17,6 +17,11 @@
 
 namespace pistachiolatch {
 
+namespace forwarding_detail {
+    /// Size limit of bodies that are only discarded, or that hold a few fields. A longer one may never end.
+    constexpr std::size_t maxSmallBodyBytes = 64UL * 1024;
+}
+
 /// State shared by all calls of an entry. The references outlive every call.
 struct forwarding_context {
     boost::asio::io_context& context;
@@ -280,7 +285,10 @@
     /// Whether the budget lets a response grow of which so much was read.
     bool mayReadMore(std::size_t bytesRead) const;
     task_of<whole_body> readWholeBody(const selected_endpoint& endpoint, buffer_charge& charge);
-    task_of<head_result> readMatchingHead(response_metadata& response);
+    /// Reads the head of the response to the request that was sent last.
+    task_of<head_result> readHead(response_metadata& response);
+    /// What the endpoint is expected to respond to a request of the entry itself, which has no id.
+    static response_expectation expectOwnResponse() { return { Codec::requestIdField, {}, false, forwarding_detail::maxSmallBodyBytes }; }
     /// Returns a connection on which a request may be sent; null if there is none or the endpoint was evacuated.
     task_of<std::shared_ptr<endpoint_connection>> openConnection(const selected_endpoint& endpoint, bool idempotent);
     /// Drops what is left of the attempt before.
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -14,14 +14,10 @@
     constexpr unsigned misdirected = 421;
     /// How often a body that waits for room in the buffer budget is looked at again.
     constexpr milliseconds bufferRetryInterval { 100 };
-    /// Size limit of bodies that are only discarded, or that hold a few fields. A longer one may never end.
-    constexpr std::size_t maxSmallBodyBytes = 64UL * 1024;
     /// Size limit of an event of a stream. Incomplete events are buffered.
     constexpr std::size_t maxEventBytes = 1024UL * 1024;
     /// How long the body of a refusal is read, so that its connection can be used again.
     constexpr milliseconds refusalBodyTimeout { 250 };
-    /// Responses to earlier requests that are skipped before the expected one.
-    constexpr int maxStrayResponses = 2;
     /// The wait for tokens of the organisation's limit is bounded by this fraction of the route's latency target.
     constexpr int tokenTimeoutDivisor = 3;
     /// Retry-After if there is no endpoint or configuration; either is usually available within about a second.
@@ -276,7 +272,10 @@
     // The connection accounts for the copy from now on.
     m_requestCharge.resize(m_headCharge + m_request.body().size(), m_shared.clock.now());
     m_attempt.connection->recordRequest(m_metadata.id);
-    m_attempt.connection->startSend(Codec::encodeRequest(m_request, options), m_shared.sendWindow, m_shared.clock, buffer_charge(m_shared.bufferBudget, m_caller->holder()));
+    response_expectation expected { Codec::requestIdField, m_metadata.id, m_request.method() == boost::beast::http::verb::head };
+    if (options.stage == attempt_stage::Prefill)
+        expected.maxBodyBytes = forwarding_detail::maxSmallBodyBytes;
+    m_attempt.connection->startSend(Codec::encodeRequest(m_request, options), std::move(expected), m_shared.sendWindow, m_shared.clock, buffer_charge(m_shared.bufferBudget, m_caller->holder()));
 }
 
 template <call_codec Codec>
--- a/Source/forwarding/call_forwarder_models.h
+++ b/Source/forwarding/call_forwarder_models.h
@@ -18,6 +18,8 @@
     constexpr int handleReuseTenths = 6;
     /// Timeout of a prefill request, as a fraction of the route's latency target.
     constexpr int prefillTimeoutTenths = 9;
+    /// Time for an endpoint to answer that it freed a prefill result.
+    constexpr milliseconds releaseTimeout { 1000 };
     /// Prefill attempts before the prompt is left to the decode endpoint.
     constexpr unsigned maxPrefillAttempts = 2;
     /// Interval at which a call checks for a free decode endpoint while all are full.
@@ -295,11 +297,11 @@
     startAttemptTimer(m_route->latencyTarget * forwarding_detail::prefillTimeoutTenths / 10);
     response_metadata response;
     std::string body;
-    auto head = co_await readMatchingHead(response);
+    auto head = co_await readHead(response);
     auto end = body_end::Reset;
     if (head == head_result::Received) {
         recordStatements(endpoint, response);
-        end = co_await connection->readRemainingBody(body, forwarding_detail::maxSmallBodyBytes);
+        end = co_await connection->readRemainingBody(body);
     }
     cancelAttemptTimer();
     m_attempt.connection.reset();
@@ -332,20 +334,25 @@
     if (!unused || m_shared.clock.now() - unused->completedAt > m_service->engine->handleLifetime || m_shared.endpoints.isResting(unused->endpoint.id))
         return;
     // The result won't be fetched, so free its memory at the endpoint before it expires.
-    auto release = [](endpoint_connector& connector, send_window& window, const clock_source& clock, prefill_result prefill) -> task_of<void> {
+    auto release = [](forwarding_context& shared, prefill_result prefill) -> task_of<void> {
         std::shared_ptr<endpoint_connection> connection;
         std::function<bool()> neverAborted = [] { return false; };
-        // The request has no id, and its response is not used.
+        // The request has no id.
         std::string requestId;
-        bool opened = co_await connector.open(prefill.endpoint, requestId, true, connection, neverAborted);
+        bool opened = co_await shared.connector.open(prefill.endpoint, requestId, true, connection, neverAborted);
         if (opened) {
-            connection->startSend(Codec::encodePrefillRelease(prefill.endpoint.address, prefill.handle), window, clock);
-            co_await connection->readResponseHead(false);
+            boost::asio::steady_timer timer(shared.context, forwarding_detail::releaseTimeout);
+            timer.async_wait([connection](boost::system::error_code error) {
+                if (!error)
+                    connection->close();
+            });
+            connection->startSend(Codec::encodePrefillRelease(prefill.endpoint.address, prefill.handle), expectOwnResponse(), shared.sendWindow, shared.clock);
+            co_await connection->readResponseHead();
         }
         if (connection)
             connection->close();
     };
-    boost::asio::co_spawn(m_shared.context, release(m_shared.connector, m_shared.sendWindow, m_shared.clock, std::move(*unused)), boost::asio::detached);
+    boost::asio::co_spawn(m_shared.context, release(m_shared, std::move(*unused)), boost::asio::detached);
 }
 
 } // namespace pistachiolatch
--- a/Source/forwarding/call_forwarder_moves.h
+++ b/Source/forwarding/call_forwarder_moves.h
@@ -111,12 +111,12 @@
 template <call_codec Codec>
 task_of<std::optional<attempt_outcome>> call_forwarder<Codec>::awaitHead(const selected_endpoint& endpoint, response_metadata& response, head_result& head)
 {
-    head = co_await readMatchingHead(response);
+    head = co_await readHead(response);
     while (head == head_result::Interrupted) {
         auto moved = co_await moveLateResponse(endpoint);
         if (moved)
             co_return moved;
-        head = co_await readMatchingHead(response);
+        head = co_await readHead(response);
     }
     co_return std::nullopt;
 }
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -9,25 +9,17 @@
 namespace pistachiolatch {
 
 template <call_codec Codec>
-task_of<head_result> call_forwarder<Codec>::readMatchingHead(response_metadata& response)
+task_of<head_result> call_forwarder<Codec>::readHead(response_metadata& response)
 {
-    bool noBody = m_request.method() == boost::beast::http::verb::head;
-    for (int stray = 0;; ++stray) {
-        auto head = co_await m_attempt.connection->readResponseHead(noBody);
-        if (head != head_result::Received)
-            co_return head;
-        response = Codec::parseResponse(m_attempt.connection->fields());
-        if (response.requestId.empty() || response.requestId == m_metadata.id)
-            co_return head_result::Received;
-        // A late response to an earlier request on this connection; the expected one follows.
+    auto connection = m_attempt.connection;
+    auto head = co_await connection->readResponseHead();
+    if (head == head_result::Interrupted)
+        co_return head;
+    for (unsigned i = 0; i < connection->skippedResponses(); ++i)
         m_shared.counters.count("stray_answer");
-        std::string discarded;
-        if (stray == forwarding_detail::maxStrayResponses || !response.sealed)
-            co_return head_result::Failed;
-        auto end = co_await m_attempt.connection->readRemainingBody(discarded, forwarding_detail::maxResponseBytes);
-        if (!isCompleteBody(end))
-            co_return head_result::Failed;
-    }
+    if (head == head_result::Received)
+        response = Codec::parseResponse(connection->fields());
+    co_return head;
 }
 
 template <call_codec Codec>
@@ -61,7 +53,8 @@
         m_overlapTimer.cancel();
         startAttemptTimer(forwarding_detail::refusalBodyTimeout);
         std::string discarded;
-        auto end = co_await m_attempt.connection->readRemainingBody(discarded, forwarding_detail::maxSmallBodyBytes);
+        m_attempt.connection->limitBody(forwarding_detail::maxSmallBodyBytes);
+        auto end = co_await m_attempt.connection->readRemainingBody(discarded);
         cancelAttemptTimer();
         recordBodyEnd(end);
         if (isCompleteBody(end))
@@ -109,6 +102,7 @@
 task_of<typename call_forwarder<Codec>::whole_body> call_forwarder<Codec>::readWholeBody(const selected_endpoint& endpoint, buffer_charge& charge)
 {
     auto connection = m_attempt.connection;
+    connection->limitBody(forwarding_detail::maxResponseBytes);
     boost::asio::steady_timer timer(m_shared.context);
     whole_body body;
     while (body.end == body_end::Open) {
@@ -129,10 +123,6 @@
             m_waitingSince = m_shared.clock.now();
         body.bytes += chunk;
         charge.resize(body.bytes.size(), m_shared.clock.now());
-        if (body.bytes.size() > forwarding_detail::maxResponseBytes) {
-            connection->close();
-            body.end = body_end::Reset;
-        }
     }
     cancelAttemptTimer();
     recordBodyEnd(body.end);
--- a/Source/forwarding/call_forwarder_resumption.h
+++ b/Source/forwarding/call_forwarder_resumption.h
@@ -159,14 +159,15 @@
 {
     auto connection = m_attempt.connection;
     m_attempt.sentAt = m_shared.clock.now();
-    connection->startSend(Codec::encodeStatusRequest(endpoint.address), m_shared.sendWindow, m_shared.clock);
+    connection->startSend(Codec::encodeStatusRequest(endpoint.address), expectOwnResponse(), m_shared.sendWindow, m_shared.clock);
     startAttemptTimer(forwarding_detail::runCheckTimeout);
     std::string body;
-    auto head = co_await connection->readResponseHead(false);
+    response_metadata response;
+    auto head = co_await readHead(response);
     auto end = body_end::Reset;
     if (head == head_result::Received) {
-        recordStatements(endpoint, Codec::parseResponse(connection->fields()));
-        end = co_await connection->readRemainingBody(body, forwarding_detail::maxSmallBodyBytes);
+        recordStatements(endpoint, response);
+        end = co_await connection->readRemainingBody(body);
     }
     cancelAttemptTimer();
     auto result = run_check::Failed;
--- a/Source/forwarding/call_types.h
+++ b/Source/forwarding/call_types.h
@@ -103,6 +103,9 @@
 concept call_codec = requires(const caller_request& request, const request_metadata& metadata, const attempt_options& options, const header_fields& fields,
     const error_response& error, const std::string& text, bool flag)
 {
+    {
+        T::requestIdField
+        } -> std::convertible_to<std::string>;
     {
         T::parseRequest(request)
         } -> std::same_as<request_metadata>;
--- a/Source/forwarding/endpoint_connection.cpp
+++ b/Source/forwarding/endpoint_connection.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
-#include <boost/beast/http.hpp>
 #include <sys/socket.h>
 #include <utility>
 
@@ -10,13 +9,9 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = beast::http;
 
 namespace {
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-    constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
-    constexpr std::uint64_t maxAnnouncedBytes = 1ULL << 30;
-    constexpr unsigned firstFinalStatus = 200;
     /// Requests are sent in parts of this size, so that no long one keeps others, and messages to control, waiting.
     constexpr std::size_t sendPartBytes = 8UL * 1024;
     /// Requests whose ids a connection remembers. Responses that are later than this many others are not expected.
@@ -61,8 +56,9 @@
     co_return reply.status();
 }
 
-void endpoint_connection::startSend(std::string bytes, send_window& window, const clock_source& clock, buffer_charge charge)
+void endpoint_connection::startSend(std::string bytes, response_expectation expected, send_window& window, const clock_source& clock, buffer_charge charge)
 {
+    m_reader.expect(std::move(expected));
     m_sendCharge = std::move(charge);
     m_sendCharge.resize(bytes.size(), clock.now());
     m_sendBuffer = std::move(bytes);
@@ -70,7 +66,6 @@
     m_sendProgressAt = clock.now();
     m_sendComplete = false;
     m_interrupted = false;
-    m_insideHead = false;
     sendNextPart(window, clock);
     m_acknowledgements = {};
     watchAcknowledgements();
@@ -101,6 +96,8 @@
             self->m_sending = false;
             self->m_bytesSent += count;
             self->m_sendComplete = !error && self->m_bytesSent == self->m_sendBuffer.size();
+            if (self->m_sendComplete)
+                self->m_reader.recordSent();
             if (count > 0) {
                 self->m_sendProgressAt = clock.now();
                 self->m_sendCharge.recordProgress(self->m_sendProgressAt);
@@ -114,52 +111,34 @@
     });
 }
 
-task_of<head_result> endpoint_connection::readResponseHead(bool noBody)
+task_of<head_result> endpoint_connection::readResponseHead()
 {
     auto self = shared_from_this();
     while (true) {
-        if (!std::exchange(m_insideHead, true)) {
-            m_parser.emplace();
-            m_parser->header_limit(maxHeaderBytes);
-            m_parser->body_limit(boost::none);
-            m_parser->skip(noBody);
-        }
         if (std::exchange(m_interrupted, false))
             co_return head_result::Interrupted;
-        auto interruptible = asio::bind_cancellation_slot(m_readInterruption.slot(), asTuple);
-        auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, interruptible);
+        auto error = co_await m_reader.readHead(m_stream, asio::bind_cancellation_slot(m_readInterruption.slot(), asTuple));
         if (error == asio::error::operation_aborted && m_interrupted && !m_closed)
             continue;
         m_interrupted = false;
-        m_insideHead = false;
-        // The HTTP library reserves memory for the whole length, and throws out of its event handler if it can't.
-        bool isTooLong = !error && m_parser->content_length().value_or(0) > maxAnnouncedBytes;
-        if (error || isTooLong || hasUnknownTransferCoding(m_parser->get()))
-            co_return head_result::Failed;
-        if (status() >= firstFinalStatus)
-            co_return head_result::Received;
+        co_return error || m_closed ? head_result::Failed : head_result::Received;
     }
 }
 
 task_of<body_end> endpoint_connection::readBodyChunk(std::string& chunk)
 {
     auto self = shared_from_this();
-    auto& body = m_parser->get().body();
-    while (body.empty() && !m_parser->is_done()) {
-        if (std::exchange(m_interrupted, false))
+    while (true) {
+        if (m_reader.needsData() && std::exchange(m_interrupted, false))
             co_return body_end::Open;
-        auto interruptible = asio::bind_cancellation_slot(m_readInterruption.slot(), asTuple);
-        auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, interruptible);
+        auto error = co_await m_reader.readBody(m_stream, asio::bind_cancellation_slot(m_readInterruption.slot(), asTuple));
         if (error == asio::error::operation_aborted && m_interrupted && !m_closed)
             continue;
-        if (error || m_closed) {
-            m_readFailed = true;
+        if (error || m_closed)
             co_return body_end::Reset;
-        }
+        chunk = m_reader.takeBody();
+        co_return m_reader.bodyEnd();
     }
-    chunk = std::move(body);
-    body.clear();
-    co_return bodyEnd();
 }
 
 void endpoint_connection::interruptRead()
@@ -178,6 +157,8 @@
             return;
         std::array<unsigned char, frameLengthBytes> bytes {};
         auto received = ::recv(self->m_stream.socket().native_handle(), bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+        if (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+            self->m_reader.recordFailure();
         bool isEmptyFrame = self->m_stream.isBetweenFrames() && received == static_cast<ssize_t>(bytes.size()) && decodeFrameLength(bytes) == 0;
         if (received > 0 && !isEmptyFrame)
             onReadable();
@@ -191,7 +172,7 @@
     m_watchInterruption.emit(asio::cancellation_type::terminal);
 }
 
-task_of<body_end> endpoint_connection::readRemainingBody(std::string& body, std::size_t maxBytes)
+task_of<body_end> endpoint_connection::readRemainingBody(std::string& body)
 {
     auto end = body_end::Open;
     while (end == body_end::Open) {
@@ -199,22 +180,17 @@
         end = co_await readBodyChunk(chunk);
         body += chunk;
         bool isInterrupted = chunk.empty() && end == body_end::Open;
-        if (isInterrupted || body.size() > maxBytes) {
-            close();
-            co_return body_end::Reset;
-        }
+        if (isInterrupted)
+            end = body_end::Reset;
     }
+    if (end == body_end::Reset)
+        close();
     co_return end;
 }
 
-body_end endpoint_connection::bodyEnd() const
-{
-    return m_readFailed ? body_end::Reset : parsedBodyEnd(*m_parser);
-}
-
 bool endpoint_connection::isReadyForRequest() const
 {
-    return !m_closed && m_sendComplete && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+    return !m_closed && m_reader.isReadyForRequest();
 }
 
 bool endpoint_connection::isOpenAndIdle()
--- a/Source/forwarding/endpoint_connection.h
+++ b/Source/forwarding/endpoint_connection.h
@@ -9,8 +9,6 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -37,20 +35,24 @@
     /// Connects to another entry and has it connect to an endpoint. Once opened, the connection is used like a direct one;
     /// it can't be reused.
     task_of<wire::relay_status> connectThrough(const std::string& relayAddress, const wire::relay_open& request);
-    /// Starts to send a request, as fast as the window has room for it. The response may be read at once: an endpoint may
+    /// Starts to send a request, as fast as the window has room for it. The response that is expected may be read at once: an endpoint may
     /// respond before it has read everything. The bytes are accounted to a holder of the budget until they are sent.
     /// Precondition: the window, the clock and the budget outlive the context's handlers.
-    void startSend(std::string bytes, send_window& window, const clock_source& clock, buffer_charge charge = {});
+    void startSend(std::string bytes, response_expectation expected, send_window& window, const clock_source& clock, buffer_charge charge = {});
     /// Whether the last request was sent completely.
     bool isRequestSent() const { return m_sendComplete; }
     /// When the endpoint's host last took a part of the request, or when the request was begun.
     time_point lastSendProgress() const { return m_sendProgressAt; }
-    /// Reads a response head and skips interim responses. Returns Interrupted if interruptRead() ends the wait; the next call
+    /// Reads the head of the expected response. Returns Interrupted if interruptRead() ends the wait; the next call
     /// reads the rest of the head. Precondition: startSend() was called since the last response.
-    task_of<head_result> readResponseHead(bool noBody);
-    unsigned status() const { return m_parser->get().result_int(); }
-    std::string reasonPhrase() const { return std::string(m_parser->get().reason()); }
-    const header_fields& fields() const { return m_parser->get(); }
+    task_of<head_result> readResponseHead();
+    unsigned status() const { return m_reader.head().result_int(); }
+    std::string reasonPhrase() const { return std::string(m_reader.head().reason()); }
+    const header_fields& fields() const { return m_reader.head(); }
+    /// Responses to other requests that came before the expected one.
+    unsigned skippedResponses() const { return m_reader.skippedResponses(); }
+    /// A response with a longer body is given up, as if it was reset.
+    void limitBody(std::uint64_t maxBytes) { m_reader.limitBody(maxBytes); }
     /// Reads the next bytes of the body; none if it is interrupted. Returns how the body ended, or Open if more may follow.
     /// Precondition: readResponseHead() returned Received.
     task_of<body_end> readBodyChunk(std::string& chunk);
@@ -60,9 +62,8 @@
     /// Calls a handler once data has arrived, not the end of it, unless stopWatching() is called before. Precondition: nothing is read meanwhile.
     void watchReadable(std::function<void()> onReadable);
     void stopWatching();
-    /// Reads the rest of the body; never returns Open. A body of more than maxBytes is given up, which is a Reset, and so is one whose
-    /// read is interrupted.
-    task_of<body_end> readRemainingBody(std::string& body, std::size_t maxBytes);
+    /// Reads the rest of the body; never returns Open. One whose read is interrupted is given up, which is a Reset.
+    task_of<body_end> readRemainingBody(std::string& body);
     /// Whether another request may be sent: the last one was sent, its response is complete and no data follows.
     bool isReadyForRequest() const;
     /// Whether the connection can carry another call.
@@ -90,11 +91,9 @@
     void dropSendBuffer();
     /// Closes the connection if the endpoint's host vanishes before the response is complete.
     void watchAcknowledgements();
-    body_end bodyEnd() const;
 
     endpoint_stream m_stream;
-    boost::beast::flat_buffer m_buffer { maxFieldBytes };
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    response_reader m_reader;
     std::string m_sendBuffer;
     std::size_t m_bytesSent = 0;
     time_point m_sendProgressAt {};
@@ -104,13 +103,10 @@
     acknowledgement_watch m_acknowledgements;
     boost::asio::steady_timer m_acknowledgementTimer;
     bool m_sendComplete = false;
-    bool m_readFailed = false;
     bool m_interrupted = false;
     /// End single operations: to cancel all of the socket would also end a write in progress, after which nothing can be sent.
     boost::asio::cancellation_signal m_readInterruption;
     boost::asio::cancellation_signal m_watchInterruption;
-    /// Whether a part of a response head may have been read.
-    bool m_insideHead = false;
     /// Identifies the handler that waits for data.
     std::uint64_t m_watchId = 0;
     std::string m_relayAddress;
--- a/Source/http/http.h
+++ b/Source/http/http.h
@@ -13,6 +13,7 @@
 #include "http/percent_encoding.h"
 #include "http/request_reader.h"
 #include "http/response_body.h"
+#include "http/response_reader.h"
 #include "http/sse_parser.h"
 #include "http/traffic_threads.h"
 #include "http/transfer_coding.h"
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -1,7 +1,6 @@
 #include "http/http_client.h"
 
 #include "http/http_server.h"
-#include "http/transfer_coding.h"
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 
@@ -14,7 +13,6 @@
 namespace {
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     constexpr unsigned httpVersion11 = 11;
-    constexpr std::uint64_t maxResponseBytes = 256ULL * 1024 * 1024;
 
     call_failure toCallFailure(const beast::error_code& error)
     {
@@ -44,27 +42,25 @@
     message.keep_alive(false);
     message.body() = request.body;
     message.prepare_payload();
+    m_reader.expect({ {}, {}, request.method == "HEAD", request.maxResponseBytes });
     m_stream.expires_after(sendTimeout);
     auto [writeError, bytes] = co_await http::async_write(m_stream, message, asTuple);
     if (writeError)
         co_return bytes == 0 ? call_failure::NotSent : toCallFailure(writeError);
+    m_reader.recordSent();
     co_return call_failure::None;
 }
 
 task_of<call_failure> http_client::readHead(milliseconds timeout)
 {
-    m_parser.emplace();
-    m_parser->body_limit(maxResponseBytes);
     m_stream.expires_after(timeout);
-    auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, asTuple);
-    if (!error && hasUnknownTransferCoding(m_parser->get()))
-        co_return toCallFailure(http::error::bad_transfer_encoding);
+    auto error = co_await m_reader.readHead(m_stream, asTuple);
     co_return error ? toCallFailure(error) : call_failure::None;
 }
 
 std::string http_client::header(std::string_view name) const
 {
-    const auto& fields = m_parser->get();
+    const auto& fields = m_reader.head();
     auto found = fields.find(beast::string_view(name.data(), name.size()));
     return found == fields.end() ? std::string() : std::string(found->value());
 }
@@ -72,30 +68,26 @@
 http_headers http_client::headers() const
 {
     http_headers all;
-    for (const auto& field : m_parser->get())
+    for (const auto& field : m_reader.head())
         all.emplace_back(std::string(field.name_string()), std::string(field.value()));
     return all;
 }
 
 task_of<call_failure> http_client::readPiece(std::string& piece, milliseconds timeout)
 {
-    piece.clear();
-    while (true) {
-        // readHead() may have read part of the body already.
-        auto& body = m_parser->get().body();
-        if (!body.empty()) {
-            piece = std::exchange(body, {});
-            co_return call_failure::None;
-        }
-        if (m_parser->is_done())
-            co_return call_failure::None;
-        m_stream.expires_after(timeout);
-        auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, asTuple);
-        if (error) {
-            m_readFailed = true;
-            co_return toCallFailure(error);
-        }
-    }
+    m_stream.expires_after(timeout);
+    auto failed = co_await readNextPiece(piece);
+    co_return failed;
+}
+
+task_of<call_failure> http_client::readNextPiece(std::string& piece)
+{
+    auto error = co_await m_reader.readBody(m_stream, asTuple);
+    piece = m_reader.takeBody();
+    bool isBrokenOff = piece.empty() && m_reader.bodyEnd() == body_end::Reset;
+    if (error)
+        co_return toCallFailure(error);
+    co_return isBrokenOff ? call_failure::Broken : call_failure::None;
 }
 
 task_of<http_response> http_client::fetch(const std::string& address, const http_request& request, milliseconds connectTimeout, milliseconds timeout)
@@ -112,8 +104,9 @@
     response.contentType = client.header("Content-Type");
     response.headers = client.headers();
     std::string piece;
+    client.m_stream.expires_after(timeout);
     while (true) {
-        response.failed = co_await client.readPiece(piece, timeout);
+        response.failed = co_await client.readNextPiece(piece);
         if (response.failed != call_failure::None || piece.empty())
             co_return response;
         response.body += piece;
--- a/Source/http/http_client.h
+++ b/Source/http/http_client.h
@@ -1,9 +1,6 @@
 #pragma once
 #include "http/http_exchange.h"
-#include "http/message_head.h"
-#include "http/response_body.h"
-#include <boost/beast/http/parser.hpp>
-#include <optional>
+#include "http/response_reader.h"
 
 namespace pistachiolatch {
 
@@ -23,6 +20,8 @@
     std::string target;
     http_headers headers;
     std::string body;
+    /// A response with a longer body is given up.
+    std::uint64_t maxResponseBytes = 16ULL * 1024 * 1024;
 };
 
 struct http_response {
@@ -49,22 +48,24 @@
     task_of<call_failure> send(const std::string& address, const http_request& request, milliseconds connectTimeout, milliseconds sendTimeout);
     /// Reads the status line and headers.
     task_of<call_failure> readHead(milliseconds timeout);
-    unsigned status() const { return m_parser->get().result_int(); }
+    unsigned status() const { return m_reader.head().result_int(); }
     std::string header(std::string_view name) const;
     http_headers headers() const;
     /// Reads the next part of the body; empty at the end. Precondition: readHead() succeeded.
     task_of<call_failure> readPiece(std::string& piece, milliseconds timeout);
     /// How the body ended, as far as it was read. Precondition: readHead() succeeded.
-    body_end bodyEnd() const { return m_readFailed ? body_end::Reset : parsedBodyEnd(*m_parser); }
+    body_end bodyEnd() const { return m_reader.bodyEnd(); }
 
-    /// Sends a request and reads the whole response.
+    /// Sends a request and reads the whole response. The timeout is for each of the request, the head and the body, so that a server that
+    /// never ends its response holds the connection no longer.
     static task_of<http_response> fetch(const std::string& address, const http_request& request, milliseconds connectTimeout, milliseconds timeout);
 
 private:
+    /// readPiece() with the timeout that runs already.
+    task_of<call_failure> readNextPiece(std::string& piece);
+
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer { maxFieldBytes };
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
-    bool m_readFailed = false;
+    response_reader m_reader;
 };
 
 } // namespace pistachiolatch
--- a/Tests/Platform/UnframedResponseTest.cpp
+++ b/Tests/Platform/UnframedResponseTest.cpp
@@ -1,8 +1,5 @@
 // Guards against responses that were broken off and reach their callers as complete, whatever frames their bodies.
-#include "Platform/platform_fleet.h"
-#include "Platform/scripted_endpoint.h"
-#include "platform_names.h"
-#include <catch2/catch.hpp>
+#include "Platform/scripted_fleet.h"
 #include <regex>
 
 using namespace pistachiolatch;
@@ -30,50 +27,6 @@
     refusal.headers = { { platform_names::notExecuted, "1" } };
     return refusal;
 }
-
-/// An entry in front of endpoints whose responses the test writes.
-class scripted_fleet {
-public:
-    platform_fleet platform { 1 };
-
-    scripted_fleet()
-    {
-        platform.start();
-        REQUIRE(platform.submitConfiguration(exampleConfiguration(7)) == 200);
-    }
-
-    /// Starts an endpoint that answers each request with the script's response, with a seal if it is a success.
-    scripted_endpoint& addEndpoint(const std::string& service, const std::string& stage, scripted_endpoint::script script)
-    {
-        auto n = static_cast<int>(m_endpoints.size()) + 1;
-        auto address = platform.endpointAddress(n);
-        auto respond = [script = std::move(script)](const http_exchange::request& request) {
-            auto response = script(request);
-            if (response.status == 200)
-                response.headers.emplace_back(platform_names::responseSeal, "seal");
-            return response;
-        };
-        m_endpoints.push_back(std::make_unique<scripted_endpoint>(address, std::move(respond)));
-        // The fake endpoint only writes the reports.
-        m_reports.push_back(std::make_unique<fake_endpoint>(fmt::format("endpoint-{}", n), platform.endpointAddress(100 + n), service, stage));
-        m_reports.back()->setReportedAddress(address);
-        REQUIRE(platform.sendReport(*m_reports.back()).status == 200);
-        auto known = fmt::format("event=endpoint_known endpoint=endpoint-{} ", n);
-        REQUIRE(eventually([&] { return readFile(platform.folder() + "/entry-1.out").find(known) != std::string::npos && platform.isEntryReady(1); }));
-        return *m_endpoints.back();
-    }
-
-    simple_response send(const std::string& path) const
-    {
-        http_headers headers { { "Host", "h.example" }, { platform_names::authorization, "Token key-1" }, { platform_names::requestId, "one" },
-            { platform_names::tokenUsage, "500,432" }, { platform_names::deadlineMs, "5000" } };
-        return platform.call(platform.entryAddress(1), "POST", path, headers, "the prompt");
-    }
-
-private:
-    std::vector<std::unique_ptr<scripted_endpoint>> m_endpoints;
-    std::vector<std::unique_ptr<fake_endpoint>> m_reports;
-};
 }
 
 TEST_CASE("A stream that ends inside an event is broken off, however it is framed", "[promise]")
--- a/Tests/Platform/scripted_endpoint.cpp
+++ b/Tests/Platform/scripted_endpoint.cpp
@@ -12,12 +12,12 @@
     namespace http = boost::beast::http;
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     constexpr std::size_t missingBytes = 10;
-    /// Bytes that are still unread when the socket is closed are lost with a reset, so the peer reads them first.
-    constexpr milliseconds resetDelay { 60 };
 
     std::string encode(const scripted_response& response)
     {
-        auto bytes = fmt::format("HTTP/1.1 {} Scripted\r\n", response.status);
+        if (!response.raw.empty())
+            return response.raw;
+        auto bytes = fmt::format("HTTP/1.1 {} Scripted\r\n", response.statusText.empty() ? std::to_string(response.status) : response.statusText);
         for (const auto& [name, value] : response.headers)
             bytes += fmt::format("{}: {}\r\n", name, value);
         switch (response.framing) {
@@ -71,17 +71,57 @@
     }
 }
 
+task_of<bool> scripted_endpoint::write(asio::ip::tcp::socket& socket, const scripted_response& response, const std::string& before)
+{
+    auto bytes = before + encode(response);
+    if (response.endlessHead)
+        bytes.resize(bytes.find("\r\n\r\n"));
+    auto [writeError, writtenBytes] = co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
+    if (writeError)
+        co_return false;
+    while (response.endless || response.endlessHead) {
+        const std::string more(4096, 'x');
+        auto [moreError, moreBytes] = co_await asio::async_write(socket, asio::buffer(more), asTuple);
+        if (moreError)
+            co_return false;
+    }
+    if (response.end == connection_end::KeepOpen)
+        co_return true;
+    if (response.end == connection_end::Close)
+        co_return false;
+    asio::steady_timer timer(m_context, response.resetDelay);
+    co_await timer.async_wait(asTuple);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    // The destructor would turn the option off again.
+    socket.close();
+    co_return false;
+}
+
 task_of<void> scripted_endpoint::serve(asio::ip::tcp::socket socket)
 {
     boost::beast::flat_buffer buffer;
     auto from = socket.remote_endpoint().address().to_string();
     std::string lateCopy;
+    std::string nextCopy;
     while (true) {
         constexpr std::uint32_t maxHeadBytes = 64 * 1024;
         constexpr std::uint64_t maxBodyBytes = 16ULL * 1024 * 1024;
         http::request_parser<http::string_body> parser;
         parser.header_limit(maxHeadBytes);
         parser.body_limit(maxBodyBytes);
+        auto [headError, headBytes] = co_await http::async_read_header(socket, buffer, parser, asTuple);
+        if (headError)
+            co_return;
+        if (auto early = m_respondEarly ? m_respondEarly(parser.get()) : std::nullopt) {
+            early->headers.emplace(early->headers.begin(), platform_names::requestId, std::string(parser.get()[platform_names::requestId]));
+            {
+                std::lock_guard lock(m_mutex);
+                ++m_requestCounts[std::string(parser.get()[platform_names::requestId])];
+            }
+            bool usedOn = co_await write(socket, *early, {});
+            if (!usedOn)
+                co_return;
+        }
         auto [readError, readBytes] = co_await http::async_read(socket, buffer, parser, asTuple);
         if (readError)
             co_return;
@@ -93,10 +133,13 @@
             }
             scripted_response status;
             status.framing = body_framing::Length;
+            status.end = connection_end::KeepOpen;
             status.body = fmt::format("{{\"{}\":{}}}", platform_names::startTime, fake_endpoint::firstStartTime);
-            auto bytes = encode(status);
-            auto [statusError, statusBytes] = co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
-            if (statusError)
+            if (m_respondToStatus)
+                status = m_respondToStatus(request);
+            auto copy = std::exchange(nextCopy, status.repeatedBeforeNext ? encode(status) : std::string());
+            bool usedOn = co_await write(socket, status, copy);
+            if (!usedOn)
                 co_return;
             continue;
         }
@@ -111,30 +154,11 @@
             std::lock_guard lock(m_mutex);
             m_arrivals.push_back({ std::chrono::steady_clock::now(), from, id, response.status });
         }
-        auto bytes = encode(response);
-        auto copy = std::exchange(lateCopy, response.repeatedLate ? bytes : std::string());
-        bytes.insert(0, copy);
-        if (response.endlessHead)
-            bytes.resize(bytes.find("\r\n\r\n"));
-        auto [writeError, writtenBytes] = co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
-        if (writeError)
+        auto copy = std::exchange(lateCopy, response.repeatedLate ? encode(response) : std::string());
+        copy += std::exchange(nextCopy, response.repeatedBeforeNext ? encode(response) : std::string());
+        bool usedOn = co_await write(socket, response, copy);
+        if (!usedOn)
             co_return;
-        while (response.endless || response.endlessHead) {
-            const std::string more(4096, 'x');
-            auto [moreError, moreBytes] = co_await asio::async_write(socket, asio::buffer(more), asTuple);
-            if (moreError)
-                co_return;
-        }
-        if (response.end == connection_end::Close)
-            co_return;
-        if (response.end == connection_end::Reset) {
-            asio::steady_timer timer(m_context, resetDelay);
-            co_await timer.async_wait(asTuple);
-            socket.set_option(asio::socket_base::linger(true, 0));
-            // The destructor would turn the option off again.
-            socket.close();
-            co_return;
-        }
     }
 }
 
--- a/Tests/Platform/scripted_endpoint.h
+++ b/Tests/Platform/scripted_endpoint.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -33,6 +34,8 @@
     body_framing framing = body_framing::None;
     connection_end end = connection_end::Close;
     std::string body;
+    /// How long after the body a reset comes. What is unread then is lost, so that the peer needs time to read it.
+    milliseconds resetDelay { 60 };
     /// Bytes that the framing announces beyond the body: a larger length, or a missing last chunk.
     bool truncated = false;
     http_headers headers;
@@ -42,6 +45,12 @@
     bool endlessHead = false;
     /// A copy of the response follows on its connection once the next request has arrived there, before the response to that.
     bool repeatedLate = false;
+    /// A copy precedes the next response on its connection, also if that is to a status request.
+    bool repeatedBeforeNext = false;
+    /// Written in place of the status number, if not empty.
+    std::string statusText;
+    /// Written in place of the whole response, if not empty.
+    std::string raw;
 };
 
 /// A request that reached a scripted endpoint, status requests included.
@@ -57,6 +66,8 @@
 class scripted_endpoint {
 public:
     using script = std::function<scripted_response(const http_exchange::request&)>;
+    /// Responds to a head before the body is read, or doesn't.
+    using early_script = std::function<std::optional<scripted_response>(const http_exchange::request&)>;
 
     /// Precondition: the script may be called on another thread until the endpoint is destroyed.
     scripted_endpoint(const std::string& address, script respond);
@@ -64,6 +75,10 @@
     scripted_endpoint(const scripted_endpoint&) = delete;
     scripted_endpoint& operator=(const scripted_endpoint&) = delete;
 
+    /// Responds to status requests, in place of a report. Precondition: called before the endpoint gets requests.
+    void setStatusScript(script respond) { m_respondToStatus = std::move(respond); }
+    /// Responds to requests before their bodies have arrived. Precondition: called before the endpoint gets requests.
+    void setEarlyScript(early_script respond) { m_respondEarly = std::move(respond); }
     /// The number of requests that arrived, by request ID.
     std::map<std::string, int> requestCounts() const;
     /// All requests in the order in which they were answered.
@@ -72,8 +87,12 @@
 private:
     task_of<void> accept();
     task_of<void> serve(boost::asio::ip::tcp::socket socket);
+    /// Writes a response. Returns whether the connection is used on.
+    task_of<bool> write(boost::asio::ip::tcp::socket& socket, const scripted_response& response, const std::string& before);
 
     script m_respond;
+    script m_respondToStatus;
+    early_script m_respondEarly;
     mutable std::mutex m_mutex;
     std::map<std::string, int> m_requestCounts;
     std::vector<scripted_arrival> m_arrivals;
