HTTP: Take no response for whole that ends before its request was sent

A caller got a complete 200 with a part of the body: the endpoint answered an upload at once, without length, and reset the connection while the upload was being written.

Cause: a socket reports its error once. The write of the upload met the reset first, so that the next read reported an ordinary end, with which a response without length is complete.

A response that ends with its connection is now complete only if the request was sent in full and no call on the connection has failed.

Whole responses with a length or chunks that come early are still passed on.

--- a/Source/forwarding/relay_server.cpp
+++ b/Source/forwarding/relay_server.cpp
@@ -43,6 +43,9 @@
     acknowledgement_watch endpointAcknowledgements;
     asio::steady_timer acknowledgementTimer;
     buffer_charge charge;
+    /// Whether some of the entry's data could not be sent to the endpoint, and whether some is being sent.
+    bool hasEndpointFailed = false;
+    bool isSending = false;
 
     explicit session(tcp::socket accepted)
         : entry(std::move(accepted))
@@ -52,6 +55,13 @@
     {
     }
 
+    /// Whether the endpoint has got all that the entry has sent so far.
+    bool isRequestSent()
+    {
+        boost::system::error_code ignored;
+        return !hasEndpointFailed && !isSending && entry.available(ignored) == 0;
+    }
+
     void close()
     {
         boost::system::error_code ignored;
@@ -253,7 +263,6 @@
 task_of<void> relay_server::copyToEndpoint(session_ptr relayed)
 {
     std::array<char, copyBufferBytes> buffer {};
-    bool endpointTakesData = true;
     while (true) {
         auto [readError, count] = co_await relayed->entry.async_read_some(asio::buffer(buffer), asTuple);
         if (readError) {
@@ -263,10 +272,12 @@
         }
         // An endpoint may respond and close before it has read the whole request. The rest is read and dropped, because
         // closing a connection with unread data would reset it and lose the response.
-        if (!endpointTakesData)
+        if (relayed->hasEndpointFailed)
             continue;
+        relayed->isSending = true;
         auto [writeError, written] = co_await asio::async_write(relayed->endpoint, asio::buffer(buffer, count), asTuple);
-        endpointTakesData = !writeError;
+        relayed->isSending = false;
+        relayed->hasEndpointFailed = relayed->hasEndpointFailed || writeError;
     }
 }
 
@@ -276,6 +287,14 @@
     while (true) {
         auto [readError, count] = co_await relayed->endpoint.async_read_some(asio::buffer(buffer), asTuple);
         bool ended = readError == asio::error::eof;
+        if (ended && !relayed->isRequestSent()) {
+            // A failed write takes the socket's error with it, so that the read after it reports an ordinary end. What was sent to the
+            // entry before may still be a whole response.
+            boost::system::error_code ignored;
+            relayed->entry.shutdown(tcp::socket::shutdown_send, ignored);
+            session::startTimer(relayed, closeTimeout);
+            co_return;
+        }
         if (readError && !ended) {
             // Closing without an empty frame tells the other entry that the endpoint's connection broke.
             relayed->close();
--- a/Source/http/response_reader.cpp
+++ b/Source/http/response_reader.cpp
@@ -108,7 +108,9 @@
     if (m_expected.withoutBody && !m_isSkipping)
         return body_end::Length;
     auto end = parsedBodyEnd(*m_parser);
-    return end == body_end::Open && m_hasFailed ? body_end::Reset : end;
+    // The server may have broken off the request, and its response with it.
+    bool isBrokenOff = end == body_end::Close && (!m_isSent || m_hasFailed);
+    return isBrokenOff || (end == body_end::Open && m_hasFailed) ? body_end::Reset : end;
 }
 
 bool response_reader::isReadyForRequest() const
