HTTP: Refuse responses with statuses that don't exist

Statuses 600 to 999 of an endpoint in trouble were passed on to callers. Statuses below 100 were skipped as interim responses and what came behind them was read as the answer; 000 itself led to 502 here.

A status outside 100 to 599, and 101, now fails the attempt.

--- a/Source/http/response_reader.cpp
+++ b/Source/http/response_reader.cpp
@@ -11,6 +11,9 @@
 namespace {
     constexpr std::uint32_t maxHeadBytes = 32 * 1024;
     constexpr unsigned firstFinalStatus = 200;
+    constexpr unsigned switchingProtocols = 101;
+    constexpr unsigned firstInterimStatus = 100;
+    constexpr unsigned lastStatus = 599;
     /// A server that sends more of them never answers.
     constexpr unsigned maxInterimResponses = 32;
     /// Responses to other requests that are skipped before the expected one, and the longest of them.
@@ -50,7 +53,7 @@
 response_reader::head_kind response_reader::classifyHead() const
 {
     auto status = head().result_int();
-    if (hasUnknownTransferCoding(head()))
+    if (status < firstInterimStatus || status > lastStatus || status == switchingProtocols || hasUnknownTransferCoding(head()))
         return head_kind::Invalid;
     if (status < firstFinalStatus)
         return m_interim < maxInterimResponses ? head_kind::Interim : head_kind::Invalid;
