Coordination: Take up no late answer of a former leader

Cause: the former leader's answer, which arrived when the cut healed, replaced the source of the directory. The next change that the new leader pushed switched it back, and the entry took the pushed rows for all of it. Its syncs then stated that it held everything. The answer also replaced the blocked requests, which the new leader doesn't send again.

Updates now bear their leader's term; one of an earlier term changes nothing. They name the version that their rows follow, and an entry asks for what lies in between instead of taking up rows behind a gap. Syncs state the term, so that a deposed leader doesn't answer as one, and the blocks that are held, so that a lost answer is repeated.

--- a/Source/coordination/control_link.cpp
+++ b/Source/coordination/control_link.cpp
@@ -102,8 +102,7 @@
     auto& sync = *message.mutable_entry_sync();
     sync.set_document_version(m_fetch.document().version());
     sync.set_takes_pieces(true);
-    sync.set_directory_source(m_directorySource);
-    sync.set_directory_version(m_directoryVersion);
+    m_updates.fillHeld(sync);
     for (const auto& [fingerprint, certain] : m_blocked) {
         auto* block = sync.mutable_blocked()->add_requests();
         block->set_fingerprint(fingerprint);
@@ -157,6 +156,11 @@
         m_probing = false;
     }
     const auto& update = reply->entry_update();
+    if (update.leads() && !admit(update)) {
+        if (isPending)
+            onNotLeader(update, request);
+        return;
+    }
     auto roundTrip = std::chrono::duration_cast<milliseconds>(m_clock.now() - request.sentAt);
     m_roundTrip += (roundTrip - m_roundTrip) * roundTripWeightEighths / 8;
     addControls({ update.controls().begin(), update.controls().end() });
@@ -216,13 +220,22 @@
 {
     if (message.has_document_piece())
         handlePiece(message.document_piece());
-    else if (message.has_entry_update())
-        applyUpdate(message.entry_update(), m_clock.now());
-    else
+    else if (!message.has_entry_update())
         return false;
+    else if (admit(message.entry_update()))
+        applyUpdate(message.entry_update(), m_clock.now());
     return true;
 }
 
+bool control_link::admit(const wire::entry_update& update)
+{
+    if (m_updates.admit(update))
+        return true;
+    logEvent("update_outdated", { { "term", update.term() }, { "known_term", m_updates.term() }, { "directory_version", update.directory_version() }, { "leader", m_leader } });
+    m_metrics.count("update_outdated");
+    return false;
+}
+
 void control_link::applyUpdate(const wire::entry_update& update, time_point agesFrom)
 {
     // Leaders of earlier versions send the whole document.
@@ -246,6 +259,7 @@
         if (blocked != m_blocked || m_parts.blockCount() != static_cast<std::size_t>(update.blocked().parts_size()))
             logEvent("blocks_updated", { { "blocked", blocked.size() }, { "blocked_parts", update.blocked().parts_size() } });
         m_blocked = std::move(blocked);
+        m_updates.takeBlocks(update);
         bool hasKnownPart = m_parts.apply(update.blocked(), m_clock.now());
         bool hasKnownRequest = m_requestSuccesses.setSuspects(update.blocked().suspected_requests());
         if (hasKnownPart || hasKnownRequest)
@@ -257,20 +271,28 @@
         m_metrics.gauge("data_centres_evacuated", static_cast<double>(evacuated.size()));
         m_endpoints.onEvacuated(evacuated);
     }
-    if (update.directory_source() == 0)
+    applyDirectory(update);
+}
+
+void control_link::applyDirectory(const wire::entry_update& update)
+{
+    auto step = m_updates.takeDirectory(update);
+    if (step == directory_step::None)
         return;
-    bool isNewSource = update.directory_source() != m_directorySource;
-    m_directorySource = update.directory_source();
-    m_directoryVersion = update.directory_version();
-    for (const auto& row : update.endpoints())
-        m_limits.onRow(row, m_clock.now());
-    if (isNewSource || update.endpoints_size() > 0)
-        m_endpoints.onEndpoints(update.endpoints(), isNewSource);
-    if (!update.more_endpoints() || m_leader.empty())
+    if (step == directory_step::Gap) {
+        logEvent("directory_incomplete", { { "base", update.directory_base() }, { "held", m_updates.nextRequest().version() }, { "leader", m_leader } });
+        m_metrics.count("directory_incomplete");
+    } else {
+        for (const auto& row : update.endpoints())
+            m_limits.onRow(row, m_clock.now());
+        if (step == directory_step::Begins || update.endpoints_size() > 0)
+            m_endpoints.onEndpoints(update.endpoints(), step == directory_step::Begins);
+    }
+    bool isMissingMore = step == directory_step::Gap || update.more_endpoints();
+    if (!isMissingMore || m_leader.empty())
         return;
     wire::envelope message;
-    message.mutable_directory_ask()->set_source(m_directorySource);
-    message.mutable_directory_ask()->set_version(m_directoryVersion);
+    *message.mutable_directory_ask() = m_updates.nextRequest();
     m_network.send(m_leader, std::move(message));
 }
 
--- a/Source/coordination/control_link.h
+++ b/Source/coordination/control_link.h
@@ -6,6 +6,7 @@
 #include "coordination/endpoint_listener.h"
 #include "coordination/entry_coordinator.h"
 #include "coordination/leader_search.h"
+#include "coordination/leader_updates.h"
 #include "coordination/prompt_part_client.h"
 #include "coordination/relay_participant.h"
 #include "coordination/request_success_history.h"
@@ -127,7 +128,11 @@
     void onNotLeader(const wire::entry_update& update, const sync_request& request);
     /// Ages in the update count from agesFrom: when a requested update was requested, so that network delay never makes
     /// anything look newer, or when an unrequested one arrived.
+    /// Precondition: the update was admitted.
     void applyUpdate(const wire::entry_update& update, time_point agesFrom);
+    void applyDirectory(const wire::entry_update& update);
+    /// Whether a leader's update may be taken up, rather than being one of a former leader.
+    bool admit(const wire::entry_update& update);
     void handlePiece(const wire::document_piece& piece);
     void applyDocument();
     void continueFetch();
@@ -158,8 +163,7 @@
     /// The control process that probePath() asked last.
     std::string m_lastProbed;
     std::shared_ptr<const route_table> m_table;
-    std::uint64_t m_directorySource = 0;
-    std::uint64_t m_directoryVersion = 0;
+    leader_updates m_updates;
     unsigned m_entries = 1;
     std::function<void(unsigned)> m_entryCountHandler;
     /// Whether the block is certain, by fingerprint of the blocked request.
--- a/Source/coordination/entry_coordinator.cpp
+++ b/Source/coordination/entry_coordinator.cpp
@@ -178,7 +178,8 @@
     for (const auto& address : m_replica.peers())
         update.add_controls(address);
     auto age = m_replica.confirmedAge();
-    if (m_replica.isLeader() && age) {
+    // An entry that follows a leader of a later term knows that this process doesn't lead any more.
+    if (m_replica.isLeader() && age && sync.term() <= m_replica.term()) {
         auto& session = m_entries[from.get()];
         if (session.name.empty()) {
             session.number = ++m_lastEntryNumber;
@@ -190,6 +191,8 @@
         session.supportsPieces = sync.takes_pieces();
         session.directorySource = sync.directory_source();
         session.directoryVersion = sync.directory_version();
+        if (sync.term() > 0)
+            session.blocksVersion = sync.blocks_source() == m_directory.source() ? std::optional(sync.blocks_version()) : std::nullopt;
         session.evacuationRevision = sync.evacuation_revision();
         m_loads.replace(session.name, sync.load());
         m_relays.update(session.name, sync.relay());
--- a/Source/coordination/entry_coordinator.h
+++ b/Source/coordination/entry_coordinator.h
@@ -90,7 +90,7 @@
         std::uint64_t documentVersion = 0;
         std::uint64_t directorySource = 0;
         std::uint64_t directoryVersion = 0;
-        /// The version of the request blocks that was sent last, if any.
+        /// The version of the request blocks that the entry has, or that was sent last, if any.
         std::optional<std::uint64_t> blocksVersion;
         /// The version of the list of queued services that was sent last.
         std::uint64_t queuedServicesVersion = 0;
--- a/Source/coordination/entry_coordinator_state.cpp
+++ b/Source/coordination/entry_coordinator_state.cpp
@@ -17,6 +17,7 @@
 void entry_coordinator::fillUpdate(wire::entry_update& update, entry_session& session)
 {
     const auto& document = m_replica.document();
+    update.set_term(m_replica.term());
     update.set_document_version(document.version());
     update.set_document_age_ms(saturatingCast<std::uint32_t>(std::min(m_replica.documentAge(), maxReportedAge).count()));
     if (document.version() > session.documentVersion) {
@@ -28,6 +29,7 @@
     fillEndpoints(update, session);
     if (session.blocksVersion != m_blocks.version()) {
         *update.mutable_blocked() = m_blocks.blocks();
+        update.set_blocks_version(m_blocks.version());
         session.blocksVersion = m_blocks.version();
     }
     if (session.evacuationRevision != m_replica.evacuations().revision()) {
@@ -44,13 +46,15 @@
 {
     bool known = session.directorySource == m_directory.source();
     auto maxRows = session.supportsPieces ? endpointsPerUpdate : m_directory.size();
-    auto page = m_directory.pageSince(known ? session.directoryVersion : 0, maxRows);
+    auto base = known ? session.directoryVersion : 0;
+    auto page = m_directory.pageSince(base, maxRows);
     for (auto& row : page.rows) {
         auto leavingFor = std::min(m_directory.leavingFor(row.report().id(), m_clock.now()), maxReportedAge);
         row.set_leaving_ms(saturatingCast<std::uint32_t>(leavingFor.count()));
         *update.add_endpoints() = std::move(row);
     }
     update.set_directory_source(m_directory.source());
+    update.set_directory_base(base);
     update.set_directory_version(page.version);
     update.set_more_endpoints(page.more);
     session.directorySource = m_directory.source();
--- a/Tests/Coordination/coordination_fleet.h
+++ b/Tests/Coordination/coordination_fleet.h
@@ -44,6 +44,7 @@
     bool serves(std::uint64_t version) const { return m_link.hasCurrentConfiguration() && m_link.routeTable()->version() >= version; }
     control_link& link() { return m_link; }
     peer_network& network() { return m_network; }
+    bool knows(const std::string& endpoint) const { return m_endpoints.count(endpoint) > 0; }
     std::size_t endpointCount() const { return m_endpoints.size(); }
     /// Updates that contained endpoints.
     std::size_t endpointUpdates() const { return m_endpointUpdates; }
