Forwarding: Leave a begun stream's engine only with a retry in hand

A stream was cut beside a planned stop of its entry's VM (LOST in an operator's record): its engine was quiet, the entry asked another one, left the first after 300 ms, and the other one refused then. The retry budget was spent.

Cause: the engine that had the stream was given up although the other one had not answered, and without a further retry for the case that it refuses.

The entry now asks for that retry before it leaves the first engine. If there is none, the next engine is given up and the stream stays.

EarlyGiveUpTest reproduces the record's lines (attempt_failed why=endpoint_failed may_have_run_at=1 body_end=length, answer_cut why=retry_budget_spent): both new cases were cut before, and are whole now. That the record's case is this one is inferred from those lines.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -125,6 +125,10 @@
         bool resumed = false;
         /// Whether the other endpoint has taken over.
         bool left = false;
+        /// Whether the other endpoint is given up, because it takes long and the call has no retry left if it refuses.
+        bool kept = false;
+
+        bool isGoingOn() const { return resumed || kept; }
     };
 
     /// The endpoints selected for one attempt at a model call, or the endpoint to which a stalled call of a service without engines
@@ -264,6 +268,10 @@
     task_of<bool> isResponding(const selected_endpoint& endpoint);
     /// Leaves the stalled call's endpoint, if any, once the next one has held the call for a time without refusing it.
     void limitOverlap(const selected_endpoint& next);
+    void cancelOverlapLimit();
+    /// Ends the time for which two endpoints hold a response that has begun: leaves the stalled call's endpoint if the call has another
+    /// retry in case the next one still refuses, else gives the next one up.
+    void decideOverlap(const selected_endpoint& next);
     /// Ends the attempt at the stalled call's endpoint, if any, because the next endpoint has taken over.
     void leaveSource(const selected_endpoint& next);
     std::optional<model_placement> placementFromPlan(const wire::engine_plan_reply& plan, std::uint64_t callId) const;
@@ -356,6 +364,8 @@
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_attemptTimer;
     boost::asio::steady_timer m_overlapTimer;
+    /// Identifies the overlap that is limited, if any.
+    std::uint64_t m_overlapNumber = 0;
     std::uint64_t m_attemptNumber = 0;
     bool m_attemptExpired = false;
     bool m_callerGone = false;
--- a/Source/forwarding/call_forwarder_moves.h
+++ b/Source/forwarding/call_forwarder_moves.h
@@ -151,7 +151,7 @@
     closeAttemptConnection();
     m_attempt = std::move(source.attempt);
     m_source = nullptr;
-    m_overlapTimer.cancel();
+    cancelOverlapLimit();
     m_attemptExpired = false;
     cancelAttemptTimer();
     // The endpoint that was asked was recorded as the stream's origin, and may have another version.
@@ -160,7 +160,7 @@
     if (outcome == attempt_outcome::RefusedNotRun)
         ++m_refusals;
     if (next)
-        logEvent(m_responseStarted ? "stream_stays" : "call_stays", { { "request", m_metadata.id }, { "at", endpoint.id }, { "asked", next->decode.id }, { "not_sent", outcome == attempt_outcome::NotSent ? 1 : 0 }, { "refused", outcome == attempt_outcome::RefusedNotRun ? 1 : 0 }, { "resumed", source.resumed ? 1 : 0 }, { "quiet_ms", measureIdleTime(endpoint.id).idleTime.count() }, { "events", m_eventsForwarded } });
+        logEvent(m_responseStarted ? "stream_stays" : "call_stays", { { "request", m_metadata.id }, { "at", endpoint.id }, { "asked", next->decode.id }, { "not_sent", outcome == attempt_outcome::NotSent ? 1 : 0 }, { "refused", outcome == attempt_outcome::RefusedNotRun ? 1 : 0 }, { "resumed", source.resumed ? 1 : 0 }, { "no_retry_left", source.kept ? 1 : 0 }, { "quiet_ms", measureIdleTime(endpoint.id).idleTime.count() }, { "events", m_eventsForwarded } });
     if (m_possibleRuns > runsBefore) {
         m_triedEndpoints.insert(next->decode.id);
         if (!source.resumed)
@@ -224,17 +224,50 @@
     if (!m_source)
         return;
     m_overlapTimer.expires_after(forwarding_detail::maxOverlap);
-    m_overlapTimer.async_wait([this, source = m_source, alive = m_alive, next](boost::system::error_code error) {
-        if (error || !*alive || source != m_source || isAborted())
+    m_overlapTimer.async_wait([this, overlap = ++m_overlapNumber, alive = m_alive, next](boost::system::error_code error) {
+        if (error || !*alive || overlap != m_overlapNumber || isAborted())
             return;
         // The next endpoint can't refuse what it hasn't got.
         if (m_attempt.connection && !m_attempt.connection->isRequestSent())
             limitOverlap(next);
+        else if (m_responseStarted)
+            decideOverlap(next);
         else
             leaveSource(next);
     });
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::cancelOverlapLimit()
+{
+    ++m_overlapNumber;
+    m_overlapTimer.cancel();
+}
+
+template <call_codec Codec>
+void call_forwarder<Codec>::decideOverlap(const selected_endpoint& next)
+{
+    if (m_arrivals.grants(m_shared.clock.now()) > 0) {
+        leaveSource(next);
+        return;
+    }
+    m_shared.retryBudget.acquire(m_service->name, retry_need::Required, [this, overlap = m_overlapNumber, alive = m_alive, next](bool granted) {
+        if (!*alive)
+            return;
+        if (granted)
+            m_arrivals.recordGrant(m_shared.clock.now());
+        if (overlap != m_overlapNumber || isAborted())
+            return;
+        if (granted) {
+            leaveSource(next);
+            return;
+        }
+        cancelOverlapLimit();
+        m_source->kept = true;
+        closeAttemptConnection();
+    });
+}
+
 template <call_codec Codec>
 void call_forwarder<Codec>::leaveSource(const selected_endpoint& next)
 {
@@ -245,7 +278,7 @@
     bool isAlive = isEndpointAlive(stream);
     logEvent(m_responseStarted ? "stream_moves" : "call_moves", { { "request", m_metadata.id }, { "from", source.endpoint.id }, { "to", next.id }, { "quiet_ms", stream.idleTime.count() }, { "endpoint_quiet_ms", stream.endpointIdleTime.count() }, { "events", m_eventsForwarded } });
     source.left = true;
-    m_overlapTimer.cancel();
+    cancelOverlapLimit();
     source.attempt.connection->close();
     std::swap(m_attempt, source.attempt);
     // A move away from a live endpoint is not counted as its failure.
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -30,6 +30,9 @@
     auto moved = co_await awaitHead(endpoint, response, head);
     if (moved)
         co_return *moved;
+    // The stalled call goes on at its own endpoint, and this connection was closed.
+    if (m_source && m_source->isGoingOn())
+        co_return attempt_outcome::MayHaveRun;
     if (head != head_result::Received) {
         if (!isAborted()) {
             recordOutcome(endpoint.id, endpoint_outcome::Unreachable);
@@ -39,9 +42,6 @@
         recordBrokenConnection(endpoint);
         co_return attempt_outcome::MayHaveRun;
     }
-    // The stalled call has gone on at its own endpoint, and this connection was closed.
-    if (m_source && m_source->resumed)
-        co_return attempt_outcome::MayHaveRun;
     auto status = m_attempt.connection->status();
     recordStatements(endpoint, response);
     recordLoad(endpoint, response, m_attempt.stated);
@@ -50,7 +50,7 @@
         recordCallLimit(endpoint, response, response.sealed && status < 500);
     if (response.guaranteedNotRun || status == forwarding_detail::misdirected) {
         // The refusal stands whether or not its body ends.
-        m_overlapTimer.cancel();
+        cancelOverlapLimit();
         startAttemptTimer(forwarding_detail::refusalBodyTimeout);
         std::string discarded;
         m_attempt.connection->limitBody(forwarding_detail::maxSmallBodyBytes);
@@ -76,7 +76,7 @@
     bool isServerError = status >= 500;
     bool canRetryElsewhere = isIdempotent() && (m_source || m_possibleRuns < m_route->maxEndpoints) && !m_responseStarted;
     if (isServerError) {
-        m_overlapTimer.cancel();
+        cancelOverlapLimit();
         recordOutcome(endpoint.id, endpoint_outcome::Failed);
     }
     if (isServerError && canRetryElsewhere)
--- a/Tests/Platform/EarlyGiveUpTest.cpp
+++ b/Tests/Platform/EarlyGiveUpTest.cpp
@@ -154,3 +154,113 @@
     CHECK(answer.status == 200);
     CHECK_FALSE(answer.broken);
 }
+
+namespace {
+/// How long the engine that is asked takes to refuse: longer than it may hold a stream beside the stream's own engine.
+constexpr milliseconds refusalDelay { 600 };
+/// First attempts that earn one retry.
+constexpr int callsForOneRetry = 8;
+
+/// An engine that refuses late, in front of a fleet whose entry has one retry left.
+class late_refusal_fleet {
+public:
+    platform_fleet fleet { 1 };
+
+    late_refusal_fleet()
+        : m_refusing(fleet.endpointAddress(5), refuseLate)
+        , m_refusingReport("decode-2", fleet.endpointAddress(105), "llm", "decode")
+    {
+        m_refusingReport.setReportedAddress(fleet.endpointAddress(5));
+        fleet.start();
+        REQUIRE(fleet.submitConfiguration(exampleConfiguration(7)) == 200);
+    }
+
+    /// Spends all retries but one, has a stream begin, and tells the entry of the engine that refuses.
+    void beginStream(fake_endpoint& report)
+    {
+        // A leader that was started again grants no retries at first.
+        fleet.control(1).kill();
+        fleet.startControl(1, false);
+        REQUIRE(eventually([&] { return fleet.sendReport(report).status == 200; }));
+        m_reporter = std::make_unique<endpoint_reporter>(fleet, std::vector<fake_endpoint*> { &report });
+        REQUIRE(eventually([&] { return call("ready", "/once/x").status == 200; }));
+        for (int i = 1; i < callsForOneRetry; ++i)
+            REQUIRE(call(fmt::format("before-{}", i), "/once/x").status == 200);
+        onBeforeStream();
+        m_caller = std::thread([this] { m_answer = call("one", "/report/x"); });
+        m_reporter = std::make_unique<endpoint_reporter>(fleet, std::vector<fake_endpoint*> { &report, &m_refusingReport });
+    }
+    std::function<void()> onBeforeStream = [] {};
+
+    bool isAskedToGoOn() const
+    {
+        return eventually([&] { return m_refusing.requestCounts().count("one") > 0; });
+    }
+
+    const simple_response& answer()
+    {
+        m_caller.join();
+        return m_answer;
+    }
+
+private:
+    static scripted_response refuseLate(const http_exchange::request&)
+    {
+        std::this_thread::sleep_for(refusalDelay);
+        scripted_response refusal;
+        refusal.status = 503;
+        refusal.framing = body_framing::Length;
+        refusal.end = connection_end::KeepOpen;
+        refusal.headers = { { platform_names::notExecuted, "1" } };
+        return refusal;
+    }
+
+    simple_response call(const std::string& id, const std::string& path) const
+    {
+        auto headers = makeHeaders();
+        for (auto& [name, value] : headers)
+            value = name == platform_names::requestId ? id : value;
+        return fleet.call(fleet.entryAddress(1), "POST", path, headers, "the prompt");
+    }
+
+    scripted_endpoint m_refusing;
+    fake_endpoint m_refusingReport;
+    std::thread m_caller;
+    simple_response m_answer;
+    std::unique_ptr<endpoint_reporter> m_reporter;
+};
+}
+
+TEST_CASE("A begun stream stays at its quiet engine while another one refuses it late and no retry is left", "[promise]")
+{
+    late_refusal_fleet late;
+    fake_endpoint quiet("decode-1", late.fleet.endpointAddress(4), "llm", "decode");
+    REQUIRE(late.fleet.sendReport(quiet).status == 200);
+    late.onBeforeStream = [&] { quiet.setMode(fake_endpoint_mode::StallMidStream); };
+    late.beginStream(quiet);
+    REQUIRE(late.isAskedToGoOn());
+    std::this_thread::sleep_for(refusalDelay + milliseconds(400));
+    quiet.setMode(fake_endpoint_mode::Normal);
+    const auto& answer = late.answer();
+    INFO(answer.body << entryLog(late.fleet));
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.broken);
+    CHECK(quiet.runCounts()["one"] == 1);
+}
+
+TEST_CASE("A begun stream stays at its paused engine while another one refuses it late and no retry is left", "[promise]")
+{
+    late_refusal_fleet late;
+    endpoint_process paused(late.fleet, 4, { "llm", "decode", milliseconds(100), false });
+    REQUIRE(late.fleet.sendReport(paused.reporter()).status == 200);
+    late.beginStream(paused.reporter());
+    std::this_thread::sleep_for(milliseconds(250));
+    paused.pause();
+    CHECK(late.isAskedToGoOn());
+    std::this_thread::sleep_for(refusalDelay + milliseconds(200));
+    paused.resume();
+    const auto& answer = late.answer();
+    INFO(answer.body << entryLog(late.fleet));
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.broken);
+}
