--- a/Source/coordination/stage_order_client.cpp
+++ b/Source/coordination/stage_order_client.cpp
@@ -8,6 +8,8 @@
     constexpr milliseconds connectTimeout { 400 };
     /// An endpoint may take seconds to answer an order; its reports show the result then.
     constexpr milliseconds answerTimeout { 1000 };
+    /// Far more than a status or an answer to an order.
+    constexpr std::uint64_t maxAnswerBytes = 64UL * 1024;
     constexpr unsigned accepted = 202;
     constexpr unsigned alreadyInStage = 200;
 }
@@ -15,6 +17,7 @@
 task_of<bool> stage_order_client::sendOrder(std::string address, stage_order order, std::function<bool()> isLeader) const
 {
     auto statusRequest = m_codec.encodeStatusRequest();
+    statusRequest.maxResponseBytes = maxAnswerBytes;
     auto statusReply = co_await http_client::fetch(address, statusRequest, connectTimeout, answerTimeout);
     auto status = statusReply.succeeded() ? m_codec.decodeStatus(statusReply.body) : std::nullopt;
     if (!status || status->busy || !isLeader()) {
@@ -23,6 +26,7 @@
     }
     order.expectedSequence = status->sequence;
     auto call = m_codec.encodeOrder(order);
+    call.maxResponseBytes = maxAnswerBytes;
     auto answer = co_await http_client::fetch(address, call, connectTimeout, answerTimeout);
     bool isAccepted = answer.status == accepted || answer.status == alreadyInStage;
     // An order that was sent but not answered may still be executed.
