Forwarding: Answer calls before the end of a planned stop

Requests that an entry took within 2.5 s of SIGTERM and passed on to an endpoint that took longer than the grace were cut without an answer, bookings too: the process closed their connections at its end.

The end of the grace is now the latest deadline of all calls that run and of those that are taken afterwards, less the time for an answer. Requests that come later are refused at once, as before.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -64,6 +64,8 @@
     /// Rejects the call because the entry may stop before the response is complete. The caller's next attempt reaches
     /// another entry.
     task_of<void> rejectForShutdown();
+    /// Ends the call by a time at the latest, at which its caller gets an answer. Precondition: the time is not in the past.
+    void answerBy(time_point time);
     /// Gives the call up, because the buffer budget needs what it holds. The caller gets an error, or loses its connection if the
     /// response has begun.
     void end();
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -310,6 +310,15 @@
     });
 }
 
+template <call_codec Codec>
+void call_forwarder<Codec>::answerBy(time_point time)
+{
+    m_deadlineAt = std::min(m_deadlineAt, time);
+    bool isAdmitted = m_route != nullptr;
+    if (isAdmitted)
+        startDeadlineTimer();
+}
+
 template <call_codec Codec>
 void call_forwarder<Codec>::startAttemptTimer(milliseconds timeout)
 {
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -27,8 +27,9 @@
 
     /// Errors: address in use.
     result<void> listen();
-    /// Starts the shutdown: each response closes its connection; new connections are accepted for acceptWhileDraining.
-    void drain();
+    /// Starts the shutdown: each response closes its connection; new connections are accepted for acceptWhileDraining. Calls that are not
+    /// complete shortly before the given time are answered then, since the process may end at that time.
+    void drain(time_point until);
     /// Whether the shutdown that drain() started is complete.
     bool isDrained() const { return !m_acceptor.is_open() && m_active == 0; }
     void stop();
@@ -101,6 +102,8 @@
     log_limiter m_stalledLog;
     std::set<caller_ptr> m_callers;
     time_point m_drainStartedAt {};
+    /// When calls are answered at the latest, once a shutdown was requested.
+    time_point m_answerBy = time_point::max();
     unsigned m_active = 0;
     bool m_stopped = false;
 };
@@ -112,6 +115,8 @@
     /// How long a caller may take nothing of what is written to it. Closing a blocked connection frees its endpoint.
     constexpr milliseconds maxWriteIdleTime { 10000 };
     constexpr milliseconds acceptRetryDelay { 20 };
+    /// Time for answers to be written before the process ends.
+    constexpr milliseconds answerTime { 100 };
     /// Retry-After while the buffers are full. Holders that make no progress have been ended by then.
     constexpr milliseconds buffersRetryAfter { 2000 };
     /// Connections accepted in one turn of the event loop.
@@ -280,6 +285,7 @@
                 co_await call.rejectForShutdown();
             } else {
                 caller->call = &call;
+                call.answerBy(m_answerBy);
                 keepAlive = co_await call.run();
                 caller->call = nullptr;
             }
@@ -463,9 +469,14 @@
 }
 
 template <call_codec Codec>
-void call_gateway<Codec>::drain()
+void call_gateway<Codec>::drain(time_point until)
 {
     m_drainStartedAt = m_shared.clock.now();
+    m_answerBy = std::max(m_drainStartedAt, until - gateway_detail::answerTime);
+    for (const auto& caller : m_callers) {
+        if (caller->call)
+            caller->call->answerBy(m_answerBy);
+    }
 }
 
 template <call_codec Codec>
