Forwarding: Tell a call that ends with the shutdown from one at its deadline

The log says "shutdown" again, and a call that has not run by then is refused with shutting_down and told to come back at once, since other entries are ready.

--- a/Source/forwarding/call_forwarder.h
+++ b/Source/forwarding/call_forwarder.h
@@ -271,6 +271,9 @@
     /// Leaves the stalled call's endpoint, if any, once the next one has held the call for a time without refusing it.
     void limitOverlap(const selected_endpoint& next);
     void cancelOverlapLimit();
+    /// Whether the call ends early because the entry shuts down, rather than by the caller's deadline or the route's timeout.
+    bool endsWithShutdown() const { return m_deadlinePassed && m_deadlineAt == m_shutdownAt; }
+    std::string_view cutReason() const;
     /// Ends the time for which two endpoints hold a response that has begun: leaves the stalled call's endpoint if the call has another
     /// retry in case the next one still refuses, else gives the next one up.
     void decideOverlap(const selected_endpoint& next);
@@ -347,6 +350,8 @@
     request_metadata m_metadata;
     time_point m_receivedAt;
     time_point m_deadlineAt;
+    /// When the call has to end because the entry shuts down.
+    time_point m_shutdownAt = time_point::max();
     std::shared_ptr<const route_table> m_table;
     const route_config* m_route = nullptr;
     const organisation_config* m_organisation = nullptr;
--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -313,6 +313,7 @@
 template <call_codec Codec>
 void call_forwarder<Codec>::answerBy(time_point time)
 {
+    m_shutdownAt = time;
     m_deadlineAt = std::min(m_deadlineAt, time);
     bool isAdmitted = m_route != nullptr;
     if (isAdmitted)
@@ -448,8 +449,9 @@
     }
     if (m_responseStarted) {
         // Part of the response has been sent; only a closed connection tells the caller that it is truncated.
-        m_outcome = m_deadlinePassed ? "cut_at_deadline" : "cut_midway";
-        logTruncation(m_deadlinePassed ? "deadline" : noRetryReasonName(m_noRetryReason));
+        m_outcome = endsWithShutdown() ? "cut_at_shutdown" : m_deadlinePassed ? "cut_at_deadline"
+                                                                              : "cut_midway";
+        logTruncation(cutReason());
         m_keepAlive = false;
         m_caller->close();
         co_return;
@@ -477,16 +479,28 @@
     }
     if (m_noRetryReason == no_retry_reason::RetryBudgetSpent)
         failureCause = reason::RetryBudgetSpent;
-    auto cause = m_deadlinePassed ? reason::DeadlineUnreachable : failureCause;
+    auto cause = endsWithShutdown() ? reason::ShuttingDown : m_deadlinePassed ? reason::DeadlineUnreachable
+                                                                              : failureCause;
     if (m_ended)
         cause = reason::BuffersFull;
     auto retryAfter = m_retryAfter > milliseconds(0) ? m_retryAfter : forwarding_detail::defaultRetryAfter;
     if (cause == reason::Evacuated)
         retryAfter = forwarding_detail::evacuatedRetryAfter;
+    // Other entries are ready.
+    if (cause == reason::ShuttingDown)
+        retryAfter = milliseconds(0);
     error_response error { cause, httpStatus(cause), retryAfter };
     co_await sendErrorResponse(error);
 }
 
+template <call_codec Codec>
+std::string_view call_forwarder<Codec>::cutReason() const
+{
+    if (endsWithShutdown())
+        return "shutdown";
+    return m_deadlinePassed ? "deadline" : noRetryReasonName(m_noRetryReason);
+}
+
 template <call_codec Codec>
 task_of<void> call_forwarder<Codec>::sendErrorResponse(error_response error)
 {
