HTTP: Write no body behind a response to HEAD

Cause: own responses were written with their body whatever the method. The same held for the servers for readiness, metrics and the operator, and for streams, whose last chunk was written behind the head.

--- a/Source/forwarding/call_forwarder_common.h
+++ b/Source/forwarding/call_forwarder_common.h
@@ -272,7 +272,7 @@
     // The connection accounts for the copy from now on.
     m_requestCharge.resize(m_headCharge + m_request.body().size(), m_shared.clock.now());
     m_attempt.connection->recordRequest(m_metadata.id);
-    response_expectation expected { Codec::requestIdField, m_metadata.id, m_request.method() == boost::beast::http::verb::head };
+    response_expectation expected { Codec::requestIdField, m_metadata.id, m_metadata.withoutBody };
     if (options.stage == attempt_stage::Prefill)
         expected.maxBodyBytes = forwarding_detail::maxSmallBodyBytes;
     m_attempt.connection->startSend(Codec::encodeRequest(m_request, options), std::move(expected), m_shared.sendWindow, m_shared.clock, buffer_charge(m_shared.bufferBudget, m_caller->holder()));
--- a/Source/forwarding/call_forwarder_responses.h
+++ b/Source/forwarding/call_forwarder_responses.h
@@ -85,7 +85,7 @@
         co_return attempt_outcome::MayHaveRun;
     if (m_responseStarted && !isSuccess)
         co_return attempt_outcome::MayHaveRun;
-    if (isSuccess && m_route->kind == call_kind::Stream)
+    if (isSuccess && m_route->kind == call_kind::Stream && !m_metadata.withoutBody)
         co_return co_await forwardStream(endpoint, response);
     co_return co_await forwardCompleteResponse(endpoint, response);
 }
--- a/Source/forwarding/call_gateway.h
+++ b/Source/forwarding/call_gateway.h
@@ -375,7 +375,11 @@
             logEvent("request_unreadable", { { "why", reasonName(cause) }, { "error", error.empty() ? std::string(reasonAdvice(cause)) : error } });
     }
     error_response response { cause, httpStatus(cause), cause == reason::BuffersFull ? std::optional(gateway_detail::buffersRetryAfter) : std::nullopt };
-    auto bytes = Codec::encodeErrorResponse(isReadable ? metadata : request_metadata(), response, true);
+    request_metadata named;
+    named.withoutBody = metadata.withoutBody;
+    if (isReadable)
+        named = metadata;
+    auto bytes = Codec::encodeErrorResponse(named, response, true);
     bool written = co_await caller->connection->write(std::move(bytes));
     if (!written)
         co_return;
--- a/Source/forwarding/call_types.h
+++ b/Source/forwarding/call_types.h
@@ -35,6 +35,8 @@
     std::string resumeAfterEventId;
     /// Whether the caller continues a stream that it has part of.
     bool continuesStream = false;
+    /// Whether responses to the request's method have no body.
+    bool withoutBody = false;
     /// Id of the caller's attempt that brought the stream's first event; empty if it names none, or several.
     std::string firstAttemptId;
 };
--- a/Source/http/http_exchange.cpp
+++ b/Source/http/http_exchange.cpp
@@ -71,6 +71,8 @@
     response.keep_alive(m_keepAlive);
     response.body() = std::move(body);
     response.prepare_payload();
+    if (m_request.method() == http::verb::head)
+        response.body().clear();
     if (m_account.budget)
         m_responseCharge.resize(response.body().size(), m_account.clock->now());
     http::response_serializer<http::string_body> serializer(response);
--- a/Tests/Platform/FieldLengthTest.cpp
+++ b/Tests/Platform/FieldLengthTest.cpp
@@ -1,5 +1,6 @@
 // Guards against headers, trailers and chunk headers so long that the process which reads them ends, or holds them all.
 #include "Platform/platform_fleet.h"
+#include "Platform/raw_exchange.h"
 #include "Platform/scripted_endpoint.h"
 #include "platform_names.h"
 #include <catch2/catch.hpp>
@@ -16,19 +17,6 @@
     return { "3;x=" + longText + "\r\nkit\r\n0\r\n\r\n", "3\r\nkit\r\n0\r\nX-Long: " + longText + "\r\n\r\n", "3\r\nkit\r\n0\r\n" + longText + ": x\r\n\r\n", "3\r\nkit\r\n0;" + longText + "\r\n\r\n" };
 }
 
-/// Sends bytes on a new connection and returns what arrives until the peer closes it.
-std::string exchangeBytes(const std::string& address, const std::string& bytes)
-{
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    socket.connect(parseAddress(address));
-    boost::system::error_code ignored;
-    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
-    std::string received;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(received), ignored);
-    return received;
-}
-
 std::string makeRequest(const std::string& method, const std::string& target, const std::string& headers, const std::string& body)
 {
     return fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\n{}: Token key-1\r\n{}: one\r\n{}\r\n{}", method, target, platform_names::authorization, platform_names::requestId, headers, body);
--- a/Tests/Platform/RequestFramingTest.cpp
+++ b/Tests/Platform/RequestFramingTest.cpp
@@ -1,25 +1,12 @@
 #include "Platform/platform_fleet.h"
+#include "Platform/raw_exchange.h"
 #include "platform_names.h"
-#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 
 using namespace pistachiolatch;
 using namespace pistachiolatch::test;
 
 namespace {
-/// Sends bytes on a new connection and returns what arrives until the peer closes it.
-std::string exchangeBytes(const std::string& address, const std::string& bytes)
-{
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    socket.connect(parseAddress(address));
-    boost::asio::write(socket, boost::asio::buffer(bytes));
-    std::string received;
-    boost::system::error_code untilClosed;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(received), untilClosed);
-    return received;
-}
-
 /// A request whose framing readers could take for different things.
 struct unclear_request {
     /// Header lines, with their line ends, and perhaps more.
