--- a/Tests/Soak/soak_main.cpp
+++ b/Tests/Soak/soak_main.cpp
@@ -3,6 +3,7 @@
 #include "Platform/request_crowd.h"
 #include "Platform/retry_accounting.h"
 #include "platform_names.h"
+#include "Soak/garbling_endpoint.h"
 #include "Soak/kept_connection.h"
 #include "Soak/soak_checks.h"
 #include <array>
@@ -14,6 +15,7 @@
 #include <fmt/format.h>
 #include <latch>
 #include <random>
+#include <set>
 #include <thread>
 
 // A randomised soak test: runs the programs as separate processes, injects faults from outside and checks the guarantees
@@ -71,6 +73,12 @@
         /// Whether crowds of misbehaving callers come to entries and control processes with little memory and few descriptors.
         bool misbehaving = false;
 
+        /// Whether endpoints in trouble serve beside the sound ones.
+        bool garbled = false;
+        /// Whether entries are stopped and told to read their settings as planned, with no other faults, so that all that they pass on has to
+        /// be answered.
+        bool stops = false;
+
         bool hasExtraEngines() const { return versions || crashingParts; }
     };
 
@@ -96,6 +104,8 @@
 
         int run(std::chrono::seconds length)
         {
+            if (m_options.garbled)
+                startGarblingEndpoints();
             if (m_options.partitions)
                 m_fleet.makePartitionable();
             for (int n = 1; m_options.crowded && n <= m_entryCount; ++n)
@@ -157,7 +167,9 @@
         {
             random_engine random(seed);
             while (steady::now() < end) {
-                if (m_options.pauses)
+                if (m_options.stops)
+                    stopAsPlanned(random);
+                else if (m_options.pauses)
                     pauseEndpoints(random);
                 else if (m_options.versions && randomUpTo(random, 3) == 1)
                     replaceEngine(random);
@@ -187,6 +199,56 @@
             sleepRandomly(random, 1500, 4000);
         }
 
+        /// Stops an entry and starts it again, or has a process read its settings, once or a few times in a row.
+        void stopAsPlanned(random_engine& random)
+        {
+            int n = randomUpTo(random, m_entryCount);
+            for (int repeats = randomUpTo(random, 3); repeats > 0; --repeats) {
+                switch (randomUpTo(random, 4)) {
+                case 1:
+                    m_fleet.control(randomUpTo(random, controls)).signal(SIGHUP);
+                    break;
+                case 2: {
+                    std::lock_guard lock(m_entryFaults[static_cast<std::size_t>(n)]);
+                    // Before a process has blocked the signal, the kernel would end it.
+                    if (m_fleet.entry(n).blocksSignal(SIGHUP))
+                        m_fleet.entry(n).signal(SIGHUP);
+                    break;
+                }
+                default:
+                    stopEntry(n);
+                    eventually([&] { return m_fleet.isEntryReady(n); });
+                }
+                sleepRandomly(random, 0, 300);
+            }
+        }
+
+        void stopEntry(int n)
+        {
+            std::lock_guard lock(m_entryFaults[static_cast<std::size_t>(n)]);
+            // Before a process has blocked the signal, the kernel ends it by the signal; it has served nothing then.
+            auto from = steady::now();
+            bool mayEndBySignal = !m_fleet.entry(n).blocksSignal(SIGTERM);
+            m_fleet.entry(n).signal(SIGTERM);
+            int status = m_fleet.entry(n).wait();
+            if (status != 0 && !(mayEndBySignal && status == -SIGTERM))
+                m_checks.addFailure(fmt::format("entry {} did not exit with code 0 after SIGTERM but with {}", n, status));
+            m_fleet.startEntry(n);
+            recordFault(n, 0, from);
+        }
+
+        /// Starts one endpoint in trouble of each service, beside the sound ones.
+        void startGarblingEndpoints()
+        {
+            constexpr int firstNumber = 61;
+            constexpr std::array<std::array<const char*, 2>, 2> kinds { { { "app", "" }, { "llm", "decode" } } };
+            for (int i = 0; i < static_cast<int>(kinds.size()); ++i) {
+                auto kind = kinds[static_cast<std::size_t>(i)];
+                m_garbling.push_back(std::make_unique<garbling_endpoint>(fmt::format("garbler-{}", i), m_fleet.endpointAddress(firstNumber + i), m_fleet.endpointAddress(firstNumber + 100 + i), kind[0], kind[1], m_seed + 8 + static_cast<std::uint64_t>(i)));
+                m_garbling.back()->setGarbling(true);
+            }
+        }
+
         void injectControlFault(random_engine& random)
         {
             int n = randomUpTo(random, controls);
@@ -232,6 +294,9 @@
                 endpoint->setStartTime(fake_endpoint::firstStartTime + 1000 * ++m_starts);
             if (m_options.pauses)
                 endpoint->setDelay(milliseconds(i < 2 ? 5 : 40));
+            // Calls are at work whenever their entry is stopped.
+            if (m_options.stops)
+                endpoint->setDelay(milliseconds(i < 2 ? 200 : 60));
             if (!m_options.versions)
                 return;
             endpoint->setVersion(version, &m_witness);
@@ -469,20 +534,9 @@
                 recordFault(n, 0, from);
                 break;
             }
-            case 5: {
-                int n = randomUpTo(random, m_entryCount);
-                std::lock_guard lock(m_entryFaults[n]);
-                // Before a process has blocked the signal, the kernel ends it by the signal; it has served nothing then.
-                auto from = steady::now();
-                bool mayEndBySignal = !m_fleet.entry(n).blocksSignal(SIGTERM);
-                m_fleet.entry(n).signal(SIGTERM);
-                int status = m_fleet.entry(n).wait();
-                if (status != 0 && !(mayEndBySignal && status == -SIGTERM))
-                    m_checks.addFailure(fmt::format("entry {} did not exit with code 0 after SIGTERM but with {}", n, status));
-                m_fleet.startEntry(n);
-                recordFault(n, 0, from);
+            case 5:
+                stopEntry(randomUpTo(random, m_entryCount));
                 break;
-            }
             case 6: {
                 std::scoped_lock lock(m_controlFaults[1], m_controlFaults[2], m_controlFaults[3]);
                 for (int n = 1; n <= controls; ++n)
@@ -533,6 +587,8 @@
                 m_proxy.setRule("", address.substr(0, address.rfind(':')), {});
                 endpointAt(n - 1)->setMode(fake_endpoint_mode::Normal);
             }
+            for (const auto& endpoint : m_garbling)
+                endpoint->setGarbling(false);
         }
 
         void sendReports()
@@ -545,6 +601,8 @@
                     else
                         sendReadyReport(i, static_cast<int>(random() % controls) + 1);
                 }
+                for (const auto& endpoint : m_garbling)
+                    m_fleet.sendReport(endpoint->reporter(), "ready", static_cast<int>(random() % controls) + 1);
                 std::this_thread::sleep_for(reportInterval);
             }
         }
@@ -722,7 +780,11 @@
             constexpr milliseconds timeToAnswer { 2100 };
             if (m_options.pauses && response.broken && steady::now() - sentAt < timeToAnswer)
                 m_checks.addFailure(fmt::format("{} ended without a whole answer after {} ms, status {}", id, std::chrono::duration_cast<milliseconds>(steady::now() - sentAt).count(), response.status));
-            if (m_options.pauses)
+            if (m_options.stops && response.broken) {
+                std::lock_guard lock(m_unansweredMutex);
+                m_unanswered.insert(id);
+            }
+            if (m_options.pauses || m_options.stops)
                 m_checks.count(response.broken ? "cut" : fmt::format("answered {}", response.status));
             if (secondKey && response.status == 200)
                 m_checks.checkKeyAccepted(sentAt);
@@ -809,7 +871,15 @@
                 for (const auto& [id, count] : endpoint->runCounts())
                     runs[id] += count;
             }
+            for (const auto& endpoint : m_garbling) {
+                for (const auto& [id, count] : endpoint->runCounts())
+                    runs[id] += count;
+            }
             m_checks.checkExecutions(runs);
+            for (const auto& id : m_unanswered) {
+                if (runs.count(id) > 0)
+                    m_checks.addFailure(fmt::format("{} ran beside planned work and got no whole answer", id));
+            }
             m_checks.checkLimits(endpointAt(0)->arrivals());
             std::string line = fmt::format("seed {}:", m_seed);
             for (const auto& [what, count] : m_checks.counts())
@@ -832,6 +902,10 @@
         stream_witness m_witness;
         mutable std::mutex m_endpointsMutex;
         std::vector<std::shared_ptr<fake_endpoint>> m_endpoints;
+        std::vector<std::unique_ptr<garbling_endpoint>> m_garbling;
+        std::mutex m_unansweredMutex;
+        /// Calls whose callers got no whole answer.
+        std::set<std::string> m_unanswered;
         std::atomic<std::uint64_t> m_starts { 0 };
         soak_checks m_checks;
         retry_accounting m_serviceRetries;
@@ -869,6 +943,8 @@
     app.add_flag("--resting", options.resting, "let endpoints ask for rest");
     app.add_flag("--pauses", options.pauses, "let endpoints stand still for about a second beside changes of the configuration, with no other faults of endpoints and entries");
     app.add_flag("--misbehaving", options.misbehaving, "send crowds of callers that never complete their requests to processes with little memory");
+    app.add_flag("--garbled", options.garbled, "let endpoints in trouble serve beside the sound ones");
+    app.add_flag("--stops", options.stops, "stop entries and have processes read their settings as planned, in series, with no other faults of processes");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     int failedSeeds = 0;
