HTTP: Bound what unread questions hold before they are accepted

The servers for readiness and metrics read no bodies. They now listen with a small receive buffer, which connections inherit before they are accepted.

--- a/Source/http/admin_server.cpp
+++ b/Source/http/admin_server.cpp
@@ -17,8 +17,11 @@
     constexpr milliseconds readTimeout { 5000 };
     constexpr milliseconds writeTimeout { 10000 };
     constexpr milliseconds longestService { 1000 };
+    /// Questions have no body.
+    constexpr int receiveBufferBytes = 8 * 1024;
     http_limits limits;
     limits.bodyBytes = 0;
+    limits.receiveBufferBytes = receiveBufferBytes;
     limits.connections = maxConnections;
     limits.readTimeout = readTimeout;
     limits.writeTimeout = writeTimeout;
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -135,12 +135,14 @@
     return { asio::ip::make_address_v4(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))) };
 }
 
-result<void> listenOn(asio::ip::tcp::acceptor& acceptor, const std::string& address)
+result<void> listenOn(asio::ip::tcp::acceptor& acceptor, const std::string& address, int receiveBufferBytes)
 {
     beast::error_code error;
     auto endpoint = parseAddress(address);
     acceptor.open(endpoint.protocol(), error);
     acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (receiveBufferBytes > 0)
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
     acceptor.bind(endpoint, error);
     if (!error)
         acceptor.listen(asio::socket_base::max_listen_connections, error);
@@ -172,7 +174,7 @@
 
 result<void> http_server::listen(const std::string& address)
 {
-    BOOST_OUTCOME_TRYV(listenOn(m_acceptor, address));
+    BOOST_OUTCOME_TRYV(listenOn(m_acceptor, address, m_state->limits.receiveBufferBytes));
     m_port = m_acceptor.local_endpoint().port();
     asio::co_spawn(m_threads.first(), acceptConnections(), asio::detached);
     asio::co_spawn(m_threads.first(), watchConnections(m_state, m_threads.first()), asio::detached);
--- a/Source/http/http_server.h
+++ b/Source/http/http_server.h
@@ -24,6 +24,9 @@
     /// How long a request may be served before its connection can be closed for others: for servers that answer at once, whose
     /// callers don't read the answer then. Zero means that it can't.
     milliseconds longestService { 0 };
+    /// What the kernel may receive on a connection before it is read; 0 leaves that to the kernel. The kernel doubles it. It also holds for
+    /// connections that have not been accepted, whose number is not limited.
+    int receiveBufferBytes = 0;
 };
 
 /// Response to a request that could not be read, in the error format of the API served at this address.
@@ -108,9 +111,10 @@
     std::uint16_t m_port = 0;
 };
 
-/// Opens an acceptor and listens on an address. Precondition: isAddress() holds. Errors: the address can't be bound.
+/// Opens an acceptor and listens on an address. Connections get a receive buffer of that many bytes, which the kernel doubles; 0 leaves it
+/// to the kernel. Precondition: isAddress() holds. Errors: the address can't be bound.
 /// Thread safety: the acceptor's thread.
-result<void> listenOn(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address);
+result<void> listenOn(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address, int receiveBufferBytes = 0);
 
 /// Parses an address. Precondition: isAddress() holds. Thread safety: any thread.
 boost::asio::ip::tcp::endpoint parseAddress(const std::string& address);
