Tests: Send late copies that fit into the time of their calls

The answers were 504, the memory within its bound.

The copies have 4 MB now, 160 MB together where 64 are allowed, and the calls their route's time. With the programs before the fix the case still fails, with 133,689,344 bytes.

--- a/Tests/Platform/EndlessEndpointTest.cpp
+++ b/Tests/Platform/EndlessEndpointTest.cpp
@@ -11,7 +11,9 @@
 constexpr std::size_t memoryBytes = memoryMb * 1024UL * 1024;
 constexpr int callers = 40;
 constexpr milliseconds deadline { 2500 };
-const std::string strayBody(12UL * 1024 * 1024, 's');
+/// For all callers together more than twice the memory, and little enough to be sent well before the deadline.
+const std::string strayBody(4UL * 1024 * 1024, 's');
+constexpr milliseconds strayDeadline { 5500 };
 
 /// An entry with little memory in front of endpoints that send too much.
 class small_fleet {
@@ -19,12 +21,12 @@
     scripted_fleet fleet { { exampleConfiguration(7, 100'000'000), 1, memoryMb, false } };
 
     /// Sends calls by all callers at once. Returns the answers.
-    std::vector<simple_response> sendAll(const std::string& path, const std::string& prefix)
+    std::vector<simple_response> sendAll(const std::string& path, const std::string& prefix, milliseconds callDeadline = deadline)
     {
         std::vector<simple_response> answers(callers);
         std::vector<std::thread> threads;
         for (int i = 0; i < callers; ++i)
-            threads.emplace_back([&, i] { answers[static_cast<std::size_t>(i)] = fleet.send(path, fmt::format("{}-{}", prefix, i), "the prompt", deadline); });
+            threads.emplace_back([&, i] { answers[static_cast<std::size_t>(i)] = fleet.send(path, fmt::format("{}-{}", prefix, i), "the prompt", callDeadline); });
         for (auto& thread : threads)
             thread.join();
         return answers;
@@ -73,7 +75,7 @@
         return response;
     });
     auto monitor = small.monitor();
-    for (const auto& answer : small.sendAll("/read/x", "second")) {
+    for (const auto& answer : small.sendAll("/read/x", "second", strayDeadline)) {
         CHECK(answer.status == 200);
         CHECK(answer.body == "the answer");
     }
