--- a/Source/consensus/file_log_store.cpp
+++ b/Source/consensus/file_log_store.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <sstream>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -150,28 +151,55 @@
         return failure { fmt::format("{}: another process is using this data folder; stop it first", folder) };
 
     stored_replica replica;
-    bool present = false;
-    BOOST_OUTCOME_TRY(auto incarnation, readFile(incarnationFile, present));
-    replica.isNew = !present;
-    if (present) {
+    stored_files files;
+    BOOST_OUTCOME_TRY(auto incarnation, readFile(incarnationFile, files.hasIncarnation));
+    BOOST_OUTCOME_TRY(auto hardState, readFile(hardStateFile, files.hasHardState));
+    if (!replica.restored.hardState.ParseFromString(hardState))
+        return failure { fmt::format("{}: cannot be decoded", path(hardStateFile)) };
+    BOOST_OUTCOME_TRY(auto snapshot, readFile(snapshotFile, files.hasSnapshot));
+    if (!replica.restored.snapshot.ParseFromString(snapshot))
+        return failure { fmt::format("{}: cannot be decoded", path(snapshotFile)) };
+    files.snapshotIndex = replica.restored.snapshot.index();
+    struct stat log { };
+    files.hasLog = ::stat(path(logFile).c_str(), &log) == 0;
+    files.logBytes = static_cast<std::uint64_t>(log.st_size);
+    BOOST_OUTCOME_TRYV(checkComplete(files));
+
+    BOOST_OUTCOME_TRYV(openLog());
+    replica.isNew = !files.hasIncarnation;
+    if (files.hasIncarnation) {
         replica.incarnation = std::strtoull(incarnation.c_str(), nullptr, 10);
     } else {
-        // The incarnation is synced before anything else: a vote must not be cast under an incarnation that a crash loses.
-        if (::access(path(logFile).c_str(), F_OK) == 0)
-            return failure { fmt::format("{}: the folder has a log but no incarnation file; restore the file or empty the folder", folder) };
+        // The incarnation is synced before anything else but the empty log: a vote must not be cast under an incarnation that a crash loses.
         replica.incarnation = incarnationIfNew.value_or(generateIncarnation());
         BOOST_OUTCOME_TRYV(writeFile(incarnationFile, std::to_string(replica.incarnation)));
     }
-    BOOST_OUTCOME_TRY(auto hardState, readFile(hardStateFile, present));
-    if (!replica.restored.hardState.ParseFromString(hardState))
-        return failure { fmt::format("{}: cannot be decoded", path(hardStateFile)) };
-    BOOST_OUTCOME_TRY(auto snapshot, readFile(snapshotFile, present));
-    if (!replica.restored.snapshot.ParseFromString(snapshot))
-        return failure { fmt::format("{}: cannot be decoded", path(snapshotFile)) };
     BOOST_OUTCOME_TRYV(readLog(replica));
     return replica;
 }
 
+result<void> file_log_store::checkComplete(const stored_files& files) const
+{
+    auto incomplete = [this](const char* what) {
+        return failure { fmt::format("{}: the folder has {}; empty it so that this VM rejoins as a new replica, or restore it from a backup", m_folder, what) };
+    };
+    if (!files.hasIncarnation && (files.logBytes > 0 || files.hasHardState || files.hasSnapshot))
+        return incomplete("other files but no incarnation file");
+    if (files.hasIncarnation && !files.hasLog)
+        return incomplete("an incarnation file but no log");
+    if (!files.hasHardState && (files.logBytes > 0 || files.snapshotIndex > 0))
+        return incomplete("entries but no hard_state file");
+    return ok();
+}
+
+result<void> file_log_store::openLog()
+{
+    m_logDescriptor = ::open(path(logFile).c_str(), O_CREAT | O_RDWR | O_APPEND | O_CLOEXEC, 0600);
+    if (m_logDescriptor < 0)
+        return fileFailure(path(logFile), "open");
+    return syncFolder(m_folder);
+}
+
 result<stored_replica> file_log_store::openAfterFailure(const std::string& folder, std::optional<std::uint64_t> incarnationIfNew)
 {
     BOOST_OUTCOME_TRY(auto replica, open(folder, incarnationIfNew));
@@ -181,9 +209,6 @@
 
 result<void> file_log_store::readLog(stored_replica& replica)
 {
-    m_logDescriptor = ::open(path(logFile).c_str(), O_CREAT | O_RDWR | O_APPEND | O_CLOEXEC, 0600);
-    if (m_logDescriptor < 0)
-        return fileFailure(path(logFile), "open");
     std::ifstream file(path(logFile), std::ios::binary);
     std::stringstream content;
     content << file.rdbuf();
@@ -214,18 +239,19 @@
         if (entry.index() != ++expected)
             return failure { fmt::format("{}: entry {} is missing; empty the data folder so that this VM rejoins as a new replica", path(logFile), expected) };
     }
-    return syncFolder(m_folder);
+    return ok();
 }
 
 result<void> file_log_store::persist(const raft_write& write)
 {
-    // The snapshot is written first; otherwise a crash could leave a gap between the log and the entries after the snapshot.
-    if (write.snapshot) {
-        BOOST_OUTCOME_TRYV(compact(*write.snapshot, {}));
-    }
+    // Entries without a hard state are those of a replica that has lost its votes.
     if (write.hardState) {
         BOOST_OUTCOME_TRYV(writeFile(hardStateFile, write.hardState->SerializeAsString()));
     }
+    // Written before the log; otherwise a crash could leave a gap between the log and the entries after the snapshot.
+    if (write.snapshot) {
+        BOOST_OUTCOME_TRYV(compact(*write.snapshot, {}));
+    }
     if (write.append.empty())
         return ok();
     std::string bytes;
--- a/Source/consensus/file_log_store.h
+++ b/Source/consensus/file_log_store.h
@@ -29,8 +29,9 @@
 
     /// Opens the folder, which must exist, and reads its files. An incomplete record at the end of the log is truncated;
     /// damage before the end is an error, since truncating there would lose acknowledged entries.
-    /// A folder without an incarnation gets `incarnationIfNew`, or a generated one.
-    /// Errors: folder missing or in use, damaged file, disk errors; each names the file.
+    /// An empty folder gets `incarnationIfNew`, or a generated one.
+    /// Errors: folder missing or in use, damaged file, disk errors; each names the file. A folder that lacks a file that a replica of its
+    /// incarnation has written is refused: the replica would have forgotten its votes or entries. It may be about to be emptied.
     result<stored_replica> open(const std::string& folder, std::optional<std::uint64_t> incarnationIfNew = std::nullopt);
     /// Opens the folder after a write or sync failed. The content that is read may exist only in the page cache, so the
     /// snapshot and the log are rewritten. Errors: those of open(), disk errors.
@@ -43,9 +44,24 @@
     result<void> compact(const wire::raft_snapshot& snapshot, const std::vector<wire::log_entry>& remainingEntries);
 
 private:
+    /// What a folder holds when it is opened.
+    struct stored_files {
+        bool hasIncarnation = false;
+        bool hasHardState = false;
+        bool hasSnapshot = false;
+        bool hasLog = false;
+        std::uint64_t snapshotIndex = 0;
+        std::uint64_t logBytes = 0;
+    };
+
     std::string path(const char* name) const { return m_folder + "/" + name; }
     result<void> writeFile(const char* name, const std::string& payload);
     result<std::string> readFile(const char* name, bool& present) const;
+    /// Whether no file is missing that a replica writes before the others. Errors: one is.
+    result<void> checkComplete(const stored_files& files) const;
+    /// Opens the log, or creates an empty one and syncs the folder.
+    result<void> openLog();
+    /// Precondition: the log is open.
     result<void> readLog(stored_replica& replica);
     result<void> rewriteLog(const std::vector<wire::log_entry>& entries);
     result<void> appendBytes(const std::string& bytes);
--- a/Tests/Consensus/FileLogStoreTest.cpp
+++ b/Tests/Consensus/FileLogStoreTest.cpp
@@ -50,11 +50,23 @@
     return ready;
 }
 
+/// A replica that has entries has been in their term.
 void writeLog(const std::string& folder)
 {
     file_log_store store;
     REQUIRE(store.open(folder));
-    REQUIRE(store.persist(makeEntries(1, 10, 1)));
+    auto write = makeEntries(1, 10, 1);
+    write.hardState.emplace().set_term(1);
+    REQUIRE(store.persist(write));
+}
+
+wire::raft_snapshot makeSnapshot(std::uint64_t index)
+{
+    wire::raft_snapshot snapshot;
+    snapshot.set_index(index);
+    snapshot.set_term(1);
+    snapshot.set_state("state");
+    return snapshot;
 }
 }
 
@@ -183,3 +195,50 @@
     CHECK(reopened.value().restored.entries.size() == 10);
     CHECK(reopened.value().incarnation == replica.value().incarnation);
 }
+
+// Guards against a replica that forgets its votes or entries, since its process opens the folder again while an operator empties it.
+TEST_CASE("A data folder that is being emptied is refused until nothing of the replica is left", "[promise]")
+{
+    std::vector<std::string> files { "hard_state", "incarnation", "log", "snapshot" };
+    do {
+        scratch_folder folder;
+        writeLog(folder.path);
+        {
+            file_log_store store;
+            REQUIRE(store.open(folder.path));
+            REQUIRE(store.compact(makeSnapshot(5), makeEntries(6, 10, 1).append));
+        }
+        for (std::size_t removed = 0; removed < files.size(); ++removed) {
+            std::filesystem::remove(folder.path + "/" + files[removed]);
+            INFO("removed " << fmt::format("{}", fmt::join(files.begin(), files.begin() + static_cast<std::ptrdiff_t>(removed) + 1, ", ")));
+            file_log_store store;
+            auto replica = store.open(folder.path);
+            bool isEmptied = removed + 1 == files.size();
+            CHECK(static_cast<bool>(replica) == isEmptied);
+            CHECK((!replica || replica.value().isNew));
+            if (!isEmptied && replica)
+                break;
+        }
+    } while (std::next_permutation(files.begin(), files.end()));
+}
+
+// Guards against a replica that isn't opened again after it was killed at any point of its first start.
+TEST_CASE("A data folder without votes and entries is opened whatever of it was written")
+{
+    scratch_folder folder;
+    std::ofstream(folder.path + "/log").close();
+    {
+        file_log_store store;
+        auto replica = store.open(folder.path, 1);
+        REQUIRE(replica);
+        CHECK(replica.value().isNew);
+        CHECK(replica.value().incarnation == 1);
+    }
+    for (bool afterFailure : { false, true, false }) {
+        file_log_store store;
+        auto replica = afterFailure ? store.openAfterFailure(folder.path) : store.open(folder.path);
+        REQUIRE(replica);
+        CHECK_FALSE(replica.value().isNew);
+        CHECK(replica.value().incarnation == 1);
+    }
+}
