Coordination: Block a request that succeeded before only after three crash moments

Cause: crashes at two moments blocked a request that had succeeded before, and once it is refused no success can lift the block. Besides, a success older than a minute was forgotten while the crashes after it still counted, which made two of them enough again.

Such a request is blocked after three moments now, and successes are kept as long as crashes of their requests. A request without any success is blocked by two endpoints, as before.

--- a/Source/coordination/request_blocks.cpp
+++ b/Source/coordination/request_blocks.cpp
@@ -111,7 +111,7 @@
 {
     auto counts = m_crashTracker.countsByFingerprint();
     for (const auto& [fingerprint, count] : counts) {
-        if (count.certain >= crash_tracker::crashesToBlock)
+        if (count.blocksCertainly())
             m_certain.try_emplace(fingerprint, now + m_settings.blockLifetime);
     }
     std::erase_if(m_certain, [now](const auto& item) { return item.second < now; });
@@ -127,7 +127,7 @@
     for (const auto& [fingerprint, until] : m_certain)
         add(fingerprint, true);
     for (const auto& [fingerprint, count] : counts) {
-        if (count.total() >= crash_tracker::crashesToBlock && !m_certain.count(fingerprint))
+        if (count.blocks() && !m_certain.count(fingerprint))
             add(fingerprint, false);
     }
     std::vector<std::pair<std::uint32_t, std::uint64_t>> suspects;
--- a/Source/scheduling/crash_tracker.cpp
+++ b/Source/scheduling/crash_tracker.cpp
@@ -83,12 +83,13 @@
 
 bool crash_tracker::recordSuccess(std::uint64_t fingerprint, time_point begunAt)
 {
-    auto before = countOf(fingerprint).total();
+    auto before = countOf(fingerprint);
     auto& known = m_successes[fingerprint];
     known = std::max(known, begunAt);
     if (m_successes.size() > maxCrashes)
         m_successes.erase(std::min_element(m_successes.begin(), m_successes.end(), [](const auto& a, const auto& b) { return a.second < b.second; }));
-    if (countOf(fingerprint).total() == before)
+    auto after = countOf(fingerprint);
+    if (before.total() == 0 || (after.total() == before.total() && after.toBlock == before.toBlock))
         return false;
     ++m_version;
     return true;
@@ -96,9 +97,12 @@
 
 void crash_tracker::expire(milliseconds lifetime, time_point now)
 {
-    std::erase_if(m_successes, [&](const auto& item) { return now - item.second > lifetime; });
     if (std::erase_if(m_crashes, [&](const crash& entry) { return now - entry.at > lifetime; }) > 0)
         ++m_version;
+    std::set<std::uint64_t> crashed;
+    for (const auto& entry : m_crashes)
+        crashed.insert(entry.report.fingerprint());
+    std::erase_if(m_successes, [&](const auto& item) { return now - item.second > lifetime && !crashed.count(item.first); });
 }
 
 std::uint32_t crash_tracker::crashCount(std::uint64_t fingerprint) const
@@ -164,6 +168,7 @@
             crashes.push_back(run);
     }
     crash_count count;
+    count.toBlock = hasSucceeded ? crashesToBlockAfterSuccess : crashesToBlock;
     for (const auto& one : crashes)
         ++(one.certain ? count.certain : count.suspected);
     return count;
--- a/Source/scheduling/crash_tracker.h
+++ b/Source/scheduling/crash_tracker.h
@@ -16,7 +16,11 @@
 struct crash_count {
     std::uint32_t suspected = 0;
     std::uint32_t certain = 0;
+    /// How many block the request.
+    std::uint32_t toBlock = 0;
     std::uint32_t total() const { return suspected + certain; }
+    bool blocks() const { return total() >= toBlock; }
+    bool blocksCertainly() const { return certain >= toBlock; }
 };
 
 /// A crash that counts against its request.
@@ -36,6 +40,9 @@
 class crash_tracker {
 public:
     static constexpr std::uint32_t crashesToBlock = 2;
+    /// The same for a request that succeeded before. When some endpoints fail by another cause within a fraction of a second, a call that
+    /// is sent again meets two of them.
+    static constexpr std::uint32_t crashesToBlockAfterSuccess = 3;
     /// Crashes at different moments under calls with a part in their prompts from which on the part is suspected. Each request
     /// has several parts, so that two crashes would accuse sound ones more often.
     static constexpr std::uint32_t crashesToSuspectPart = 3;
@@ -57,9 +64,10 @@
     /// Clears the suspected crashes of an endpoint that shut down in an orderly way; certain ones stay.
     void onShutdown(const std::string& endpoint);
     /// Records that an endpoint answered an attempt at the request with success. Crashes up to the begin of the attempt don't
-    /// count any more, and later ones at the same moment count once. Returns whether fewer crashes count.
+    /// count any more, later ones at the same moment count once, and more are needed for a block. Returns whether this changes anything
+    /// for crashes that are recorded.
     bool recordSuccess(std::uint64_t fingerprint, time_point begunAt);
-    /// Drops crashes, suspected and certain, and successes that are older than the lifetime.
+    /// Drops crashes, suspected and certain, that are older than the lifetime, and older successes of requests without crashes.
     void expire(milliseconds lifetime, time_point now);
     /// Number of suspected and certain crashes of a fingerprint, including the marks from control.
     std::uint32_t crashCount(std::uint64_t fingerprint) const;
