Forwarding: Accept one connection a turn at the relay again

The relay keeps 64 connections that have not shown that they are entries, and for a new one closes the one that has waited longest. Found by reading; no caller has seen it.

--- a/Source/coordination/request_blocks.h
+++ b/Source/coordination/request_blocks.h
@@ -17,9 +17,10 @@
 };
 
 /// Decides which requests entries refuse because endpoints crash while running them. A request is blocked once connections
-/// to crash_tracker::crashesToBlock endpoints broke while they ran it, or at one moment more if it succeeded before. The block becomes certain when those endpoints have
-/// restarted or fallen silent. Prompts are blocked by their parts as well (prompt_part_blocks). A suspicion is removed when the endpoint reports again from the same run, since then only the
-/// connection broke, or when it reports ENDPOINT_GONE. A request that succeeds after a crash didn't cause it, so entries are asked
+/// to crash_tracker::crashesToBlock endpoints broke while they ran it, or at crashesToBlockAfterSuccess moments if it succeeded before. The
+/// block becomes certain when those endpoints have restarted or fallen silent. Prompts are blocked by their parts as well
+/// (prompt_part_blocks). A suspicion is removed when the endpoint reports again from the same run, since then only the connection broke,
+/// or when it reports ENDPOINT_GONE. A request that succeeds after a crash didn't cause it, so entries are asked
 /// for the successes of requests under which endpoints crashed. Every control process keeps the crashes, since any of them may be
 /// elected: a leader that started without them would let each request crash two more endpoints. Performs no I/O. Not
 /// thread-safe.
--- a/Source/forwarding/relay_server.cpp
+++ b/Source/forwarding/relay_server.cpp
@@ -157,24 +157,17 @@
             timer->async_wait([this, timer](boost::system::error_code) { accept(); });
             return;
         }
-        handleAccepted(std::move(socket));
-        acceptWaiting(
-            m_acceptor, [this]() -> asio::io_context& { return m_context; }, [this](tcp::socket next) { handleAccepted(std::move(next)); });
+        if (m_unidentified.size() >= maxUnidentified) {
+            m_unidentified.front()->close();
+            m_unidentified.pop_front();
+            m_metrics.count("relay_unidentified_closed");
+        }
+        m_unidentified.push_back(std::make_shared<session>(std::move(socket)));
+        asio::co_spawn(m_context, serve(m_unidentified.back()), asio::detached);
         accept();
     });
 }
 
-void relay_server::handleAccepted(tcp::socket socket)
-{
-    if (m_unidentified.size() >= maxUnidentified) {
-        m_unidentified.front()->close();
-        m_unidentified.pop_front();
-        m_metrics.count("relay_unidentified_closed");
-    }
-    m_unidentified.push_back(std::make_shared<session>(std::move(socket)));
-    asio::co_spawn(m_context, serve(m_unidentified.back()), asio::detached);
-}
-
 task_of<bool> relay_server::readRequest(session_ptr relayed, wire::relay_open& request)
 {
     session::startTimer(relayed, requestTimeout);
--- a/Source/forwarding/relay_server.h
+++ b/Source/forwarding/relay_server.h
@@ -43,8 +43,6 @@
     using session_ptr = std::shared_ptr<session>;
 
     void accept();
-    /// Takes a new connection in; of those that have not shown that they are entries, the longest open one makes room.
-    void handleAccepted(boost::asio::ip::tcp::socket socket);
     task_of<void> serve(session_ptr relayed);
     /// Reads what the other entry asks for. Returns false if it isn't one, or takes too long.
     task_of<bool> readRequest(session_ptr relayed, wire::relay_open& request);
