--- a/Tests/Consensus/FileLogStoreTest.cpp
+++ b/Tests/Consensus/FileLogStoreTest.cpp
@@ -150,11 +150,7 @@
     {
         file_log_store store;
         REQUIRE(store.open(folder.path));
-        wire::raft_snapshot snapshot;
-        snapshot.set_index(8);
-        snapshot.set_term(1);
-        snapshot.set_state("state");
-        REQUIRE(store.compact(snapshot, makeEntries(9, 10, 1).append));
+        REQUIRE(store.compact(makeSnapshot(8), makeEntries(9, 10, 1).append));
         REQUIRE(store.persist(makeEntries(11, 11, 1)));
     }
     file_log_store store;
--- a/Tests/Coordination/RequestBlocksTest.cpp
+++ b/Tests/Coordination/RequestBlocksTest.cpp
@@ -213,7 +213,7 @@
     time_point now { std::chrono::hours(1) };
     addCrash(blocks, crashAt("e1", "a"), now);
     now += std::chrono::seconds(3);
-    blocks.recordSuccesses(successBegun(std::chrono::seconds(4)), now);
+    CHECK(blocks.recordSuccesses(successBegun(std::chrono::seconds(4)), now));
     CHECK(blocks.crashCount(request) == 1);
     CHECK(addCrash(blocks, crashAt("e2", "b"), now) == 2);
     now += std::chrono::seconds(1);
